--- /dev/null
+++ b/cmd/hyssopgrade/node.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/samber/do/v2"
+	"github.com/urfave/cli/v3"
+
+	"hyssopgrade/hgconfig"
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgnode"
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` in TOML, such as examples/node.toml", Required: true}
+}
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name: "node", Usage: "run a node until SIGTERM or SIGINT, then drain it; a second signal ends it and says what it cuts",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return runNode(c.String("config"))
+		},
+	}
+}
+
+func runNode(path string) (err error) {
+	cfg, err := hgconfig.Read(path)
+	if err != nil {
+		return err
+	}
+	key, err := cfg.Key()
+	if err != nil {
+		return err
+	}
+	log, err := hglog.New(os.Stderr, cfg.Log.Format, cfg.Log.Level)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	n, err := do.Invoke[*hgnode.Node](hgnode.Wire(cfg, hgnode.CellKey{Key: key}, log, hgnode.Release{Version: version}))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), hgconfig.MS(cfg.Limits.DrainMs))
+	defer cancel()
+	go func() {
+		<-signals
+		log.Warn("second signal", "callsCut", n.Running())
+		cancel()
+	}()
+	err = n.Drain(ctx)
+	n.Close()
+	return err
+}
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name: "config", Usage: "work with settings",
+		Commands: []*cli.Command{{
+			Name: "check", Usage: "check a settings file without starting", Flags: []cli.Flag{settingsFlag()},
+			Action: func(_ context.Context, c *cli.Command) error {
+				cfg, err := hgconfig.Read(c.String("config"))
+				if err != nil {
+					return err
+				}
+				fmt.Printf("settings of node %s are good: %d endpoints, %d shards\n", cfg.Node.ID, len(cfg.Endpoint), cfg.Node.Shards)
+				return nil
+			},
+		}},
+	}
+}
--- /dev/null
+++ b/cmd/hyssopgrade/operate.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"hyssopgrade/hgcaller"
+	"hyssopgrade/hgfront"
+	"hyssopgrade/hgowner"
+	"hyssopgrade/hgpreset"
+)
+
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "node", Usage: "public `ADDRESS` of a node, such as 127.0.0.1:7400", Required: true},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func presetCommand() *cli.Command {
+	return &cli.Command{
+		Name: "preset", Usage: "list, show and choose presets",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list the presets; * marks the one in force", Flags: operatorFlags(), Action: listPresets},
+			{Name: "show", Usage: "print the preset in force and the version that each node applies", Flags: operatorFlags(), Action: showPreset},
+			{
+				Name: "use", Usage: "put a preset in force and wait until each live node applies it", ArgsUsage: "NAME",
+				Flags: append(operatorFlags(),
+					&cli.StringFlag{Name: "by", Usage: "who chooses; the user's name without it"},
+					&cli.DurationFlag{Name: "wait", Value: 20 * time.Second, Usage: "time to wait"}),
+				Action: usePreset,
+			},
+		},
+	}
+}
+
+func getPresets(ctx context.Context, client *hgcaller.Client, node string) (s hgfront.PresetStatus, err error) {
+	return s, client.Get(ctx, node, "/v1/presets", &s)
+}
+
+func listPresets(ctx context.Context, c *cli.Command) (err error) {
+	s, err := getPresets(ctx, hgcaller.NewClient(), c.String("node"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s.Names)
+	}
+	for _, n := range s.Names {
+		fmt.Printf("%s %s\n", lo.Ternary(n == s.Current.Preset.Name, "*", " "), n)
+	}
+	return nil
+}
+
+func showPreset(ctx context.Context, c *cli.Command) (err error) {
+	s, err := getPresets(ctx, hgcaller.NewClient(), c.String("node"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s)
+	}
+	fmt.Printf("preset %s, version %d, chosen by %s, confirmed %s ago\n", s.Current.Preset.Name, s.Current.Number, s.Current.By, s.Confirmed.Round(time.Millisecond))
+	for _, m := range s.Members {
+		fmt.Printf("  %-16s %-12s version %d%s\n", m.ID, m.Domain, m.PresetVersion, lo.Ternary(m.Live, "", " (not heard)"))
+	}
+	return nil
+}
+
+func usePreset(ctx context.Context, c *cli.Command) (err error) {
+	if c.Args().Len() != 1 {
+		return trace.BadParameter("want the name of one preset")
+	}
+	client := hgcaller.NewClient()
+	var v hgpreset.Version
+	body := map[string]string{"name": c.Args().First(), "by": operator(c.String("by"))}
+	err = client.Post(ctx, c.String("node"), "/v1/presets/use", body, &v)
+	if trace.IsCompareFailed(err) {
+		return &exitError{code: exitLostRace, err: err}
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("version %d accepted: preset %s by %s\n", v.Number, v.Preset.Name, v.By)
+	return awaitPreset(ctx, client, c.String("node"), v.Number, c.Duration("wait"))
+}
+
+func operator(by string) string {
+	if by != "" {
+		return by
+	}
+	u, err := user.Current()
+	if err != nil {
+		return "operator"
+	}
+	return u.Username
+}
+
+// progressPause is the time between two looks at who applies a preset.
+const progressPause = 250 * time.Millisecond
+
+// awaitPreset waits until each live node applies a version, and names those that do not.
+func awaitPreset(ctx context.Context, client *hgcaller.Client, node string, number uint64, wait time.Duration) (err error) {
+	end := time.Now().Add(wait)
+	for {
+		s, err := getPresets(ctx, client, node)
+		if err != nil {
+			return err
+		}
+		behind := lo.FilterMap(s.Members, func(m hgfront.MemberStatus, _ int) (string, bool) {
+			return m.ID, m.Live && m.PresetVersion < number
+		})
+		fmt.Printf("%d of %d nodes apply version %d\n", len(s.Members)-len(behind), len(s.Members), number)
+		if len(behind) == 0 {
+			return nil
+		}
+		if time.Now().After(end) {
+			return &exitError{code: exitNotInTime, err: fmt.Errorf("version %d is not applied by %v", number, behind)}
+		}
+		time.Sleep(progressPause)
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "describe a node and its cell, or one program",
+		Flags: append(operatorFlags(), &cli.StringFlag{Name: "program", Usage: "identifier of a program"}),
+		Action: func(ctx context.Context, c *cli.Command) (err error) {
+			if c.String("program") != "" {
+				return programStatus(ctx, c)
+			}
+			return nodeStatus(ctx, c)
+		},
+	}
+}
+
+func programStatus(ctx context.Context, c *cli.Command) (err error) {
+	var s hgowner.ProgramStatus
+	if err := hgcaller.NewClient().Get(ctx, c.String("node"), "/v1/programs/status?program="+c.String("program"), &s); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s)
+	}
+	fmt.Printf("program %s: %d calls, next %d, running %t, ended %t\n", s.Program, s.Calls, s.NextSeq, s.Running, s.Ended)
+	fmt.Printf("tokens: %d spent and %d reserved of %d, context %d\n", s.Spent, s.Reserved, s.Budget, s.Context)
+	fmt.Printf("time of %d calls: queue %s, commit %s, model %s, tool %s, total %s\n",
+		s.Time.Calls, s.Time.Queue, s.Time.Commit, s.Time.Model, s.Time.Tool, s.Time.Total)
+	return nil
+}
+
+func nodeStatus(ctx context.Context, c *cli.Command) (err error) {
+	var o hgfront.Overview
+	if err := hgcaller.NewClient().Get(ctx, c.String("node"), "/v1/status", &o); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(o)
+	}
+	fmt.Printf("node %s: draining %t, %d calls run, %d wait, %d programs, store failed for %s\n",
+		o.Node, o.Draining, o.Running, o.Waiting, len(o.Programs), o.StoreFailed)
+	owned := lo.CountValues(lo.Values(o.Shards))
+	for _, m := range o.Members {
+		fmt.Printf("  member   %-16s %-12s %-22s live %-5t shards %d\n", m.ID, m.Domain, m.Public, m.Live, owned[m.ID])
+	}
+	for _, e := range o.Endpoints {
+		fmt.Printf("  endpoint %-16s %-12s in flight %d+%d of %.1f, leaving %t, ejected %t\n",
+			e.ID, e.Domain, e.InFlight, e.Peers, e.Window, e.Leaving, e.Ejected)
+	}
+	for _, q := range o.Quarantine {
+		fmt.Printf("  suspect  %s deaths %d, cleared %t\n", q.Digest, q.Deaths, q.Cleared)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/hyssopgrade/replay.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"hyssopgrade/hgcaller"
+	"hyssopgrade/hgcell"
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgreplay"
+	"hyssopgrade/hgstandin"
+)
+
+func replayFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.FloatFlag{Name: "speed", Value: 1, Usage: "divide the pauses of the trace by `X`"},
+		&cli.DurationFlag{Name: "deadline", Value: 30 * time.Second, Usage: "time for each call"},
+		&cli.DurationFlag{Name: "patience", Value: time.Minute, Usage: "time in which a refused call comes back"},
+		&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+	}
+}
+
+func replayOptions(c *cli.Command) (o hgreplay.Options, err error) {
+	if c.Float("speed") <= 0 {
+		return o, trace.BadParameter("speed %v: want more than 0", c.Float("speed"))
+	}
+	return hgreplay.Options{
+		Speed: c.Float("speed"), Deadline: c.Duration("deadline"), Patience: c.Duration("patience"), Progress: progress,
+	}, nil
+}
+
+// progressSteps is the number of times that progress is shown.
+const progressSteps = 10
+
+// progress shows how many programs have ended.
+func progress(done, all int) {
+	step := max(all/progressSteps, 1)
+	if done%step == 0 || done == all {
+		fmt.Fprintf(os.Stderr, "%d of %d programs ended\n", done, all)
+	}
+}
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "replay", Usage: "replay a recorded trace against a running system, as its callers would",
+		UsageText: "hyssopgrade replay --trace FILE --node ADDRESS[,ADDRESS…] [--standin ADDRESS[,ADDRESS…]]",
+		Flags: append(replayFlags(),
+			&cli.StringFlag{Name: "trace", Usage: "trace `FILE` in JSON Lines, see docs/TRACES.md", Required: true},
+			&cli.StringSliceFlag{Name: "node", Usage: "public `ADDRESS` of a node, such as 127.0.0.1:7400", Required: true},
+			&cli.StringSliceFlag{Name: "standin", Usage: "`ADDRESS` of a stand-in whose record is checked"},
+			&cli.StringFlag{Name: "prefix", Usage: "`TEXT` before each program's identifier, to replay a trace again"},
+		),
+		Action: runReplay,
+	}
+}
+
+func runReplay(ctx context.Context, c *cli.Command) (err error) {
+	opts, err := replayOptions(c)
+	if err != nil {
+		return err
+	}
+	opts.Prefix = c.String("prefix")
+	programs, err := hgreplay.ReadFile(c.String("trace"))
+	if err != nil {
+		return err
+	}
+	client := hgcaller.NewClient(c.StringSlice("node")...)
+	defer client.Close()
+	r := hgreplay.NewReplay(client, opts).Run(ctx, programs)
+	if standins := c.StringSlice("standin"); len(standins) > 0 {
+		var all []hgstandin.Execution
+		for _, address := range standins {
+			var list []hgstandin.Execution
+			if err := client.Get(ctx, address, "/record", &list); err != nil {
+				return err
+			}
+			all = append(all, list...)
+			var waste hgstandin.Waste
+			if err := client.Get(ctx, address, "/waste", &waste); err != nil {
+				return err
+			}
+			r.AddWaste(waste)
+		}
+		r.CheckRecords(all)
+	}
+	return finish(c, r)
+}
+
+// finish prints the report; a violation is an error.
+func finish(c *cli.Command, r *hgreplay.Report) (err error) {
+	if c.Bool("json") {
+		err = json.NewEncoder(os.Stdout).Encode(struct {
+			*hgreplay.Report
+			Latency hgreplay.Latency `json:"latency"`
+			Wasted  float64          `json:"wastedShare"`
+		}{r, r.Latency(), r.WastedShare()})
+	} else {
+		r.Print(os.Stdout)
+	}
+	if len(r.Violations) > 0 {
+		return &exitError{code: exitViolation, err: fmt.Errorf("%d violations", len(r.Violations))}
+	}
+	return err
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name: "demo", Usage: "run three nodes and stand-ins in one process and replay a shipped trace",
+		Flags: append(replayFlags(),
+			&cli.StringFlag{Name: "trace", Value: "derwent", Usage: "shipped trace, derwent or fjordbom"},
+			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level: debug, info, warn or error"},
+		),
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) (err error) {
+	opts, err := replayOptions(c)
+	if err != nil {
+		return err
+	}
+	programs, err := hgreplay.Shipped(c.String("trace"))
+	if err != nil {
+		return err
+	}
+	log, err := hglog.New(os.Stderr, "text", c.String("log"))
+	if err != nil {
+		return err
+	}
+	cell, err := hgcell.NewCell(hgcell.Demo(log))
+	if err != nil {
+		return err
+	}
+	defer cell.Close()
+	if err := cell.WaitReady(); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "nodes %s\n", strings.Join(cell.Addresses(), " "))
+	return finish(c, cell.Replay(ctx, programs, opts))
+}
--- /dev/null
+++ b/hgcell/cell_test.go
@@ -0,0 +1,39 @@
+package hgcell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgreplay"
+)
+
+func TestReplayOfShippedTraces(t *testing.T) {
+	for _, name := range []string{"derwent", "fjordbom"} {
+		t.Run(name, func(t *testing.T) {
+			programs, err := hgreplay.Shipped(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := NewCell(Demo(hglog.Discard()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if err := c.WaitReady(); err != nil {
+				t.Fatal(err)
+			}
+			r := c.Replay(t.Context(), programs, hgreplay.Options{
+				Speed: 2, Deadline: 20 * time.Second, Patience: 20 * time.Second, Progress: func(int, int) {},
+			})
+			if diff := cmp.Diff([]string{}, r.Violations); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(len(programs), r.Done); diff != "" {
+				t.Errorf("programs done (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/hgconfig/doc.go
@@ -0,0 +1,2 @@
+// Package hgconfig reads and checks the settings of a node.
+package hgconfig
--- /dev/null
+++ b/hgendpoint/doc.go
@@ -0,0 +1,2 @@
+// Package hgendpoint speaks the published protocols of model engines and tool services.
+package hgendpoint
--- /dev/null
+++ b/hgendpoint/http.go
@@ -0,0 +1,270 @@
+package hgendpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Headers of the endpoints' protocol.
+const (
+	HeaderRequest = "X-Request-Id"
+	HeaderProgram = "X-Program-Id"
+	HeaderFence   = "X-Fencing-Number"
+)
+
+// maxAnswerBytes bounds a tool's answer and one line of a stream.
+const maxAnswerBytes = 16 << 20
+
+// HTTP is an Endpoint reached over HTTP.
+type HTTP struct {
+	name   string
+	base   string
+	client *http.Client
+	single *http.Client
+}
+
+// NewHTTP returns the endpoint at address, such as 127.0.0.1:7500.
+func NewHTTP(name, address string) *HTTP {
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &HTTP{
+		name:   name,
+		base:   "http://" + address,
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}},
+		// A connection of its own for each request: the transport has no dead idle connection on which it could send again.
+		single: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+	}
+}
+
+// dialTimeout bounds the making of a connection.
+const dialTimeout = time.Second
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+type chatBody struct {
+	Model         string         `json:"model"`
+	Messages      any            `json:"messages"`
+	MaxTokens     uint64         `json:"max_tokens"`
+	Stream        bool           `json:"stream"`
+	StreamOptions map[string]any `json:"stream_options"`
+}
+
+type chatChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     uint64 `json:"prompt_tokens"`
+		CompletionTokens uint64 `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens uint64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// Chat runs a model call over the chat-completions protocol with streaming.
+func (h *HTTP) Chat(ctx context.Context, r ChatRequest, piece func(text string)) (c ChatResult, err error) {
+	body, err := json.Marshal(chatBody{
+		Model: r.Model, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: true,
+		StreamOptions: map[string]any{"include_usage": true},
+	})
+	if err != nil {
+		return c, &Error{Err: err}
+	}
+	start := time.Now()
+	w, err := h.post(ctx, h.single, "/v1/chat/completions", body, r.Request, r.Program, r.Fence)
+	if err != nil {
+		return c, err
+	}
+	defer w.Body.Close()
+	if err := checkStatus(w); err != nil {
+		return c, err
+	}
+	if w.StatusCode != http.StatusOK {
+		return c, &Error{Sent: true, Err: fmt.Errorf("status %d", w.StatusCode)}
+	}
+	c, err = readStream(w.Body, start, r.Request, w.Header.Get(HeaderRequest), piece)
+	c.Total = time.Since(start)
+	return c, err
+}
+
+// readStream reads the events of an answer; an answer without its end or of another request is an *Error.
+func readStream(body io.Reader, start time.Time, want, got string, piece func(text string)) (c ChatResult, err error) {
+	if got != want {
+		return c, &Error{Sent: true, Err: fmt.Errorf("answer of request %q instead of %q", got, want)}
+	}
+	var text strings.Builder
+	finished := false
+	sc := bufio.NewScanner(body)
+	sc.Buffer(nil, maxAnswerBytes)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return endOfStream(c, text.String(), finished)
+		}
+		var chunk chatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return c, &Error{Sent: true, Err: err}
+		}
+		for _, ch := range chunk.Choices {
+			if ch.Delta.Content != "" && c.FirstToken == 0 {
+				c.FirstToken = time.Since(start)
+			}
+			text.WriteString(ch.Delta.Content)
+			piece(ch.Delta.Content)
+			finished = finished || ch.FinishReason != nil
+		}
+		if u := chunk.Usage; u != nil {
+			c.PromptTokens, c.CachedTokens, c.OutputTokens = u.PromptTokens, u.Details.CachedTokens, u.CompletionTokens
+		}
+	}
+	return c, &Error{Sent: true, Cut: true, Err: fmt.Errorf("answer was cut after %d bytes: %v", text.Len(), sc.Err())}
+}
+
+func endOfStream(c ChatResult, text string, finished bool) (ChatResult, error) {
+	if !finished {
+		return c, &Error{Sent: true, Err: errors.New("answer ended without a finish reason")}
+	}
+	c.Text = text
+	return c, nil
+}
+
+// Call runs a tool call. A call that is not idempotent is sent on a connection of its own.
+func (h *HTTP) Call(ctx context.Context, r ToolRequest) (t ToolResult, err error) {
+	client := h.single
+	if r.Idempotent {
+		client = h.client
+	}
+	w, err := h.post(ctx, client, "/call/"+url.PathEscape(r.Operation), r.Body, r.Request, r.Program, r.Fence)
+	if err != nil {
+		return t, err
+	}
+	defer w.Body.Close()
+	if err := checkStatus(w); err != nil {
+		return t, err
+	}
+	if got := w.Header.Get(HeaderRequest); got != r.Request {
+		return t, &Error{Sent: true, Err: fmt.Errorf("answer of request %q instead of %q", got, r.Request)}
+	}
+	data, err := io.ReadAll(io.LimitReader(w.Body, maxAnswerBytes))
+	if err != nil {
+		return t, &Error{Sent: true, Cut: true, Err: err}
+	}
+	return ToolResult{Status: w.StatusCode, Body: data}, nil
+}
+
+// post sends one request at most once; the request can't be sent again as its body can't be had a second time.
+func (h *HTTP) post(ctx context.Context, client *http.Client, path string, body []byte, request, program string, f Fence) (w *http.Response, err error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(HeaderRequest, request)
+	r.Header.Set(HeaderProgram, program)
+	r.Header.Set(HeaderFence, f.String())
+	w, err = client.Do(r)
+	if err == nil {
+		return w, nil
+	}
+	var op *net.OpError
+	dialFailed := errors.As(err, &op) && op.Op == "dial"
+	return nil, &Error{Sent: !dialFailed, Cut: ctx.Err() == nil, Err: err}
+}
+
+// checkStatus returns an *Error for answers by which the endpoint says that it did not run the request.
+func checkStatus(w *http.Response) (err error) {
+	if w.StatusCode < http.StatusInternalServerError && w.StatusCode != http.StatusPreconditionFailed {
+		return nil
+	}
+	if w.StatusCode == http.StatusInternalServerError {
+		return nil
+	}
+	data, _ := io.ReadAll(io.LimitReader(w.Body, 1<<10))
+	return &Error{
+		Draining: w.StatusCode == http.StatusServiceUnavailable,
+		Fenced:   w.StatusCode == http.StatusPreconditionFailed,
+		Sent:     w.StatusCode != http.StatusServiceUnavailable && w.StatusCode != http.StatusPreconditionFailed,
+		Err:      fmt.Errorf("status %d: %s", w.StatusCode, data),
+	}
+}
+
+// Order gives an order about a program's prefix.
+func (h *HTTP) Order(ctx context.Context, o Order) (err error) {
+	defer func() { err = trace.Wrap(err, "order %s of %q to %s", o.Action, o.Program, h.name) }()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	w, err := h.post(ctx, h.client, "/orders/prefix", body, "", o.Program, o.Fence)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		return trace.BadParameter("status %d", w.StatusCode)
+	}
+	return nil
+}
+
+// Status returns the load report.
+func (h *HTTP) Status(ctx context.Context) (s Status, err error) {
+	return s, h.get(ctx, "/load", &s)
+}
+
+// Outcome returns the recorded result of a tool request.
+func (h *HTTP) Outcome(ctx context.Context, request string) (t ToolResult, err error) {
+	return t, h.get(ctx, "/outcome?request="+url.QueryEscape(request), &t)
+}
+
+// Events returns the cache events after a number.
+func (h *HTTP) Events(ctx context.Context, after uint64) (events []CacheEvent, err error) {
+	return events, h.get(ctx, "/cache/events?after="+strconv.FormatUint(after, 10), &events)
+}
+
+// Programs returns the programs that hold engine memory.
+func (h *HTTP) Programs(ctx context.Context) (tokens map[string]int, err error) {
+	return tokens, h.get(ctx, "/cache/programs", &tokens)
+}
+
+func (h *HTTP) get(ctx context.Context, path string, out any) (err error) {
+	defer func() { err = trace.Wrap(err, "endpoint %s %s", h.name, path) }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
+	if err != nil {
+		return err
+	}
+	w, err := h.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if w.StatusCode == http.StatusNotFound {
+		return trace.NotFound("%s", path)
+	}
+	if w.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(nil, "status %d", w.StatusCode)
+	}
+	return json.NewDecoder(io.LimitReader(w.Body, maxAnswerBytes)).Decode(out)
+}
+
+// String names the endpoint.
+func (h *HTTP) String() string { return h.name }
--- /dev/null
+++ b/hgfront/doc.go
@@ -0,0 +1,2 @@
+// Package hgfront serves callers and operators over HTTP; its OpenAPI page is at /docs.
+package hgfront
--- /dev/null
+++ b/hginner/client.go
@@ -0,0 +1,226 @@
+package hginner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgowner"
+	"hyssopgrade/hgquarantine"
+	"hyssopgrade/hgtimer"
+)
+
+// Client speaks to the peers of a node; it is safe for concurrent use.
+type Client struct {
+	key     string
+	timer   hgtimer.Timer
+	timeout time.Duration
+	forward *http.Client
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// NewClient returns a client that bounds each control message by the timeout.
+func NewClient(key string, timer hgtimer.Timer, timeout time.Duration) *Client {
+	dial := (&net.Dialer{Timeout: timeout}).DialContext
+	return &Client{
+		key: key, timer: timer, timeout: timeout, conns: map[string]*rpc.Client{},
+		forward: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32}},
+	}
+}
+
+// Beat exchanges heartbeats with the node at address.
+func (c *Client) Beat(address string, b Beat) (reply Beat, err error) {
+	return invoke[Beat, Beat](c, address, "Inner.Beat", b)
+}
+
+// Preset asks for the preset that the node at address applies.
+func (c *Client) Preset(address string) (reply PresetReply, err error) {
+	return invoke[Empty, PresetReply](c, address, "Inner.Preset", Empty{})
+}
+
+// Suspect tells the node at address of a suspect.
+func (c *Client) Suspect(address string, s hgquarantine.Suspect) (err error) {
+	_, err = invoke[hgquarantine.Suspect, Empty](c, address, "Inner.Suspect", s)
+	return err
+}
+
+// Nudge tells the node at address that shard rows have changed.
+func (c *Client) Nudge(address string) (err error) {
+	_, err = invoke[Empty, Empty](c, address, "Inner.Nudge", Empty{})
+	return err
+}
+
+// invoke calls a method; a connection that fails or does not answer in time is closed.
+func invoke[A, R any](c *Client, address, method string, args A) (reply R, err error) {
+	defer func() { err = trace.Wrap(err, "%s at %s", method, address) }()
+	conn, err := c.conn(address)
+	if err != nil {
+		return reply, err
+	}
+	var got R
+	call := conn.Go(method, args, &got, make(chan *rpc.Call, 1))
+	late := make(chan struct{})
+	stop := c.timer.After(c.timeout, func(time.Duration) { close(late) })
+	defer stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-late:
+		err = trace.ConnectionProblem(nil, "no answer in %s", c.timeout)
+	}
+	if err != nil {
+		c.drop(address, conn)
+		return reply, err
+	}
+	return got, nil
+}
+
+func (c *Client) conn(address string) (conn *rpc.Client, err error) {
+	c.mu.Lock()
+	conn = c.conns[address]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	conn, err = dialRPC(address, c.key, c.timeout)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.conns[address]; old != nil {
+		_ = conn.Close()
+		return old, nil
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+func dialRPC(address, key string, timeout time.Duration) (client *rpc.Client, err error) {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			_ = conn.Close()
+		}
+	}()
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Fprintf(conn, "CONNECT /inner/rpc HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", key); err != nil {
+		return nil, err
+	}
+	w, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return nil, err
+	}
+	if w.Status != connected {
+		return nil, trace.AccessDenied("inner port answered %q", w.Status)
+	}
+	return rpc.NewClient(conn), conn.SetDeadline(time.Time{})
+}
+
+// Close closes the connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = map[string]*rpc.Client{}
+	c.forward.CloseIdleConnections()
+}
+
+// Call forwards a call to the node at address. The error is a *hgowner.NotOwner, a *hgcall.Refusal,
+// or another when the forward failed; sent says that pieces were passed on.
+func (c *Client) Call(ctx context.Context, address string, call hgcall.Call, out hgowner.Sink) (r hgcall.Result, sent bool, err error) {
+	return c.post(ctx, address, "/inner/call", call, out)
+}
+
+// End forwards the end of a program, with the errors of Call.
+func (c *Client) End(ctx context.Context, address, program string) (err error) {
+	_, _, err = c.post(ctx, address, "/inner/end", Query{Program: program}, nil)
+	return err
+}
+
+// Query forwards a question about a program, with the errors of Call.
+func (c *Client) Query(ctx context.Context, address string, q Query) (a Answer, err error) {
+	r, _, err := c.post(ctx, address, "/inner/query", q, nil)
+	if err != nil {
+		return a, err
+	}
+	return a, json.Unmarshal(r.Answer, &a)
+}
+
+func (c *Client) post(ctx context.Context, address, path string, body any, out hgowner.Sink) (r hgcall.Result, sent bool, err error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return r, false, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return r, false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if out != nil {
+		req.Header.Set("X-Stream", "1")
+	}
+	w, err := c.forward.Do(req)
+	if err != nil {
+		return r, false, err
+	}
+	defer w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		return r, false, trace.ConnectionProblem(nil, "inner port answered %q", w.Status)
+	}
+	return readFrames(w.Body, out)
+}
+
+// readFrames reads an answer up to its last frame.
+func readFrames(body io.Reader, out hgowner.Sink) (r hgcall.Result, sent bool, err error) {
+	d := json.NewDecoder(body)
+	for {
+		var f Frame
+		if err := d.Decode(&f); err != nil {
+			return r, sent, errors.Join(io.ErrUnexpectedEOF, err)
+		}
+		switch {
+		case f.NotOwner:
+			return r, sent, &hgowner.NotOwner{}
+		case f.Refusal != nil:
+			return r, sent, f.Refusal
+		case f.Result != nil:
+			return *f.Result, sent, nil
+		case out != nil:
+			sent = true
+			if err := out.Piece(f.Piece); err != nil {
+				out = nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hglog/doc.go
@@ -0,0 +1,2 @@
+// Package hglog makes the structured logger of a process.
+package hglog
--- /dev/null
+++ b/hgnode/serve.go
@@ -0,0 +1,168 @@
+package hgnode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hginner"
+	"hyssopgrade/hgmember"
+	"hyssopgrade/hgowner"
+	"hyssopgrade/hgshard"
+)
+
+// Bounds of the search for a shard's owner.
+const (
+	routeTimeout  = 8 * time.Second
+	routeRetry    = 50 * time.Millisecond
+	watchInterval = 100 * time.Millisecond
+)
+
+// errNoOwner ends the search for a shard's owner.
+var errNoOwner = hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonOwner, time.Second,
+	"the program's owner can't be reached; ask again under the same identifier")
+
+// errPreset refuses new work under a preset that may be out of force.
+var errPreset = hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonPreset, 2*time.Second,
+	"this node can't confirm the preset in force; ask another node")
+
+// onOwner runs local if this node owns the program's shard and remote with the owner's address if another does,
+// again with the next owner when the shard moves. retry tells whether remote may run again after a failure.
+func (n *Node) onOwner(ctx context.Context, program string, local func() error, remote func(ctx context.Context, address string) error, retry func() bool) (err error) {
+	if err := hgcall.CheckProgram(program); err != nil {
+		return err
+	}
+	shard := hgshard.Of(program, uint32(n.cfg.Node.Shards))
+	end := n.now() + routeTimeout
+	var other *hgowner.NotOwner
+	var refusal *hgcall.Refusal
+	for {
+		err = local()
+		if !errors.As(err, &other) {
+			return err
+		}
+		if m, ok := n.ownerOf(shard); ok {
+			err = n.forward(ctx, m, remote)
+			if err == nil || errors.As(err, &refusal) {
+				return err
+			}
+			if !errors.As(err, &other) {
+				n.log.Warn("forward failed", "program", program, "to", m.ID, "err", err)
+			}
+		}
+		if !retry() || n.now() >= end {
+			return errNoOwner
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(routeRetry):
+		}
+	}
+}
+
+// ownerOf returns the live owner of a shard; a release passes it on to the one that should take it next.
+func (n *Node) ownerOf(shard uint32) (m hgmember.Member, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	id := n.owners[shard].id
+	if id == n.cfg.Node.ID {
+		return m, false
+	}
+	m, ok = n.view.Member(id)
+	return m, ok && n.hears(m.ID)
+}
+
+// hears tells whether a peer is live; the caller holds the lock.
+func (n *Node) hears(id string) bool {
+	for _, m := range n.view.Live(n.now()) {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// forward runs remote until it ends or the owner falls silent.
+func (n *Node) forward(ctx context.Context, m hgmember.Member, remote func(ctx context.Context, address string) error) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := n.timer.Every(watchInterval, func(time.Duration) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !n.hears(m.ID) {
+			cancel()
+		}
+	})
+	defer stop()
+	return remote(ctx, m.Inner)
+}
+
+// Serve runs a call wherever its shard is owned.
+func (n *Node) Serve(ctx context.Context, c hgcall.Call, out hgowner.Sink) (r hgcall.Result, err error) {
+	if err := c.Check(); err != nil {
+		return r, err
+	}
+	began := n.now()
+	passed := false
+	err = n.onOwner(ctx, c.Program, func() (err error) {
+		r, err = n.serveOwn(ctx, c.WithDeadline(c.Deadline-(n.now()-began)), out)
+		return err
+	}, func(ctx context.Context, address string) (err error) {
+		var sent bool
+		r, sent, err = n.client.Call(ctx, address, c.WithDeadline(c.Deadline-(n.now()-began)), out)
+		passed = passed || sent
+		return err
+	}, func() bool { return !passed && n.now()-began < c.Deadline })
+	return r, err
+}
+
+// serveOwn runs a call of a shard that this node owns, if the preset in force is known.
+func (n *Node) serveOwn(ctx context.Context, c hgcall.Call, out hgowner.Sink) (r hgcall.Result, err error) {
+	n.mu.Lock()
+	open := n.gate.Open(n.now())
+	n.mu.Unlock()
+	if !open {
+		return r, errPreset
+	}
+	return n.owner.Call(ctx, c, out)
+}
+
+// End ends a program.
+func (n *Node) End(ctx context.Context, program string) (err error) {
+	return n.onOwner(ctx, program, func() error {
+		return n.owner.End(ctx, program)
+	}, func(ctx context.Context, address string) error {
+		return n.client.End(ctx, address, program)
+	}, func() bool { return true })
+}
+
+// Status returns a program's status.
+func (n *Node) Status(ctx context.Context, program string) (s hgowner.ProgramStatus, err error) {
+	a, err := n.query(ctx, hginner.Query{Program: program})
+	if err != nil {
+		return s, err
+	}
+	return *a.Status, nil
+}
+
+// History returns a program's conversation.
+func (n *Node) History(ctx context.Context, program string) (ms []hgcall.Message, err error) {
+	a, err := n.query(ctx, hginner.Query{Program: program, History: true})
+	return a.History, err
+}
+
+func (n *Node) query(ctx context.Context, q hginner.Query) (a hginner.Answer, err error) {
+	err = n.onOwner(ctx, q.Program, func() (err error) {
+		a, err = (*peerSide)(n).Query(q)
+		return err
+	}, func(ctx context.Context, address string) (err error) {
+		a, err = n.client.Query(ctx, address, q)
+		return err
+	}, func() bool { return true })
+	return a, err
+}
+
+// Refused counts a refusal.
+func (n *Node) Refused(r *hgcall.Refusal) { n.metrics.Refused(r) }
--- /dev/null
+++ b/hgnode/wire.go
@@ -0,0 +1,70 @@
+package hgnode
+
+import (
+	"log/slog"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgconfig"
+	"hyssopgrade/hgendpoint"
+	"hyssopgrade/hginner"
+	"hyssopgrade/hgmetric"
+	"hyssopgrade/hgpreset"
+	"hyssopgrade/hgroute"
+	"hyssopgrade/hgsched"
+	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
+)
+
+// CellKey is the key that the nodes of a cell share.
+type CellKey struct{ Key string }
+
+// Release is the program's version.
+type Release struct{ Version string }
+
+// Wire returns the services of a node; later provisions may override them before the node is made.
+func Wire(cfg hgconfig.Config, key CellKey, log *slog.Logger, rel Release) *do.RootScope {
+	i := do.New()
+	do.ProvideValue(i, cfg)
+	do.ProvideValue(i, key)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, rel)
+	do.ProvideValue(i, hgpreset.Version{Preset: hgpreset.Shipped()[cfg.Node.Preset], By: "settings"})
+	do.ProvideValue(i, hgtimer.NewService())
+	do.Provide(i, newStore)
+	do.Provide(i, newEndpoints)
+	do.Provide(i, newScheduler)
+	do.Provide(i, newClient)
+	do.Provide(i, func(do.Injector) (*hgmetric.Metrics, error) { return hgmetric.New(cfg.Node.ID) })
+	do.Provide(i, NewNode)
+	return i
+}
+
+func newStore(i do.Injector) (hgstore.Store, error) {
+	cfg := do.MustInvoke[hgconfig.Config](i)
+	return hgstore.NewHTTP("http://"+cfg.Platform.Address, hgstore.WithTimeout(hgconfig.MS(cfg.Platform.TimeoutMs))), nil
+}
+
+func newEndpoints(i do.Injector) (map[string]hgendpoint.Endpoint, error) {
+	cfg := do.MustInvoke[hgconfig.Config](i)
+	return lo.SliceToMap(cfg.Endpoint, func(e hgconfig.Endpoint) (string, hgendpoint.Endpoint) {
+		return e.ID, hgendpoint.NewHTTP(e.ID, e.Address)
+	}), nil
+}
+
+func newScheduler(i do.Injector) (*hgsched.Scheduler, error) {
+	cfg := do.MustInvoke[hgconfig.Config](i)
+	eps := lo.Map(cfg.Endpoint, func(e hgconfig.Endpoint, _ int) hgroute.Endpoint {
+		return hgroute.Endpoint{ID: e.ID, Domain: e.Domain, Targets: e.Targets}
+	})
+	timer := do.MustInvoke[*hgtimer.Service](i)
+	return hgsched.NewScheduler(cfg.Node.ID, cfg.Node.Domain, eps, do.MustInvoke[hgpreset.Version](i).Preset,
+		hgsched.WithLog(do.MustInvoke[*slog.Logger](i)), hgsched.WithNow(timer.Now), hgsched.WithSubset(cfg.Limits.Subset)), nil
+}
+
+func newClient(i do.Injector) (*hginner.Client, error) {
+	cfg := do.MustInvoke[hgconfig.Config](i)
+	timeout := hgconfig.MS(cfg.Limits.SilentMs) / 2
+	return hginner.NewClient(do.MustInvoke[CellKey](i).Key, do.MustInvoke[*hgtimer.Service](i), timeout), nil
+}
--- /dev/null
+++ b/hgowner/job.go
@@ -0,0 +1,294 @@
+package hgowner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgendpoint"
+	"hyssopgrade/hgprogram"
+	"hyssopgrade/hgquarantine"
+	"hyssopgrade/hgretain"
+	"hyssopgrade/hgsched"
+)
+
+// job is one call in progress; it goes on when its caller is gone.
+type job struct {
+	o      *Owner
+	s      *shard
+	c      hgcall.Call
+	digest string
+	stream bool
+	epoch  uint64
+	intent uint64
+	plan   hgprogram.Run
+	began  time.Duration
+	// intended is when the intent was given to the journal.
+	intended   time.Duration
+	dispatched bool
+	times      Times
+
+	mu      sync.Mutex
+	pieces  []string
+	ended   bool
+	result  hgcall.Result
+	err     error
+	changed chan struct{}
+}
+
+func newJob(o *Owner, s *shard, b begun, c hgcall.Call, stream bool) *job {
+	now := o.now()
+	return &job{
+		o: o, s: s, c: c, digest: c.Digest(), stream: stream, epoch: b.epoch, intent: b.n,
+		plan: b.decision.(hgprogram.Run), began: now, intended: now, changed: make(chan struct{}),
+	}
+}
+
+// follow passes pieces to out until the job ends or the caller is gone.
+func (j *job) follow(ctx context.Context, out Sink) (r hgcall.Result, err error) {
+	sent := 0
+	for {
+		j.mu.Lock()
+		pieces, ended, changed := j.pieces[sent:], j.ended, j.changed
+		j.mu.Unlock()
+		for _, p := range pieces {
+			sent++
+			if out == nil || out.Piece(p) != nil {
+				out = nil
+			}
+		}
+		if ended {
+			return j.result, j.err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return r, hgcall.AsRefusal(ctx.Err())
+		}
+	}
+}
+
+func (j *job) change(fn func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	fn()
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// run executes the call to its end.
+func (j *job) run() {
+	ctx, cancel := context.WithTimeout(j.o.ctx, j.c.Deadline)
+	defer cancel()
+	e := j.execute(ctx)
+	r, err := j.settle(e)
+	j.times.Total = j.o.now() - j.began
+	j.o.recordCall(j.c, r, j.times)
+	j.change(func() { j.ended, j.result, j.err = true, r, err })
+	j.s.mu.Lock()
+	defer j.s.mu.Unlock()
+	j.s.running--
+	j.s.notify()
+}
+
+// ending is how an attempt ended.
+type ending struct {
+	// result is to be recorded, unless abandon or lost.
+	result hgcall.Result
+	// refusal is the caller's answer in place of the result.
+	refusal *hgcall.Refusal
+	// abandon says that an idempotent call was dispatched without a result and may run again.
+	abandon bool
+	// lost says that the shard has another owner.
+	lost bool
+	// exclude names the endpoint that failed.
+	exclude string
+}
+
+func notRun(reason hgcall.Reason, ref *hgcall.Refusal) ending {
+	return ending{result: hgcall.Result{State: hgcall.NotRun, Reason: reason}, refusal: ref}
+}
+
+// execute attempts the call until it has an ending that is not tried again.
+func (j *job) execute(ctx context.Context) ending {
+	exclude := ""
+	for {
+		e := j.attempt(ctx, exclude)
+		if e.exclude == "" || !j.retry(ctx, e) {
+			return e
+		}
+		exclude = e.exclude
+	}
+}
+
+// retry prepares one more attempt; it is refused to calls that are not idempotent, whose pieces were passed on,
+// or that are out of time or of retry budget.
+func (j *job) retry(ctx context.Context, e ending) bool {
+	idempotent := j.c.Idempotent || j.c.Kind == hgcall.Model
+	if !idempotent || ctx.Err() != nil || j.passedOn() || !j.o.allowRetry() {
+		return false
+	}
+	j.o.cfg.Recorder.Retried()
+	if !e.abandon {
+		return true
+	}
+	return j.reopen()
+}
+
+func (j *job) passedOn() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.stream && len(j.pieces) > 0
+}
+
+// reopen abandons the dispatched call and begins it anew, with a reservation of its own.
+func (j *job) reopen() (ok bool) {
+	lim := j.o.limits()
+	n, err := j.s.update(j.o.cfg.Journal, j.epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+		now := j.o.now()
+		recs := st.Abandon(j.c.Program, j.c.Request, now)
+		var run hgprogram.Run
+		if run, ok = st.Begin(j.c, lim, now).(hgprogram.Run); ok {
+			j.plan = run
+			recs = append(recs, run.Records...)
+		}
+		return recs
+	})
+	j.intent = n
+	j.intended = j.o.now()
+	return ok && err == nil
+}
+
+// attempt dispatches the call at most once.
+func (j *job) attempt(ctx context.Context, exclude string) ending {
+	verdict := j.o.check(j.digest)
+	if verdict == hgquarantine.Refused {
+		ref := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonQuarantined, 0, "requests with this content crashed endpoints and are no longer run")
+		return j.unlessDispatched(notRun(hgcall.ReasonQuarantined, ref))
+	}
+	durable := make(chan error, 1)
+	go func() { durable <- j.o.confirm(ctx, j.s, j.epoch, j.intent) }()
+	g, err := j.acquire(ctx, exclude, verdict == hgquarantine.Alone)
+	if err != nil {
+		ref := hgcall.AsRefusal(err)
+		return j.unlessDispatched(notRun(ref.Reason, ref))
+	}
+	waited := j.o.now()
+	err = <-durable
+	j.times.Commit += j.o.now() - waited
+	var other *NotOwner
+	switch {
+	case errors.As(err, &other):
+		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
+		return ending{lost: true}
+	case err != nil:
+		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
+		return j.unlessDispatched(notRun(hgcall.ReasonStore, errSlow))
+	case j.tooLate():
+		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
+		return notRun(hgcall.ReasonWindow, nil)
+	}
+	return j.dispatch(ctx, g)
+}
+
+// unlessDispatched turns a notRun ending of a call that was dispatched before into an abandoned one.
+func (j *job) unlessDispatched(e ending) ending {
+	if !j.dispatched {
+		return e
+	}
+	if e.result.Reason == hgcall.ReasonQuarantined {
+		return ending{result: hgcall.Result{State: hgcall.Failed, Reason: hgcall.ReasonQuarantined}}
+	}
+	return ending{abandon: true, refusal: e.refusal}
+}
+
+// tooLate tells whether the time in which the intent may be dispatched has passed.
+func (j *job) tooLate() bool {
+	if j.c.Idempotent || j.c.Kind == hgcall.Model {
+		return false
+	}
+	return j.o.now()-j.intended >= j.o.cfg.Limits.DispatchWindow
+}
+
+func (j *job) acquire(ctx context.Context, exclude string, alone bool) (g hgsched.Grant, err error) {
+	deadline, _ := ctx.Deadline()
+	r := hgsched.Request{
+		Program: j.c.Program, Request: j.c.Request, Target: j.c.Service(),
+		New:    j.c.Seq == 1 && j.c.Root() == j.c.Program && j.c.Kind == hgcall.Model,
+		Served: j.plan.Served, Tokens: int(j.plan.Context + j.c.NewBytes()/bytesPerToken), Output: int(min(j.plan.MaxTokens, expectedOutput)),
+		Exclude: exclude, Alone: alone, Left: time.Until(deadline),
+	}
+	if j.c.Kind == hgcall.Model {
+		r.Home, r.HomeTokens = j.s.home(j.c.Program)
+	}
+	g, err = j.o.cfg.Scheduler.Acquire(ctx, r)
+	j.times.Queue += g.Waited
+	return g, err
+}
+
+// bytesPerToken is the usual size of a token, for estimates only.
+const bytesPerToken = 4
+
+// expectedOutput is the number of output tokens that a call is expected to need at most.
+const expectedOutput = 256
+
+func (s *shard) home(program string) (endpoint string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keeper == nil {
+		return "", 0
+	}
+	endpoint, tokens, _ = s.keeper.Home(program)
+	return endpoint, tokens
+}
+
+// settle records the ending and returns the caller's answer once the record is durable.
+func (j *job) settle(e ending) (r hgcall.Result, err error) {
+	if e.lost {
+		return r, &NotOwner{Shard: j.s.no}
+	}
+	n, err := j.s.update(j.o.cfg.Journal, j.epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+		if e.abandon {
+			return st.Abandon(j.c.Program, j.c.Request, j.o.now())
+		}
+		return st.Finish(j.c.Program, j.c.Request, e.result, j.o.now())
+	})
+	if err != nil {
+		return r, err
+	}
+	if e.abandon {
+		ref := hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonEndpointFail, retryOutOfOrder, "the call's endpoint failed; ask again under the same identifier")
+		if e.refusal != nil {
+			ref.Reason, ref.Detail = e.refusal.Reason, e.refusal.Detail
+		}
+		return hgcall.Result{State: hgcall.Unknown, Reason: ref.Reason}, ref
+	}
+	start := j.o.now()
+	err = j.o.confirm(j.o.ctx, j.s, j.epoch, n)
+	j.times.Commit += j.o.now() - start
+	if err != nil {
+		return e.result, err
+	}
+	if e.refusal != nil {
+		return e.result, e.refusal
+	}
+	return settled(e.result)
+}
+
+// dispatch sends the call on the granted place.
+func (j *job) dispatch(ctx context.Context, g hgsched.Grant) ending {
+	j.dispatched = true
+	start := j.o.now()
+	ep := j.o.cfg.Endpoints[g.Endpoint]
+	fence := hgendpoint.Fence{Shard: j.s.no, Epoch: j.epoch}
+	var e ending
+	if j.c.Kind == hgcall.Model {
+		e = j.chat(ctx, ep, g, fence)
+	} else {
+		e = j.tool(ctx, ep, g, fence)
+	}
+	j.times.Endpoint += j.o.now() - start
+	return e
+}
--- /dev/null
+++ b/hgowner/ownership.go
@@ -0,0 +1,151 @@
+package hgowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgjournal"
+	"hyssopgrade/hgprogram"
+	"hyssopgrade/hgretain"
+)
+
+// Take claims shards as they were seen, recovers their programs and serves them.
+func (o *Owner) Take(ctx context.Context, seen []hgjournal.SeenRow) (err error) {
+	defer func() { err = trace.Wrap(err, "take %d shards", len(seen)) }()
+	won, err := o.cfg.Journal.Claim(ctx, o.cfg.Node, seen)
+	if err != nil || len(won) == 0 {
+		return err
+	}
+	start := o.now()
+	states, err := hgjournal.Recover(ctx, o.cfg.Store, won, o.now())
+	if err != nil {
+		return err
+	}
+	for _, w := range won {
+		o.serve(w, states[w.Shard])
+	}
+	o.cfg.Log.Info("shards taken", "shards", len(won), "took", o.now()-start)
+	return nil
+}
+
+// serve starts serving a recovered shard and settles what its previous owner left open.
+func (o *Owner) serve(w hgjournal.SeenRow, state *hgprogram.Shard) {
+	s := o.shards[w.Shard]
+	o.cfg.Journal.Hold(w, state.N())
+	o.mu.Lock()
+	p := o.preset
+	o.mu.Unlock()
+	open := state.OpenCalls()
+	epoch := w.Row.Epoch
+	s.hold(epoch, state, p)
+	for _, c := range open {
+		if c.Idempotent {
+			_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+				return st.Abandon(c.Program, c.Request, o.now())
+			})
+			continue
+		}
+		o.wg.Go(func() { o.resolveOpen(s, epoch, c) })
+	}
+}
+
+// resolveOpen waits until the previous owner can no longer dispatch a call and then records its outcome:
+// what an endpoint says of it, or unknown. It is never dispatched again.
+func (o *Owner) resolveOpen(s *shard, epoch uint64, c hgprogram.OpenCall) {
+	select {
+	case <-time.After(o.cfg.Limits.DispatchWindow):
+	case <-o.ctx.Done():
+		return
+	}
+	r := hgcall.Result{State: hgcall.Unknown, Reason: hgcall.ReasonDispatched}
+	for _, id := range o.cfg.Targets[c.Service] {
+		ctx, cancel := context.WithTimeout(o.ctx, probeTimeout)
+		t, err := o.cfg.Endpoints[id].Outcome(ctx, c.Request)
+		cancel()
+		if err == nil {
+			r = toolResult(t)
+			break
+		}
+	}
+	o.cfg.Log.Info("open call resolved", "program", c.Program, "request", c.Request, "state", r.State)
+	_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+		return st.Finish(c.Program, c.Request, r, o.now())
+	})
+}
+
+// Release gives a shard up. With idle, it does so only if no call is in progress; else it waits for them,
+// while new calls of the shard wait for the next owner.
+func (o *Owner) Release(ctx context.Context, n uint32, idle bool) (ok bool, err error) {
+	s := o.shards[n]
+	if !s.setClosing(idle) {
+		return false, nil
+	}
+	defer s.reopen()
+	if err := s.idle(ctx); err != nil {
+		return false, err
+	}
+	if err := o.cfg.Journal.Release(ctx, n); err != nil {
+		return false, err
+	}
+	o.cfg.Log.Info("shard released", "shard", n)
+	s.drop()
+	return true, nil
+}
+
+// Snapshot returns the encoded state of a held shard and its last record.
+func (o *Owner) Snapshot(n uint32) (data []byte, last uint64, ok bool) {
+	snap, ok := o.shards[n].snapshot()
+	if !ok {
+		return nil, 0, false
+	}
+	data, err := hgjournal.SnapshotCodec.Encode(snap)
+	return data, snap.N, err == nil
+}
+
+// Tick releases the engine memory of silent programs and forgets programs that are silent for long.
+func (o *Owner) Tick() {
+	now := o.now()
+	for _, s := range o.shards {
+		epoch := s.heldEpoch()
+		if epoch == 0 {
+			continue
+		}
+		var orders []hgretain.Order
+		_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, k *hgretain.Keeper) []hgprogram.Record {
+			orders = k.Tick(now)
+			return st.Forget(now-o.cfg.Limits.Retain, now)
+		})
+		o.order(s, epoch, orders)
+	}
+}
+
+// Sweep compares the programs that hold memory on an endpoint with the programs of the held shards:
+// it releases what belongs to no live program, and learns where live programs' prefixes are.
+func (o *Owner) Sweep(ctx context.Context, endpoint string) (err error) {
+	tokens, err := o.cfg.Endpoints[endpoint].Programs(ctx)
+	if err != nil {
+		return err
+	}
+	for program, n := range tokens {
+		if hgcall.CheckProgram(program) != nil {
+			continue
+		}
+		s := o.shardOf(program)
+		epoch := s.heldEpoch()
+		if epoch == 0 {
+			continue
+		}
+		var orders []hgretain.Order
+		_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, k *hgretain.Keeper) []hgprogram.Record {
+			sum, ok := st.Summary(program, o.now())
+			root, _ := st.Summary(hgcall.Root(program), o.now())
+			orders = k.Found(program, endpoint, n, ok && !sum.Ended && !root.Ended, sum.Running, o.now())
+			return nil
+		})
+		o.order(s, epoch, orders)
+	}
+	return nil
+}
--- /dev/null
+++ b/hgpreset/preset.go
@@ -0,0 +1,148 @@
+package hgpreset
+
+import (
+	"embed"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+)
+
+//go:embed presets/*.toml
+var shipped embed.FS
+
+// Preset is a named set of weights and limits.
+type Preset struct {
+	// Name identifies the preset.
+	Name string `toml:"name" json:"name"`
+	// RoutePolicy names how a replica is chosen: score, roundRobin, leastInFlight or hashAffinity.
+	RoutePolicy string `toml:"routePolicy" json:"routePolicy"`
+	// QueuePolicy names the order of waiting calls: leastService or arrival.
+	QueuePolicy string `toml:"queuePolicy" json:"queuePolicy"`
+	// Window is the number of calls in flight per replica over all nodes, to start from.
+	Window int `toml:"window" json:"window"`
+	// MinWindow and MaxWindow bound the learned window, in calls.
+	MinWindow int `toml:"minWindow" json:"minWindow"`
+	MaxWindow int `toml:"maxWindow" json:"maxWindow"`
+	// TokenTargetMs is the time between tokens above which the window shrinks, in milliseconds.
+	TokenTargetMs int `toml:"tokenTargetMs" json:"tokenTargetMs"`
+	// AgeingTokensPerSecond is the service by which a waiting program is favoured per second of waiting.
+	AgeingTokensPerSecond int `toml:"ageingTokensPerSecond" json:"ageingTokensPerSecond"`
+	// MaxQueue bounds the calls that wait in one node.
+	MaxQueue int `toml:"maxQueue" json:"maxQueue"`
+	// MaxNewWaitMs bounds the expected wait of a program's first call, in milliseconds.
+	MaxNewWaitMs int `toml:"maxNewWaitMs" json:"maxNewWaitMs"`
+	// AdmitNew says whether new programs are accepted.
+	AdmitNew bool `toml:"admitNew" json:"admitNew"`
+	// RemoteDomainMs is the cost of a replica in another failure domain, in milliseconds.
+	RemoteDomainMs float64 `toml:"remoteDomainMs" json:"remoteDomainMs"`
+	// RecomputeWeight multiplies the time to compute a prefix anew; more keeps programs on their replicas longer.
+	RecomputeWeight float64 `toml:"recomputeWeight" json:"recomputeWeight"`
+	// HoldMs is the longest expected pause for which a prefix is held under memory pressure, in milliseconds.
+	HoldMs int `toml:"holdMs" json:"holdMs"`
+	// SilenceMs is the time without a call after which a program's engine memory is released, in milliseconds.
+	SilenceMs int `toml:"silenceMs" json:"silenceMs"`
+	// RetryPercent is the most retries per hundred recent calls.
+	RetryPercent int `toml:"retryPercent" json:"retryPercent"`
+	// DefaultBudgetTokens is the budget of a program that sets none.
+	DefaultBudgetTokens int `toml:"defaultBudgetTokens" json:"defaultBudgetTokens"`
+	// DefaultMaxTokens bounds the output of a call that sets no bound.
+	DefaultMaxTokens int `toml:"defaultMaxTokens" json:"defaultMaxTokens"`
+}
+
+type bound struct {
+	key       string
+	value     int
+	low, high int
+}
+
+// Check returns a BadParameter error that names the first key out of range.
+func (p Preset) Check() (err error) {
+	if p.Name == "" || strings.ContainsAny(p.Name, "/ \t\n") {
+		return trace.BadParameter("name %q: want a word without '/'", p.Name)
+	}
+	if !lo.Contains(RoutePolicies(), p.RoutePolicy) {
+		return trace.BadParameter("routePolicy %q: want one of %s", p.RoutePolicy, strings.Join(RoutePolicies(), ", "))
+	}
+	if !lo.Contains(QueuePolicies(), p.QueuePolicy) {
+		return trace.BadParameter("queuePolicy %q: want one of %s", p.QueuePolicy, strings.Join(QueuePolicies(), ", "))
+	}
+	for _, b := range p.bounds() {
+		if b.value < b.low || b.value > b.high {
+			return trace.BadParameter("%s %d: want %d to %d", b.key, b.value, b.low, b.high)
+		}
+	}
+	if p.RemoteDomainMs < 0 || p.RecomputeWeight < 0 {
+		return trace.BadParameter("remoteDomainMs %v, recomputeWeight %v: want at least 0", p.RemoteDomainMs, p.RecomputeWeight)
+	}
+	return nil
+}
+
+func (p Preset) bounds() []bound {
+	return []bound{
+		{"minWindow", p.MinWindow, 1, 4096},
+		{"window", p.Window, p.MinWindow, p.MaxWindow},
+		{"maxWindow", p.MaxWindow, p.MinWindow, 4096},
+		{"tokenTargetMs", p.TokenTargetMs, 1, 10_000},
+		{"ageingTokensPerSecond", p.AgeingTokensPerSecond, 0, 1_000_000},
+		{"maxQueue", p.MaxQueue, 1, 1_000_000},
+		{"maxNewWaitMs", p.MaxNewWaitMs, 0, 3_600_000},
+		{"holdMs", p.HoldMs, 0, 3_600_000},
+		{"silenceMs", p.SilenceMs, 1_000, 86_400_000},
+		{"retryPercent", p.RetryPercent, 0, 100},
+		{"defaultBudgetTokens", p.DefaultBudgetTokens, 1, 1 << 40},
+		{"defaultMaxTokens", p.DefaultMaxTokens, 1, 1 << 20},
+	}
+}
+
+// RoutePolicies returns the names of the routing policies.
+func RoutePolicies() []string {
+	return []string{"score", "roundRobin", "leastInFlight", "hashAffinity"}
+}
+
+// QueuePolicies returns the names of the queue orders.
+func QueuePolicies() []string { return []string{"leastService", "arrival"} }
+
+// Parse reads a preset from TOML; unknown keys and bad values are BadParameter errors.
+func Parse(data string) (p Preset, err error) {
+	defer func() { err = trace.Wrap(err, "preset") }()
+	meta, err := toml.Decode(data, &p)
+	if err != nil {
+		return p, trace.BadParameter("%v", err)
+	}
+	if keys := meta.Undecoded(); len(keys) > 0 {
+		return p, trace.BadParameter("unknown key %q", keys[0].String())
+	}
+	return p, p.Check()
+}
+
+// Shipped returns the presets that come with the program, by name.
+func Shipped() map[string]Preset {
+	files, err := shipped.ReadDir("presets")
+	if err != nil {
+		panic(err)
+	}
+	presets := map[string]Preset{}
+	for _, f := range files {
+		data, err := shipped.ReadFile("presets/" + f.Name())
+		if err != nil {
+			panic(err)
+		}
+		p, err := Parse(string(data))
+		if err != nil {
+			panic(fmt.Sprintf("%s: %v", f.Name(), err))
+		}
+		presets[p.Name] = p
+	}
+	return presets
+}
+
+// Names returns the names of presets in order.
+func Names(presets map[string]Preset) []string {
+	names := lo.Keys(presets)
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/hgquarantine/doc.go
@@ -0,0 +1,2 @@
+// Package hgquarantine finds requests that crash the endpoints that run them.
+package hgquarantine
--- /dev/null
+++ b/hgreplay/report.go
@@ -0,0 +1,91 @@
+package hgreplay
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgstandin"
+)
+
+// Report is the outcome of a replay.
+type Report struct {
+	// Done and Undone are the numbers of programs with and without a final answer.
+	Done   int `json:"programsDone"`
+	Undone int `json:"programsUndone"`
+	// Calls is the number of requests; Asked is how often they were sent.
+	Calls int `json:"calls"`
+	Asked int `json:"asked"`
+	// Refusals are counted by kind and reason.
+	Refusals   map[string]int `json:"refusals"`
+	Violations []string       `json:"violations"`
+	// Written and Unused are the prompt tokens put into prefix caches and those of them never reused.
+	Written uint64 `json:"cacheTokensWritten"`
+	Unused  uint64 `json:"cacheTokensUnused"`
+
+	latency  *hdrhistogram.Histogram
+	calls    map[string]hgcall.Call
+	notRun   map[string]bool
+	answered map[string]bool
+}
+
+// maxLatency bounds the latencies that are told apart.
+const maxLatency = 24 * time.Hour
+
+func newReport() Report {
+	return Report{
+		Refusals: map[string]int{}, Violations: []string{}, latency: hdrhistogram.New(1, maxLatency.Milliseconds(), 3),
+		calls: map[string]hgcall.Call{}, notRun: map[string]bool{}, answered: map[string]bool{},
+	}
+}
+
+func (r *Report) observe(d time.Duration) { _ = r.latency.RecordValue(max(d.Milliseconds(), 1)) }
+
+// Latency describes the time of root programs from their first call to their last answer, in milliseconds.
+type Latency struct {
+	MeanMs float64 `json:"meanMs"`
+	P50Ms  int64   `json:"p50Ms"`
+	P95Ms  int64   `json:"p95Ms"`
+	P99Ms  int64   `json:"p99Ms"`
+}
+
+// Latency returns the program latency.
+func (r *Report) Latency() Latency {
+	return Latency{
+		MeanMs: r.latency.Mean(), P50Ms: r.latency.ValueAtQuantile(50), P95Ms: r.latency.ValueAtQuantile(95), P99Ms: r.latency.ValueAtQuantile(99),
+	}
+}
+
+// AddWaste adds the count of one endpoint.
+func (r *Report) AddWaste(w hgstandin.Waste) {
+	r.Written += w.Written
+	r.Unused += w.Unused
+}
+
+// WastedShare returns the share of the written prefix tokens that were never reused.
+func (r *Report) WastedShare() float64 {
+	return float64(r.Unused) / float64(max(r.Written, 1))
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	l := r.Latency()
+	fmt.Fprintf(w, "%-28s %d of %d\n", "programs done", r.Done, r.Done+r.Undone)
+	fmt.Fprintf(w, "%-28s %.0f / %d / %d / %d\n", "latency ms mean/p50/p95/p99", l.MeanMs, l.P50Ms, l.P95Ms, l.P99Ms)
+	fmt.Fprintf(w, "%-28s %d, sent %d times\n", "calls", r.Calls, r.Asked)
+	fmt.Fprintf(w, "%-28s %.1f %% of %d tokens\n", "wasted cache", 100*r.WastedShare(), r.Written)
+	kinds := lo.Keys(r.Refusals)
+	sort.Strings(kinds)
+	for _, k := range kinds {
+		fmt.Fprintf(w, "%-28s %d\n", "refused "+k, r.Refusals[k])
+	}
+	fmt.Fprintf(w, "%-28s %d\n", "violations", len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  %s\n", v)
+	}
+}
--- /dev/null
+++ b/hgretry/doc.go
@@ -0,0 +1,2 @@
+// Package hgretry bounds retries to a share of recent calls.
+package hgretry
--- /dev/null
+++ b/hgroute/endpoint.go
@@ -0,0 +1,176 @@
+package hgroute
+
+import (
+	"sort"
+	"time"
+
+	"hyssopgrade/hgpreset"
+)
+
+// Bounds of what is learned about an endpoint.
+const (
+	// smoothing is the weight of a new observation.
+	smoothing = 0.1
+	// shrink is the factor of the window after a slow call.
+	shrink = 0.9
+	// peerMaxAge is the age at which a peer's load no longer counts.
+	peerMaxAge = 3 * time.Second
+	// failuresToEject is the number of failures in a row that eject an endpoint.
+	failuresToEject = 3
+	// ejectFirst and ejectMost bound the time of an ejection, which doubles each time.
+	ejectFirst = time.Second
+	ejectMost  = 30 * time.Second
+	// reserveFor is how long an endpoint is kept free for a call that must run alone.
+	reserveFor = 2 * time.Second
+	// firstPrefillMs is the prefill time per token before any was observed, in milliseconds.
+	firstPrefillMs = 0.1
+	// firstServiceMs is the time of a call before any was observed, in milliseconds.
+	firstServiceMs = 500
+	// minPrefillTokens is the number of computed tokens from which prefill time is learned.
+	minPrefillTokens = 64
+)
+
+// Timing is what was observed of one call.
+type Timing struct {
+	// FirstToken is the time from dispatch to the first token.
+	FirstToken time.Duration
+	// Total is the time from dispatch to the end.
+	Total time.Duration
+	// Computed is the number of prompt tokens that were not cached.
+	Computed int
+	// Output is the number of tokens generated.
+	Output int
+}
+
+type peerLoad struct {
+	calls int
+	at    time.Duration
+}
+
+type endpoint struct {
+	Endpoint
+	remote        bool
+	own           int
+	peers         map[string]peerLoad
+	window        float64
+	minWindow     float64
+	maxWindow     float64
+	targetMs      float64
+	tokenMs       float64
+	prefillMs     float64
+	serviceMs     float64
+	shrunk        time.Duration
+	failures      int
+	ejections     int
+	ejectedUntil  time.Duration
+	leaving       bool
+	exclusive     bool
+	reservedUntil time.Duration
+}
+
+func newEndpoint(e Endpoint, remote bool, p hgpreset.Preset) endpoint {
+	return endpoint{
+		Endpoint: e, remote: remote, peers: map[string]peerLoad{}, window: float64(p.Window),
+		prefillMs: firstPrefillMs, serviceMs: firstServiceMs,
+	}
+}
+
+func (e *endpoint) setPreset(p hgpreset.Preset) {
+	e.minWindow, e.maxWindow = float64(p.MinWindow), float64(p.MaxWindow)
+	e.window = min(max(e.window, e.minWindow), e.maxWindow)
+	e.targetMs = float64(p.TokenTargetMs)
+}
+
+func (e *endpoint) others(now time.Duration) int {
+	n := 0
+	for _, p := range e.peers {
+		if now-p.at <= peerMaxAge {
+			n += p.calls
+		}
+	}
+	return n
+}
+
+func (e *endpoint) inFlight(now time.Duration) int { return e.own + e.others(now) }
+
+func (e *endpoint) usable(now time.Duration) bool {
+	return !e.leaving && now >= e.ejectedUntil
+}
+
+// free tells whether a call may start now. After an ejection one call at a time tries the endpoint.
+func (e *endpoint) free(now time.Duration) bool {
+	if e.exclusive || now < e.reservedUntil {
+		return false
+	}
+	if e.failures > 0 && e.ejections > 0 {
+		return e.own == 0
+	}
+	return float64(e.inFlight(now)) < e.window
+}
+
+func (e *endpoint) learn(t Timing, now time.Duration) {
+	if t.Total == 0 {
+		return
+	}
+	e.failures = 0
+	e.ejections = 0
+	e.serviceMs += smoothing * (ms(t.Total) - e.serviceMs)
+	if t.Computed >= minPrefillTokens {
+		e.prefillMs += smoothing * (ms(t.FirstToken)/float64(t.Computed) - e.prefillMs)
+	}
+	if t.Output < 2 {
+		return
+	}
+	tokenMs := ms(t.Total-t.FirstToken) / float64(t.Output-1)
+	if e.tokenMs == 0 {
+		e.tokenMs = tokenMs
+	}
+	e.tokenMs += smoothing * (tokenMs - e.tokenMs)
+	e.resize(now)
+}
+
+// resize grows the window by one per window of calls and shrinks it at most once per call time.
+func (e *endpoint) resize(now time.Duration) {
+	if e.tokenMs <= e.targetMs {
+		if float64(e.inFlight(now))+1 >= e.window {
+			e.window = min(e.window+1/e.window, e.maxWindow)
+		}
+		return
+	}
+	if now-e.shrunk < time.Duration(e.serviceMs)*time.Millisecond {
+		return
+	}
+	e.shrunk = now
+	e.window = max(e.window*shrink, e.minWindow)
+}
+
+func (e *endpoint) fail(refused bool, now time.Duration) {
+	e.failures++
+	if !refused && e.failures < failuresToEject {
+		return
+	}
+	if now < e.ejectedUntil {
+		return
+	}
+	e.ejectedUntil = now + min(ejectFirst<<e.ejections, ejectMost)
+	e.ejections = min(e.ejections+1, 5)
+	e.window = max(e.window/2, e.minWindow)
+}
+
+// prefill returns the time to compute tokens, in milliseconds.
+func (e *endpoint) prefill(tokens int) float64 { return float64(max(tokens, 0)) * e.prefillMs }
+
+// waitMs returns the expected wait for a place.
+func (e *endpoint) waitMs(now time.Duration) float64 {
+	if e.free(now) {
+		return 0
+	}
+	over := float64(e.inFlight(now)) - e.window + 1
+	return max(over, 1) * e.serviceMs / max(e.window, 1)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func sortBy(list []int, less func(a, b int) bool) {
+	sort.Slice(list, func(i, j int) bool { return less(list[i], list[j]) })
+}
--- /dev/null
+++ b/hgsched/doc.go
@@ -0,0 +1,2 @@
+// Package hgsched runs admission and routing for concurrent callers: a call waits here until an endpoint has a place for it.
+package hgsched
--- /dev/null
+++ b/hgstore/doc.go
@@ -0,0 +1,2 @@
+// Package hgstore reaches the platform's table service, object store and VM list.
+package hgstore
--- /dev/null
+++ b/hgstore/memory.go
@@ -0,0 +1,237 @@
+package hgstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Fault says how a Memory store misbehaves.
+type Fault struct {
+	// Down refuses every operation.
+	Down bool `json:"down"`
+	// DelayMs delays every operation, in milliseconds.
+	DelayMs int `json:"delayMs"`
+	// LoseReplies is the number of coming commits that take effect but report an error.
+	LoseReplies int `json:"loseReplies"`
+	// LagMs is the age of the VM list that is returned, in milliseconds.
+	LagMs int `json:"lagMs"`
+}
+
+// Usage counts the operations that a Memory store executed.
+type Usage struct {
+	Commits uint64 `json:"commits"`
+	Reads   uint64 `json:"reads"`
+	Bytes   uint64 `json:"bytes"`
+}
+
+type vmsAt struct {
+	at  time.Time
+	vms []VM
+}
+
+// Memory is the in-memory Store; it can be made to fail.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	keys    []string
+	objects map[string][]byte
+	vms     []vmsAt
+	version uint64
+	fault   Fault
+	usage   Usage
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: map[string]Row{}, objects: map[string][]byte{}}
+}
+
+// SetFault replaces the faults in force.
+func (m *Memory) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// SetVMs replaces the VM list.
+func (m *Memory) SetVMs(vms []VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = append(m.vms, vmsAt{at: time.Now(), vms: append([]VM(nil), vms...)})
+}
+
+// Usage returns the operations executed so far.
+func (m *Memory) Usage() Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usage
+}
+
+func (m *Memory) begin(ctx context.Context) (err error) {
+	m.mu.Lock()
+	f := m.fault
+	m.mu.Unlock()
+	if f.DelayMs > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Duration(f.DelayMs) * time.Millisecond):
+		}
+	}
+	if f.Down {
+		return trace.ConnectionProblem(nil, "platform is down")
+	}
+	return ctx.Err()
+}
+
+// Get returns one row.
+func (m *Memory) Get(ctx context.Context, key string) (row Row, err error) {
+	if err := m.begin(ctx); err != nil {
+		return row, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	row, ok := m.rows[key]
+	if !ok {
+		return row, trace.NotFound("row %q does not exist", key)
+	}
+	return row, nil
+}
+
+// Scan returns rows in key order.
+func (m *Memory) Scan(ctx context.Context, prefix, after string, limit int) (rows []Row, err error) {
+	if err := m.begin(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	i := sort.SearchStrings(m.keys, max(prefix, after))
+	for ; i < len(m.keys) && len(rows) < limit; i++ {
+		k := m.keys[i]
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
+		if k != after {
+			rows = append(rows, m.rows[k])
+		}
+	}
+	return rows, nil
+}
+
+// Commit applies a transaction.
+func (m *Memory) Commit(ctx context.Context, t Txn) (version uint64, err error) {
+	if err := m.begin(ctx); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Commits++
+	var failed []string
+	for _, c := range t.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 0, &ConflictError{Keys: failed}
+	}
+	m.version++
+	for _, p := range t.Puts {
+		m.put(Row{Key: p.Key, Version: m.version, Value: append([]byte(nil), p.Value...)})
+	}
+	for _, k := range t.Deletes {
+		m.remove(k)
+	}
+	if m.fault.LoseReplies > 0 {
+		m.fault.LoseReplies--
+		return 0, trace.ConnectionProblem(nil, "reply was lost")
+	}
+	return m.version, nil
+}
+
+func (m *Memory) put(row Row) {
+	m.usage.Bytes += uint64(len(row.Value))
+	if _, ok := m.rows[row.Key]; !ok {
+		i := sort.SearchStrings(m.keys, row.Key)
+		m.keys = append(m.keys, "")
+		copy(m.keys[i+1:], m.keys[i:])
+		m.keys[i] = row.Key
+	}
+	m.rows[row.Key] = row
+}
+
+func (m *Memory) remove(key string) {
+	if _, ok := m.rows[key]; !ok {
+		return
+	}
+	delete(m.rows, key)
+	i := sort.SearchStrings(m.keys, key)
+	m.keys = append(m.keys[:i], m.keys[i+1:]...)
+}
+
+// PutObject stores an object.
+func (m *Memory) PutObject(ctx context.Context, name string, data []byte) (err error) {
+	if err := m.begin(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Commits++
+	m.usage.Bytes += uint64(len(data))
+	m.objects[name] = append([]byte(nil), data...)
+	return nil
+}
+
+// Object returns an object.
+func (m *Memory) Object(ctx context.Context, name string) (data []byte, err error) {
+	if err := m.begin(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, trace.NotFound("object %q does not exist", name)
+	}
+	return data, nil
+}
+
+// DeleteObject removes an object.
+func (m *Memory) DeleteObject(ctx context.Context, name string) (err error) {
+	if err := m.begin(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Commits++
+	delete(m.objects, name)
+	return nil
+}
+
+// VMs returns the list as it stood LagMs ago.
+func (m *Memory) VMs(ctx context.Context) (vms []VM, err error) {
+	if err := m.begin(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	seen := time.Now().Add(-time.Duration(m.fault.LagMs) * time.Millisecond)
+	for i, v := range m.vms {
+		if i == 0 || !v.at.After(seen) {
+			vms = v.vms
+		}
+	}
+	return append([]VM(nil), vms...), nil
+}
+
+// String names the implementation.
+func (m *Memory) String() string { return "memory" }
