--- a/cmd/hyssopgrade/operate.go
+++ b/cmd/hyssopgrade/operate.go
@@ -33,10 +33,14 @@
 
 func presetCommand() *cli.Command {
 	return &cli.Command{
-		Name: "preset", Usage: "list, show and choose presets",
+		Name: "preset", Usage: "list, show, create and choose presets",
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the presets; * marks the one in force", Flags: operatorFlags(), Action: listPresets},
 			{Name: "show", Usage: "print the preset in force and the version that each node applies", Flags: operatorFlags(), Action: showPreset},
+			{
+				Name: "create", Usage: "store a preset from a TOML file, such as hgpreset/presets/peak.toml under another name", ArgsUsage: "FILE",
+				Flags: operatorFlags(), Action: createPreset,
+			},
 			{
 				Name: "use", Usage: "put a preset in force and wait until each live node applies it", ArgsUsage: "NAME",
 				Flags: append(operatorFlags(),
@@ -81,6 +85,28 @@
 	return nil
 }
 
+func createPreset(ctx context.Context, c *cli.Command) (err error) {
+	if c.Args().Len() != 1 {
+		return trace.BadParameter("want one file")
+	}
+	data, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	p, err := hgpreset.Parse(string(data))
+	if err != nil {
+		return trace.Wrap(err, "%s", c.Args().First())
+	}
+	if err := hgcaller.NewClient().Post(ctx, c.String("node"), "/v1/presets", p, &p); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(p)
+	}
+	fmt.Printf("preset %s created\n", p.Name)
+	return nil
+}
+
 func usePreset(ctx context.Context, c *cli.Command) (err error) {
 	if c.Args().Len() != 1 {
 		return trace.BadParameter("want the name of one preset")
--- a/hgadmit/queue.go
+++ b/hgadmit/queue.go
@@ -1,6 +1,7 @@
 package hgadmit
 
 import (
+	"math"
 	"time"
 
 	"github.com/google/btree"
@@ -82,7 +83,7 @@
 // Push adds a call or refuses it: new programs when they would wait longer than the preset allows,
 // any call when its expected wait passes the time left or the queue is full.
 func (q *Queue) Push(w Waiting, left, now time.Duration) Verdict {
-	v := Verdict{Expected: q.expected(w.New)}
+	v := Verdict{Expected: q.expected(w.New, now)}
 	limit := time.Duration(q.preset.MaxNewWaitMs) * time.Millisecond
 	switch {
 	case w.New && !q.preset.AdmitNew:
@@ -127,6 +128,9 @@
 	}
 	k := kind(it.New)
 	gap := float64(now-max(q.last[k], it.Since)) / float64(time.Millisecond)
+	if q.gapMs[k] == 0 {
+		q.gapMs[k] = gap
+	}
 	q.gapMs[k] += smoothing * (gap - q.gapMs[k])
 	q.last[k] = now
 	q.Remove(id)
@@ -142,13 +146,31 @@
 	return 0
 }
 
-// expected returns the wait of a call that comes now.
-func (q *Queue) expected(isNew bool) time.Duration {
+// expected returns the wait of a call that comes now: the calls ahead at the rate of starts, and for a new program
+// at least the time that the first new one has waited.
+func (q *Queue) expected(isNew bool, now time.Duration) time.Duration {
 	ahead := len(q.items) - q.fresh
 	if isNew {
 		ahead = q.fresh
 	}
-	return time.Duration(float64(ahead) * q.gapMs[kind(isNew)] * float64(time.Millisecond))
+	wait := time.Duration(float64(ahead) * q.gapMs[kind(isNew)] * float64(time.Millisecond))
+	if isNew {
+		wait = max(wait, q.firstNew(now))
+	}
+	return wait
+}
+
+// firstNew returns how long the first waiting call of a new program has waited.
+func (q *Queue) firstNew(now time.Duration) (waited time.Duration) {
+	if q.fresh == 0 {
+		return 0
+	}
+	class, _ := q.order.Place(Waiting{New: true})
+	q.tree.AscendGreaterOrEqual(item{class: class, key: math.Inf(-1)}, func(it item) bool {
+		waited = now - it.Since
+		return !it.New
+	})
+	return waited
 }
 
 // Each calls fn for the waiting calls in order until it returns false; fn must not change the queue.
--- a/hgcall/refusal.go
+++ b/hgcall/refusal.go
@@ -41,7 +41,6 @@
 	ReasonPreset       Reason = "presetUnconfirmed"
 	ReasonDispatched   Reason = "dispatchedWithoutOutcome"
 	ReasonInProgress   Reason = "inProgress"
-	ReasonWindow       Reason = "dispatchWindowPassed"
 	ReasonBadField     Reason = "badField"
 	ReasonEndpointFail Reason = "endpointFailed"
 )
--- a/hgcaller/client.go
+++ b/hgcaller/client.go
@@ -218,6 +218,23 @@
 	return h
 }
 
+// maxSilence is the time without a byte after which a node counts as gone; asking another one is safe,
+// as copies of a request carry its identifier.
+const maxSilence = 4 * time.Second
+
+// watched puts the end of a silent connection off with each read.
+type watched struct {
+	io.ReadCloser
+	silent *time.Timer
+}
+
+// Read reads and restarts the time of silence.
+func (w *watched) Read(p []byte) (n int, err error) {
+	n, err = w.ReadCloser.Read(p)
+	w.silent.Reset(maxSilence)
+	return n, err
+}
+
 // send sends a call once; an error other than a *hgcall.Refusal says nothing about what became of it.
 func (c *Client) send(ctx context.Context, address string, call hgcall.Call) (a Answer, err error) {
 	path, body := "/v1/tools/"+call.Target, call.Body
@@ -228,16 +245,21 @@
 			return a, err
 		}
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return a, err
 	}
 	r.Header = headers(call)
+	silent := time.AfterFunc(maxSilence, cancel)
+	defer silent.Stop()
 	w, err := c.http.Do(r)
 	if err != nil {
 		return a, err
 	}
 	defer w.Body.Close()
+	w.Body = &watched{ReadCloser: w.Body, silent: silent}
 	if w.Header.Get("Content-Type") == "text/event-stream" {
 		return readStream(w.Body, call)
 	}
--- a/hgfront/front.go
+++ b/hgfront/front.go
@@ -31,7 +31,9 @@
 	// Overview describes the node and its cell.
 	Overview() Overview
 	// Presets describes the presets and which is in force.
-	Presets() PresetStatus
+	Presets(ctx context.Context) PresetStatus
+	// CreatePreset stores a preset; the error is a *hgcall.Refusal.
+	CreatePreset(ctx context.Context, p hgpreset.Preset) (err error)
 	// UsePreset puts a preset in force; the error is a *PresetConflict or a *hgcall.Refusal.
 	UsePreset(ctx context.Context, name, by string) (v hgpreset.Version, err error)
 	// Ready returns why the node takes no new work, or nil.
--- a/hgfront/operation.go
+++ b/hgfront/operation.go
@@ -96,8 +96,11 @@
 	huma.Get(api, "/v1/status", func(context.Context, *struct{}) (*body[Overview], error) {
 		return &body[Overview]{Body: f.backend.Overview()}, nil
 	})
-	huma.Get(api, "/v1/presets", func(context.Context, *struct{}) (*body[PresetStatus], error) {
-		return &body[PresetStatus]{Body: f.backend.Presets()}, nil
+	huma.Get(api, "/v1/presets", func(ctx context.Context, _ *struct{}) (*body[PresetStatus], error) {
+		return &body[PresetStatus]{Body: f.backend.Presets(ctx)}, nil
+	})
+	huma.Post(api, "/v1/presets", func(ctx context.Context, in *body[hgpreset.Preset]) (*body[hgpreset.Preset], error) {
+		return &body[hgpreset.Preset]{Body: in.Body}, asStatus(f.backend.CreatePreset(ctx, in.Body))
 	})
 	huma.Post(api, "/v1/presets/use", func(ctx context.Context, in *useInput) (*body[hgpreset.Version], error) {
 		v, err := f.backend.UsePreset(ctx, in.Body.Name, in.Body.By)
--- a/hgnode/node.go
+++ b/hgnode/node.go
@@ -134,6 +134,11 @@
 			CommitWait: hgconfig.MS(l.CommitWaitMs), Retain: hgconfig.MS(l.RetainMs),
 		},
 		Store: n.store, Scheduler: n.sched, Endpoints: n.endpoints, Targets: targets, Sharer: (*peerSide)(n),
+		Dead: func(id, run string) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.view.Dead(id, run, n.now())
+		},
 		Recorder: n.metrics, Timer: n.timer, Log: n.log, Preset: first.Preset,
 	}
 }
--- a/hgnode/operate.go
+++ b/hgnode/operate.go
@@ -72,26 +72,46 @@
 	}
 }
 
-// Presets describes the presets.
-func (n *Node) Presets() hgfront.PresetStatus {
+// Presets describes the presets; while the store is out of reach only the shipped ones are named.
+func (n *Node) Presets(ctx context.Context) hgfront.PresetStatus {
+	defined, err := hgpreset.Defined(ctx, n.store)
+	if err != nil {
+		n.log.Warn("created presets not read", "err", err)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return hgfront.PresetStatus{
-		Names: hgpreset.Names(hgpreset.Shipped()), Current: n.gate.Applied(), Confirmed: n.gate.Age(n.now()), Members: n.members(),
+		Names: hgpreset.Names(defined), Current: n.gate.Applied(), Confirmed: n.gate.Age(n.now()), Members: n.members(),
 	}
 }
 
 // chooseTimeout bounds the choice of a preset.
 const chooseTimeout = 10 * time.Second
 
+// CreatePreset stores a preset.
+func (n *Node) CreatePreset(ctx context.Context, p hgpreset.Preset) (err error) {
+	err = hgpreset.Create(ctx, n.store, p)
+	if trace.IsBadParameter(err) {
+		return hgcall.Invalid("preset", "%s", trace.UserMessage(err))
+	}
+	if err != nil {
+		return hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonStore, time.Second, "%v", err)
+	}
+	return nil
+}
+
 // UsePreset puts a preset in force.
 func (n *Node) UsePreset(ctx context.Context, name, by string) (v hgpreset.Version, err error) {
-	p, ok := hgpreset.Shipped()[name]
+	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
+	defer cancel()
+	defined, err := hgpreset.Defined(ctx, n.store)
+	if err != nil {
+		return v, hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonStore, time.Second, "%v", err)
+	}
+	p, ok := defined[name]
 	if !ok {
 		return v, hgcall.Invalid("name", "preset %q does not exist", name)
 	}
-	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
-	defer cancel()
 	n.mu.Lock()
 	first := hgpreset.Version{Preset: n.gate.Applied().Preset}
 	n.mu.Unlock()
--- a/hgowner/dispatch.go
+++ b/hgowner/dispatch.go
@@ -94,7 +94,7 @@
 	j.o.cfg.Log.Warn("dispatch failed", "program", j.c.Program, "request", j.c.Request, "endpoint", g.Endpoint,
 		"sent", de.Sent, "cut", de.Cut, "draining", de.Draining, "fenced", de.Fenced, "err", err)
 	if de.Sent && de.Cut && !alive(ep) {
-		j.o.died(j.digest, g.Endpoint)
+		j.o.died(j.digest, g.Endpoint, j.alone)
 	}
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Failed: !de.Fenced, Refused: de.Draining || !de.Sent && de.Cut})
 	idempotent := j.c.Idempotent || j.c.Kind == hgcall.Model
@@ -140,9 +140,9 @@
 }
 
 // died notes that an endpoint died under a request, tells the peers, and forgets the endpoint's memory.
-func (o *Owner) died(digest, endpoint string) {
+func (o *Owner) died(digest, endpoint string, alone bool) {
 	o.mu.Lock()
-	s := o.quarantine.Died(digest, o.now())
+	s := o.quarantine.Died(digest, alone, o.now())
 	o.mu.Unlock()
 	o.cfg.Log.Warn("endpoint died", "endpoint", endpoint, "digest", digest, "deaths", s.Deaths)
 	o.cfg.Sharer.Share(s)
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -28,7 +28,9 @@
 	// intended is when the intent was given to the journal.
 	intended   time.Duration
 	dispatched bool
-	times      Times
+	// alone says that the call runs on an endpoint that runs nothing else of this node, and no other suspect.
+	alone bool
+	times Times
 
 	mu      sync.Mutex
 	pieces  []string
@@ -103,7 +105,7 @@
 	abandon bool
 	// lost says that the shard has another owner.
 	lost bool
-	// exclude names the endpoint that failed.
+	// exclude names the endpoint that failed, if the call may be tried elsewhere: it was abandoned, or never sent.
 	exclude string
 }
 
@@ -111,29 +113,35 @@
 	return ending{result: hgcall.Result{State: hgcall.NotRun, Reason: reason}, refusal: ref}
 }
 
+// maxUnsent is the number of attempts at endpoints that took no connection.
+const maxUnsent = 4
+
 // execute attempts the call until it has an ending that is not tried again.
 func (j *job) execute(ctx context.Context) ending {
 	exclude := ""
-	for {
+	for unsent := 0; ; {
 		e := j.attempt(ctx, exclude)
-		if e.exclude == "" || !j.retry(ctx, e) {
+		switch {
+		case e.exclude == "" || ctx.Err() != nil:
+			return e
+		case !e.abandon:
+			if unsent++; unsent == maxUnsent {
+				return e
+			}
+		case !j.retry():
 			return e
 		}
 		exclude = e.exclude
 	}
 }
 
-// retry prepares one more attempt; it is refused to calls that are not idempotent, whose pieces were passed on,
-// or that are out of time or of retry budget.
-func (j *job) retry(ctx context.Context, e ending) bool {
-	idempotent := j.c.Idempotent || j.c.Kind == hgcall.Model
-	if !idempotent || ctx.Err() != nil || j.passedOn() || !j.o.allowRetry() {
+// retry prepares one more dispatch of a call that was dispatched and abandoned; it is refused to calls whose pieces
+// were passed on, and without retry budget.
+func (j *job) retry() bool {
+	if j.passedOn() || !j.o.allowRetry() {
 		return false
 	}
 	j.o.cfg.Recorder.Retried()
-	if !e.abandon {
-		return true
-	}
 	return j.reopen()
 }
 
@@ -170,29 +178,35 @@
 	}
 	durable := make(chan error, 1)
 	go func() { durable <- j.o.confirm(ctx, j.s, j.epoch, j.intent) }()
-	g, err := j.acquire(ctx, exclude, verdict == hgquarantine.Alone)
+	j.alone = verdict == hgquarantine.Alone
+	g, leave, err := j.place(ctx, exclude)
 	if err != nil {
 		ref := hgcall.AsRefusal(err)
 		return j.unlessDispatched(notRun(ref.Reason, ref))
 	}
+	defer leave()
 	waited := j.o.now()
 	err = <-durable
+	for err == nil && j.tooLate() {
+		err = j.renew(ctx)
+	}
 	j.times.Commit += j.o.now() - waited
-	var other *NotOwner
-	switch {
-	case errors.As(err, &other):
-		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
-		return ending{lost: true}
-	case err != nil:
-		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
-		return j.unlessDispatched(notRun(hgcall.ReasonStore, errSlow))
-	case j.tooLate():
+	if err != nil {
 		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
-		return notRun(hgcall.ReasonWindow, nil)
+		return j.unowned(err)
 	}
 	return j.dispatch(ctx, g)
 }
 
+// unowned ends an attempt that could not prove in time that the shard is owned.
+func (j *job) unowned(err error) ending {
+	var other *NotOwner
+	if errors.As(err, &other) {
+		return ending{lost: true}
+	}
+	return j.unlessDispatched(notRun(hgcall.ReasonStore, errSlow))
+}
+
 // unlessDispatched turns a notRun ending of a call that was dispatched before into an abandoned one.
 func (j *job) unlessDispatched(e ending) ending {
 	if !j.dispatched {
@@ -204,21 +218,53 @@
 	return ending{abandon: true, refusal: e.refusal}
 }
 
-// tooLate tells whether the time in which the intent may be dispatched has passed.
+// tooLate tells whether the time in which the intent may be dispatched has passed: another owner may have taken the shard.
 func (j *job) tooLate() bool {
-	if j.c.Idempotent || j.c.Kind == hgcall.Model {
-		return false
-	}
 	return j.o.now()-j.intended >= j.o.cfg.Limits.DispatchWindow
 }
 
-func (j *job) acquire(ctx context.Context, exclude string, alone bool) (g hgsched.Grant, err error) {
+// renew proves anew that the shard is owned.
+func (j *job) renew(ctx context.Context) (err error) {
+	intended := j.o.now()
+	n, err := j.s.update(j.o.cfg.Journal, j.epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+		return st.Renew(j.c.Program, j.c.Request, intended)
+	})
+	if err != nil {
+		return err
+	}
+	j.intended = intended
+	return j.o.confirm(ctx, j.s, j.epoch, n)
+}
+
+// place waits for a place on an endpoint; a suspect also waits until no other suspect of the cell runs there.
+func (j *job) place(ctx context.Context, exclude string) (g hgsched.Grant, leave func(), err error) {
+	for {
+		if g, err = j.acquire(ctx, exclude); err != nil || !j.alone {
+			return g, func() {}, err
+		}
+		entered, err := j.o.isolation.enter(ctx, g.Endpoint)
+		if entered {
+			return g, func() { j.o.isolation.leave(g.Endpoint) }, nil
+		}
+		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
+		if err != nil {
+			j.o.cfg.Log.Warn("suspect waits", "program", j.c.Program, "endpoint", g.Endpoint, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return g, nil, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonDeadline, retryNotRun, "no endpoint was free of other suspects within the deadline")
+		case <-time.After(isolationRetry):
+		}
+	}
+}
+
+func (j *job) acquire(ctx context.Context, exclude string) (g hgsched.Grant, err error) {
 	deadline, _ := ctx.Deadline()
 	r := hgsched.Request{
 		Program: j.c.Program, Request: j.c.Request, Target: j.c.Service(),
 		New:    j.c.Seq == 1 && j.c.Root() == j.c.Program && j.c.Kind == hgcall.Model,
 		Served: j.plan.Served, Tokens: int(j.plan.Context + j.c.NewBytes()/bytesPerToken), Output: int(min(j.plan.MaxTokens, expectedOutput)),
-		Exclude: exclude, Alone: alone, Left: time.Until(deadline),
+		Exclude: exclude, Alone: j.alone, Left: time.Until(deadline) - min(answerMargin, j.c.Deadline/10),
 	}
 	if j.c.Kind == hgcall.Model {
 		r.Home, r.HomeTokens = j.s.home(j.c.Program)
@@ -228,6 +274,9 @@
 	return g, err
 }
 
+// answerMargin is the time before the deadline at which a call stops waiting for a place, so that its refusal is in time.
+const answerMargin = 500 * time.Millisecond
+
 // bytesPerToken is the usual size of a token, for estimates only.
 const bytesPerToken = 4
 
--- a/hgowner/owner.go
+++ b/hgowner/owner.go
@@ -93,8 +93,10 @@
 	Sharer    Sharer
 	Recorder  Recorder
 	Timer     hgtimer.Timer
-	Log       *slog.Logger
-	Preset    hgpreset.Preset
+	// Dead tells whether a run of a node may be taken over.
+	Dead   func(node, run string) bool
+	Log    *slog.Logger
+	Preset hgpreset.Preset
 }
 
 // Owner owns shards; it is safe for concurrent use.
@@ -104,6 +106,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	shards []*shard
+	// isolation keeps suspects apart.
+	isolation *isolation
 
 	mu         sync.Mutex
 	preset     hgpreset.Preset
@@ -122,6 +126,7 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, preset: cfg.Preset, retries: hgretry.NewBudget(cfg.Preset.RetryPercent),
 		quarantine: hgquarantine.NewList(quarantineKeep), times: map[string]Breakdown{},
 	}
+	o.isolation = newIsolation(cfg)
 	o.shards = lo.Times(int(cfg.Shards), func(i int) *shard { return newShard(uint32(i)) })
 	return o
 }
--- a/hgowner/ownership.go
+++ b/hgowner/ownership.go
@@ -42,24 +42,24 @@
 	epoch := w.Row.Epoch
 	s.hold(epoch, state, p)
 	for _, c := range open {
-		if c.Idempotent {
-			_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
-				return st.Abandon(c.Program, c.Request, o.now())
-			})
-			continue
-		}
 		o.wg.Go(func() { o.resolveOpen(s, epoch, c) })
 	}
 }
 
-// resolveOpen waits until the previous owner can no longer dispatch a call and then records its outcome:
-// what an endpoint says of it, or unknown. It is never dispatched again.
+// resolveOpen waits until the previous owner can no longer dispatch a call. An idempotent call may then run again;
+// of another it records what an endpoint says of it, or that the outcome is unknown, and it is never dispatched again.
 func (o *Owner) resolveOpen(s *shard, epoch uint64, c hgprogram.OpenCall) {
 	select {
 	case <-time.After(o.cfg.Limits.DispatchWindow):
 	case <-o.ctx.Done():
 		return
 	}
+	if c.Idempotent {
+		_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, _ *hgretain.Keeper) []hgprogram.Record {
+			return st.Abandon(c.Program, c.Request, o.now())
+		})
+		return
+	}
 	r := hgcall.Result{State: hgcall.Unknown, Reason: hgcall.ReasonDispatched}
 	for _, id := range o.cfg.Targets[c.Service] {
 		ctx, cancel := context.WithTimeout(o.ctx, probeTimeout)
--- /dev/null
+++ b/hgpreset/define.go
@@ -0,0 +1,56 @@
+package hgpreset
+
+import (
+	"context"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"hyssopgrade/hgcodec"
+	"hyssopgrade/hgstore"
+)
+
+// definitionPrefix is the prefix of the rows that hold the presets that operators created.
+const definitionPrefix = "preset/def/"
+
+// maxDefinitions bounds the presets read at a time.
+const maxDefinitions = 1000
+
+// definitionCodec is the codec of these rows.
+var definitionCodec hgcodec.JSON[Preset]
+
+// Create stores a preset, in place of one of the same name; the names of shipped presets are refused with BadParameter.
+// Storing a preset that is in force does not change what is in force.
+func Create(ctx context.Context, store hgstore.Table, p Preset) (err error) {
+	defer func() { err = trace.Wrap(err, "create preset %q", p.Name) }()
+	if err := p.Check(); err != nil {
+		return err
+	}
+	if _, ok := Shipped()[p.Name]; ok {
+		return trace.BadParameter("name %q: a shipped preset has it", p.Name)
+	}
+	data, err := definitionCodec.Encode(p)
+	if err != nil {
+		return err
+	}
+	_, err = store.Commit(ctx, hgstore.Txn{Puts: []hgstore.Put{{Key: definitionPrefix + p.Name, Value: data}}})
+	return err
+}
+
+// Defined returns the shipped and the created presets, by name.
+func Defined(ctx context.Context, store hgstore.Table) (presets map[string]Preset, err error) {
+	defer func() { err = trace.Wrap(err, "read presets") }()
+	presets = Shipped()
+	rows, err := store.Scan(ctx, definitionPrefix, "", maxDefinitions)
+	if err != nil {
+		return presets, err
+	}
+	for _, r := range rows {
+		p, err := definitionCodec.Decode(r.Value)
+		if err != nil {
+			return presets, err
+		}
+		presets[strings.TrimPrefix(r.Key, definitionPrefix)] = p
+	}
+	return presets, nil
+}
--- a/hgprogram/program.go
+++ b/hgprogram/program.go
@@ -87,6 +87,8 @@
 		return p.outcome(root, r)
 	case Abandoned:
 		return p.abandon(root, r)
+	case Renewed:
+		return nil
 	case Charged:
 		p.charge(r.Tokens)
 		return nil
--- a/hgprogram/record.go
+++ b/hgprogram/record.go
@@ -23,6 +23,8 @@
 	Forgotten
 	// Charged spends tokens of dispatches whose outcomes were lost; it stands in snapshots only.
 	Charged
+	// Renewed proves that the shard was still owned after an intent; it changes nothing else.
+	Renewed
 )
 
 // Record is one durable change of a shard.
--- a/hgprogram/shard.go
+++ b/hgprogram/shard.go
@@ -195,13 +195,13 @@
 	return []Record{s.record(Record{Type: Abandoned, Program: programID, Seq: t.seq, Request: request, Tokens: t.reserved}, now)}
 }
 
-// Reject records that a call that was not begun will never run.
-func (s *Shard) Reject(c hgcall.Call, lim Limits, reason hgcall.Reason, now time.Duration) []Record {
-	var recs []Record
-	if s.programs[c.Program] == nil {
-		recs = append(recs, s.record(Record{Type: Opened, Program: c.Program, Tokens: budget(c, lim)}, now))
+// Renew proves that an open call's shard is still owned, once the record is durable.
+func (s *Shard) Renew(programID, request string, now time.Duration) []Record {
+	t := s.openTurn(programID, request)
+	if t == nil {
+		return nil
 	}
-	return append(recs, s.tombstone(c, reason, now))
+	return []Record{s.record(Record{Type: Renewed, Program: programID, Seq: t.seq, Request: request}, now)}
 }
 
 // tombstone records that a request that has no intent will never run.
--- /dev/null
+++ b/hgproof/bench_test.go
@@ -0,0 +1,316 @@
+package hgproof
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgcaller"
+	"hyssopgrade/hgcell"
+	"hyssopgrade/hgfront"
+	"hyssopgrade/hgreplay"
+	"hyssopgrade/hgstandin"
+)
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "hgproof")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "hyssopgrade")
+	build := exec.Command("go", "build", "-o", binary, "hyssopgrade/cmd/hyssopgrade")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	return m.Run()
+}
+
+// nodeProcess is one node as a real process.
+type nodeProcess struct {
+	id      string
+	public  string
+	config  string
+	cmd     *exec.Cmd
+	out     *lockedBuffer
+	stopped chan error
+}
+
+// bench is a cell of node processes with stand-ins in the test's process.
+type bench struct {
+	t         *testing.T
+	platform  *hgstandin.Platform
+	endpoints map[string]*hgstandin.Endpoint
+	nodes     []*nodeProcess
+	client    *hgcaller.Client
+}
+
+type benchOptions struct {
+	nodes   int
+	engines int
+	tools   int
+	engine  hgstandin.Options
+	// limits are lines added to the settings' limits.
+	limits string
+}
+
+// lockedBuffer is a buffer for a process's log.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// quickEngine generates a token in a millisecond.
+var quickEngine = hgstandin.Options{TokenTime: time.Millisecond, PrefillTime: 10 * time.Microsecond, CacheTokens: 200_000}
+
+func newBench(t *testing.T, o benchOptions) *bench {
+	t.Helper()
+	b := &bench{t: t, endpoints: map[string]*hgstandin.Endpoint{}}
+	var err error
+	if b.platform, err = hgstandin.NewPlatform("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.platform.Close)
+	eps := b.addEndpoints("engine", o.engines, o.engine) + b.addEndpoints("tool", o.tools, o.engine)
+	dir := t.TempDir()
+	for i := range o.nodes {
+		b.nodes = append(b.nodes, b.configure(dir, i, o, eps))
+	}
+	for i := range b.nodes {
+		b.start(i)
+	}
+	b.client = hgcaller.NewClient(b.addresses()...)
+	t.Cleanup(b.client.Close)
+	b.waitOwned(o.nodes)
+	return b
+}
+
+// addEndpoints starts stand-ins and returns their settings.
+func (b *bench) addEndpoints(kind string, n int, opts hgstandin.Options) string {
+	b.t.Helper()
+	var text strings.Builder
+	for i := range n {
+		e, err := hgstandin.NewEndpoint("127.0.0.1:0", opts)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		b.t.Cleanup(e.Close)
+		id := fmt.Sprintf("%s-%d", kind, i)
+		b.endpoints[id] = e
+		targets := lo.Ternary(kind == "engine", `"clerk-7b", "dispute-13b"`, `"register", "gate", "payment"`)
+		fmt.Fprintf(&text, "[[endpoint]]\nid = %q\nkind = %q\naddress = %q\ndomain = %q\ntargets = [%s]\nchecksFencing = %t\n",
+			id, kind, e.Address(), hgcell.Domains[i%3], targets, opts.ChecksFencing)
+	}
+	return text.String()
+}
+
+func (b *bench) configure(dir string, i int, o benchOptions, eps string) *nodeProcess {
+	b.t.Helper()
+	public, err1 := hgcell.FreeAddress()
+	inner, err2 := hgcell.FreeAddress()
+	if err := errors.Join(err1, err2); err != nil {
+		b.t.Fatal(err)
+	}
+	n := &nodeProcess{id: fmt.Sprintf("node-%d", i), public: public, config: filepath.Join(dir, fmt.Sprintf("node-%d.toml", i))}
+	text := fmt.Sprintf(`[node]
+id = %q
+domain = %q
+public = %q
+inner = %q
+keyEnv = "HYSSOPGRADE_KEY"
+shards = 16
+[platform]
+address = %q
+timeoutMs = 1000
+commitGapMs = 5
+[limits]
+heartbeatMs = 200
+silentMs = 1000
+staleMs = 4000
+pollMs = 500
+presetBoundMs = 4000
+dispatchWindowMs = 1000
+sweepMs = 500
+locateTtlMs = 1000
+compactRecords = 40
+%s
+%s`, n.id, hgcell.Domains[i%3], public, inner, b.platform.Address(), o.limits, eps)
+	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return n
+}
+
+// start starts node i.
+func (b *bench) start(i int) {
+	b.t.Helper()
+	n := b.nodes[i]
+	n.out = &lockedBuffer{}
+	n.cmd = exec.Command(binary, "node", "--config", n.config)
+	n.cmd.Env = append(os.Environ(), "HYSSOPGRADE_KEY=key-of-the-cell-under-test")
+	n.cmd.Stderr = n.out
+	if err := n.cmd.Start(); err != nil {
+		b.t.Fatal(err)
+	}
+	n.stopped = make(chan error, 1)
+	go func(cmd *exec.Cmd, stopped chan error) { stopped <- cmd.Wait() }(n.cmd, n.stopped)
+	b.t.Cleanup(func() { b.kill(i) })
+}
+
+func (b *bench) signal(i int, s syscall.Signal) { _ = b.nodes[i].cmd.Process.Signal(s) }
+
+// kill kills node i and waits for its end.
+func (b *bench) kill(i int) {
+	b.signal(i, syscall.SIGKILL)
+	err := <-b.nodes[i].stopped
+	b.nodes[i].stopped <- err
+}
+
+func (b *bench) freeze(i int) { b.signal(i, syscall.SIGSTOP) }
+
+func (b *bench) thaw(i int) { b.signal(i, syscall.SIGCONT) }
+
+func (b *bench) addresses() []string {
+	return lo.Map(b.nodes, func(n *nodeProcess, _ int) string { return n.public })
+}
+
+// overview asks node i for its view.
+func (b *bench) overview(i int) (o hgfront.Overview, err error) {
+	return o, b.client.Get(b.t.Context(), b.nodes[i].public, "/v1/status", &o)
+}
+
+// benchTimeout bounds each wait for the cell.
+const benchTimeout = 30 * time.Second
+
+// eventually waits until ok returns true.
+func (b *bench) eventually(what string, within time.Duration, ok func() bool) {
+	b.t.Helper()
+	end := time.Now().Add(within)
+	for !ok() {
+		if time.Now().After(end) {
+			b.t.Fatalf("%s: not within %s", what, within)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// waitOwned waits until the first node sees an owner of each shard among so many members.
+func (b *bench) waitOwned(members int) {
+	b.t.Helper()
+	b.eventually("each shard has an owner", benchTimeout, func() bool {
+		o, err := b.overview(0)
+		owners := lo.Uniq(lo.Values(o.Shards))
+		live := lo.CountBy(o.Members, func(m hgfront.MemberStatus) bool { return m.Live })
+		return err == nil && len(o.Shards) == 16 && !lo.Contains(owners, "") && live == members && len(owners) == members
+	})
+}
+
+// owner returns the index of the node that owns a program's shard.
+func (b *bench) owner(program string) int {
+	b.t.Helper()
+	found := -1
+	b.eventually("owner of "+program, benchTimeout, func() bool {
+		for i := range b.nodes {
+			var loc hgfront.Location
+			if b.client.Get(b.t.Context(), b.nodes[i].public, "/v1/locate?program="+program, &loc) != nil || len(loc.Addresses) == 0 {
+				continue
+			}
+			found = lo.IndexOf(b.addresses(), loc.Addresses[0])
+			return found >= 0
+		}
+		return false
+	})
+	return found
+}
+
+// record returns the executions of all endpoints.
+func (b *bench) record() []hgstandin.Execution {
+	return lo.FlatMap(lo.Values(b.endpoints), func(e *hgstandin.Endpoint, _ int) []hgstandin.Execution { return e.Record() })
+}
+
+// runs returns the executions of one request.
+func (b *bench) runs(request string) []hgstandin.Execution {
+	return lo.Filter(b.record(), func(x hgstandin.Execution, _ int) bool { return x.Request == request })
+}
+
+// setFault sets a fault on all endpoints of a kind.
+func (b *bench) setFault(kind string, f hgstandin.Fault) {
+	for id, e := range b.endpoints {
+		if strings.HasPrefix(id, kind) {
+			e.SetFault(f)
+		}
+	}
+}
+
+// via returns a client that only uses node i.
+func (b *bench) via(i int) *hgcaller.Client {
+	c := hgcaller.NewClient(b.nodes[i].public)
+	b.t.Cleanup(c.Close)
+	return c
+}
+
+func model(program string, seq uint64, text string) hgcall.Call {
+	return hgcall.Call{
+		Program: program, Seq: seq, Request: fmt.Sprintf("%s-%d", strings.ReplaceAll(program, "/", "."), seq), Kind: hgcall.Model, Target: "clerk-7b",
+		Messages: []hgcall.Message{{Role: "user", Content: text}}, MaxTokens: 16, Deadline: 20 * time.Second,
+	}
+}
+
+func tool(program string, seq uint64, target string, idempotent bool) hgcall.Call {
+	return hgcall.Call{
+		Program: program, Seq: seq, Request: fmt.Sprintf("%s-%d", strings.ReplaceAll(program, "/", "."), seq), Kind: hgcall.Tool, Target: target,
+		Idempotent: idempotent, Body: fmt.Appendf(nil, `{"durationMs":20,"program":%q,"seq":%d}`, program, seq), Deadline: 20 * time.Second,
+	}
+}
+
+// refusalOf returns the refusal in an error, or an empty one.
+func refusalOf(err error) hgcall.Refusal {
+	var r *hgcall.Refusal
+	if errors.As(err, &r) {
+		return *r
+	}
+	return hgcall.Refusal{}
+}
+
+// replay replays a shipped trace against the nodes.
+func (b *bench) replay(ctx context.Context, name, prefix string, speed float64) *hgreplay.Report {
+	b.t.Helper()
+	programs, err := hgreplay.Shipped(name)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return hgreplay.NewReplay(b.client, hgreplay.Options{
+		Speed: speed, Deadline: 25 * time.Second, Patience: 20 * time.Second, Progress: func(int, int) {}, Prefix: prefix,
+	}).Run(ctx, programs)
+}
--- /dev/null
+++ b/hgproof/fault_test.go
@@ -0,0 +1,95 @@
+package hgproof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgshard"
+	"hyssopgrade/hgstandin"
+	"hyssopgrade/hgstore"
+)
+
+func shardOf(program string) uint32 { return hgshard.Of(program, 16) }
+
+// TestCrashingRequest sends a request that crashes its endpoint again and again, under new identifiers and through all
+// nodes, beside innocent ones: at most two endpoints are lost, and the innocents finish.
+func TestCrashingRequest(t *testing.T) {
+	b := newBench(t, benchOptions{nodes: 3, engines: 4, tools: 1, engine: quickEngine})
+	b.setFault("engine", hgstandin.Fault{CrashOn: "poison", RestartMs: 300})
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() { b.converse(t.Context(), fmt.Sprintf("innocent-%d", i), 1, 12, nil) })
+	}
+	last := hgcall.Refusal{}
+	for i := range 10 {
+		c := model(fmt.Sprintf("guilty-%d", i), 1, "poison")
+		c.Deadline = 5 * time.Second
+		_, err := b.via(i%3).Call(t.Context(), c)
+		if err == nil {
+			t.Errorf("%s was answered", c.Request)
+		}
+		last = refusalOf(err)
+	}
+	wg.Wait()
+	crashes := lo.SumBy(lo.Values(b.endpoints), func(e *hgstandin.Endpoint) int { return e.Crashes() })
+	t.Logf("%d crashes, last refusal %+v", crashes, last)
+	if crashes > 2 || crashes == 0 {
+		t.Errorf("%d endpoints crashed", crashes)
+	}
+	if diff := cmp.Diff(hgcall.ReasonQuarantined, last.Reason); diff != "" {
+		t.Errorf("last refusal (-want +got):\n%s", diff)
+	}
+}
+
+// TestHungTool ends at the deadline with a typed outcome.
+func TestHungTool(t *testing.T) {
+	b := newBench(t, benchOptions{nodes: 2, engines: 1, tools: 1, engine: quickEngine})
+	b.setFault("tool", hgstandin.Fault{Hang: true})
+	for _, idempotent := range []bool{true, false} {
+		c := tool(fmt.Sprintf("hung-%t", idempotent), 1, "gate/open", idempotent)
+		c.Deadline = 1500 * time.Millisecond
+		began := time.Now()
+		_, err := b.client.Call(t.Context(), c)
+		if took := time.Since(began); took > c.Deadline+time.Second {
+			t.Errorf("ended after %s", took)
+		}
+		if n := len(b.runs(c.Request)); n != 1 {
+			t.Errorf("%s ran %d times", c.Request, n)
+		}
+		c.Deadline = 5 * time.Second
+		_, err2 := b.client.Call(t.Context(), c)
+		t.Logf("idempotent %t: %v, asked again: %v", idempotent, err, err2)
+		if !idempotent && refusalOf(err2).Kind != hgcall.KindUnknown {
+			t.Errorf("outcome of a hung call that may not be repeated: %v", err2)
+		}
+	}
+}
+
+// TestStoreOutage takes the store away: new calls are refused within 3 s with a time to come back, and when the store is
+// back everything that was answered is there.
+func TestStoreOutage(t *testing.T) {
+	b := newBench(t, benchOptions{nodes: 3, engines: 2, tools: 1, engine: quickEngine})
+	seen := b.converse(t.Context(), "outage", 1, 2, nil)
+	b.platform.Store.SetFault(hgstore.Fault{Down: true})
+	time.Sleep(time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var body any
+	began := time.Now()
+	err := b.client.Post(ctx, b.nodes[0].public, "/v1/programs/end", map[string]string{"program": "outage"}, &body)
+	if r := refusalOf(err); r.Kind != hgcall.KindUnavailable || r.RetryAfter == 0 {
+		t.Errorf("end during the outage: %v", err)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("refused after %s", took)
+	}
+	b.platform.Store.SetFault(hgstore.Fault{})
+	b.checkHistory("outage", seen)
+}
--- /dev/null
+++ b/hgproof/memory_test.go
@@ -0,0 +1,52 @@
+package hgproof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgpreset"
+	"hyssopgrade/hgstandin"
+)
+
+// usePreset creates a changed preset and puts it in force on all nodes.
+func (b *bench) usePreset(name string, change func(p *hgpreset.Preset)) {
+	b.t.Helper()
+	p := hgpreset.Shipped()["ordinary"]
+	p.Name = name
+	change(&p)
+	if err := b.client.Post(b.t.Context(), b.nodes[0].public, "/v1/presets", p, &p); err != nil {
+		b.t.Fatal(err)
+	}
+	var v hgpreset.Version
+	if err := b.client.Post(b.t.Context(), b.nodes[0].public, "/v1/presets/use", map[string]string{"name": name, "by": "test"}, &v); err != nil {
+		b.t.Fatal(err)
+	}
+	b.eventually("preset is in force", 10*time.Second, func() bool { return b.appliedBy(v.Number) == len(b.nodes) })
+}
+
+// held returns the number of programs that hold engine memory.
+func (b *bench) held() int {
+	return lo.SumBy(lo.Values(b.endpoints), func(e *hgstandin.Endpoint) int { return len(e.Held()) })
+}
+
+// TestEngineMemoryIsReleased leaves programs without an end, kills callers' owner, and ends others:
+// memory of ended programs is released within 2 s, that of silent ones within the preset's silence and 6 s.
+func TestEngineMemoryIsReleased(t *testing.T) {
+	b := newBench(t, benchOptions{nodes: 4, engines: 2, tools: 1, engine: quickEngine})
+	b.usePreset("quick", func(p *hgpreset.Preset) { p.SilenceMs = 2000 })
+	for i := range 6 {
+		b.converse(t.Context(), fmt.Sprintf("gone-%d", i), 1, 1, nil)
+	}
+	if n := b.held(); n != 6 {
+		t.Fatalf("%d programs hold memory instead of 6", n)
+	}
+	if err := b.client.End(t.Context(), "gone-0"); err != nil {
+		t.Fatal(err)
+	}
+	b.eventually("memory of the ended program is released", 2*time.Second, func() bool { return b.held() < 6 })
+	b.kill(b.owner("gone-1"))
+	b.eventually("all memory is released", 8*time.Second, func() bool { return b.held() == 0 })
+}
--- /dev/null
+++ b/hgproof/once_test.go
@@ -0,0 +1,79 @@
+package hgproof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgstandin"
+	"hyssopgrade/hgstore"
+)
+
+// TestAtMostOnce sends requests that may not be repeated, each twice through different nodes, while faults come:
+// none runs twice, and what is answered as done ran once.
+func TestAtMostOnce(t *testing.T) {
+	faults := map[string]func(b *bench, victim int){
+		"lost replies of the store":   func(b *bench, _ int) { b.platform.Store.SetFault(hgstore.Fault{LoseReplies: 8}) },
+		"lost replies of the tools":   func(b *bench, _ int) { b.setFault("tool", hgstandin.Fault{LoseReplies: 8}) },
+		"lost replies, no outcomes":   func(b *bench, _ int) { b.setFault("tool", hgstandin.Fault{LoseReplies: 8, HideOutcomes: true}) },
+		"owner killed":                func(b *bench, victim int) { b.kill(victim) },
+		"owner frozen past takeover":  freezeAndThaw,
+		"owner killed, store failing": func(b *bench, victim int) { b.platform.Store.SetFault(hgstore.Fault{LoseReplies: 8}); b.kill(victim) },
+	}
+	for _, fencing := range []bool{false, true} {
+		opts := quickEngine
+		opts.ChecksFencing = fencing
+		for name, fault := range faults {
+			t.Run(fmt.Sprintf("%s, fencing %t", name, fencing), func(t *testing.T) {
+				t.Parallel()
+				b := newBench(t, benchOptions{nodes: 3, engines: 1, tools: 2, engine: opts})
+				victim := b.owner("charge-0")
+				atMostOnce(t, b, func() { fault(b, victim) })
+			})
+		}
+	}
+}
+
+func freezeAndThaw(b *bench, victim int) {
+	b.freeze(victim)
+	time.AfterFunc(4*time.Second, func() { b.thaw(victim) })
+}
+
+// atMostOnce sends the requests in a row, with the fault in the middle.
+func atMostOnce(t *testing.T, b *bench, fault func()) {
+	var mu sync.Mutex
+	done := map[string]bool{}
+	var wg sync.WaitGroup
+	for i := range 40 {
+		c := tool(fmt.Sprintf("charge-%d", i), 1, "payment/charge", false)
+		c.Body = fmt.Appendf(nil, `{"durationMs":%d}`, 10+i%5*20)
+		for via := range 2 {
+			client := b.via((i + via) % 3)
+			wg.Go(func() {
+				a, err := client.Call(t.Context(), c)
+				mu.Lock()
+				defer mu.Unlock()
+				done[c.Request] = done[c.Request] || err == nil && a.State == hgcall.Done
+			})
+		}
+		time.Sleep(3 * time.Millisecond)
+		if i == 20 {
+			fault()
+		}
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	answered := 0
+	for request, ok := range done {
+		n := len(b.runs(request))
+		if n > 1 || ok && n != 1 {
+			t.Errorf("%s ran %d times, answered as done: %t", request, n, ok)
+		}
+		if ok {
+			answered++
+		}
+	}
+	t.Logf("%d of 40 answered as done", answered)
+}
--- /dev/null
+++ b/hgproof/storm_test.go
@@ -0,0 +1,85 @@
+package hgproof
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hyssopgrade/hgstore"
+)
+
+// stormSeeds returns the seeds to run: HGPROOF_SEED alone, if it is set.
+func stormSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	s := os.Getenv("HGPROOF_SEED")
+	if s == "" {
+		return []uint64{1, 2}
+	}
+	seed, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []uint64{seed}
+}
+
+// storm brings about faults in turn until ctx ends: kills with restarts, freezes past the takeover, outages and lost replies.
+func (b *bench) storm(ctx context.Context, rnd *rand.Rand) {
+	pause := func(d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	for ctx.Err() == nil {
+		i := rnd.IntN(len(b.nodes))
+		switch rnd.IntN(4) {
+		case 0:
+			b.kill(i)
+			pause(time.Duration(rnd.IntN(2500)) * time.Millisecond)
+			b.start(i)
+		case 1:
+			b.freeze(i)
+			pause(time.Duration(1500+rnd.IntN(2500)) * time.Millisecond)
+			b.thaw(i)
+		case 2:
+			b.platform.Store.SetFault(hgstore.Fault{LoseReplies: 1 + rnd.IntN(5)})
+		case 3:
+			b.platform.Store.SetFault(hgstore.Fault{Down: true})
+			pause(time.Duration(200+rnd.IntN(1000)) * time.Millisecond)
+			b.platform.Store.SetFault(hgstore.Fault{})
+		}
+		pause(time.Duration(200+rnd.IntN(1200)) * time.Millisecond)
+	}
+}
+
+// TestStorm replays both traces while nodes die, freeze and restart and the platform fails:
+// no answer is wrong, nothing that was refused as not run has run, and nothing runs twice that may not.
+func TestStorm(t *testing.T) {
+	for _, seed := range stormSeeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			b := newBench(t, benchOptions{nodes: 4, engines: 3, tools: 3, engine: quickEngine})
+			ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+			defer cancel()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				b.storm(ctx, rand.New(rand.NewPCG(seed, 0)))
+			}()
+			r := b.replay(t.Context(), []string{"derwent", "fjordbom"}[seed%2], "", 0.6)
+			<-done
+			r.CheckRecords(b.record())
+			t.Logf("done %d, undone %d, refusals %v, latency %+v", r.Done, r.Undone, r.Refusals, r.Latency())
+			if diff := cmp.Diff([]string{}, r.Violations); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+				for _, n := range b.nodes {
+					t.Logf("log of %s:\n%s", n.id, n.out)
+				}
+			}
+		})
+	}
+}
--- a/hgquarantine/list.go
+++ b/hgquarantine/list.go
@@ -63,9 +63,12 @@
 }
 
 // Died tells that an endpoint died while it ran the request, and returns the changed suspect.
-func (l *List) Died(digest string, now time.Duration) Suspect {
+// Beside others the request may be innocent, so that only a death while it ran alone adds to an earlier one.
+func (l *List) Died(digest string, alone bool, now time.Duration) Suspect {
 	e := l.entries[digest]
-	e.deaths++
+	if alone || e.deaths == 0 {
+		e.deaths++
+	}
 	e.cleared = false
 	e.at = now
 	l.entries[digest] = e
--- a/hgreplay/replay.go
+++ b/hgreplay/replay.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
-
 	"hyssopgrade/hgcall"
 	"hyssopgrade/hgcaller"
 	"hyssopgrade/hgstandin"
@@ -193,7 +191,7 @@
 func (p *Replay) violation(format string, args ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.report.Violations = append(p.report.Violations, fmt.Sprintf(format, args...))
+	p.report.violation(format, args...)
 }
 
 // sent counts a call's end.
@@ -215,25 +213,3 @@
 		p.report.answered[c.Request] = true
 	}
 }
-
-// CheckRecords checks the endpoints' records against the callers' outcomes.
-func (r *Report) CheckRecords(records []hgstandin.Execution) {
-	runs := lo.GroupBy(records, func(x hgstandin.Execution) string { return x.Request })
-	for id, xs := range runs {
-		c, ok := r.calls[id]
-		if !ok {
-			continue
-		}
-		if r.notRun[id] {
-			r.Violations = append(r.Violations, fmt.Sprintf("request %q was refused as not run and ran %d times", id, len(xs)))
-		}
-		if c.Kind == hgcall.Tool && !c.Idempotent && len(xs) > 1 {
-			r.Violations = append(r.Violations, fmt.Sprintf("request %q is not idempotent and ran %d times", id, len(xs)))
-		}
-	}
-	for id := range r.answered {
-		if len(runs[id]) == 0 {
-			r.Violations = append(r.Violations, fmt.Sprintf("request %q was answered and is in no record", id))
-		}
-	}
-}
--- a/hgstandin/endpoint.go
+++ b/hgstandin/endpoint.go
@@ -28,6 +28,8 @@
 	CrashOn string `json:"crashOn"`
 	// RestartMs is the time that a crashed endpoint is gone, in milliseconds.
 	RestartMs int `json:"restartMs"`
+	// Leaving says in the load report that the endpoint leaves.
+	Leaving bool `json:"leaving"`
 	// Draining refuses new requests and says so in the load report.
 	Draining bool `json:"draining"`
 	// DropEvents loses the coming cache events.
@@ -42,10 +44,11 @@
 	Program   string `json:"program"`
 	Operation string `json:"operation"`
 	Fence     string `json:"fence"`
-	// StartMs and EndMs are the times since the endpoint began, in milliseconds; EndMs is 0 while it runs.
-	StartMs int64  `json:"startMs"`
-	EndMs   int64  `json:"endMs"`
-	Tokens  uint64 `json:"tokens"`
+	// StartUs and EndUs are wall-clock times, in microseconds; EndUs is 0 while it runs.
+	StartUs int64 `json:"startUs"`
+	EndUs   int64 `json:"endUs"`
+	// Tokens is the number of tokens generated.
+	Tokens uint64 `json:"tokens"`
 }
 
 // Options set up an Endpoint.
@@ -63,8 +66,7 @@
 // Endpoint is a model engine and a tool service in one.
 type Endpoint struct {
 	*Server
-	opts  Options
-	start time.Time
+	opts Options
 
 	mu       sync.Mutex
 	fault    Fault
@@ -79,7 +81,7 @@
 // NewEndpoint serves an endpoint at the address.
 func NewEndpoint(address string, opts Options) (e *Endpoint, err error) {
 	e = &Endpoint{
-		opts: opts, start: time.Now(), outcomes: map[string]hgendpoint.ToolResult{}, fences: map[string]uint64{},
+		opts: opts, outcomes: map[string]hgendpoint.ToolResult{}, fences: map[string]uint64{},
 		cache: newCache(opts.CacheTokens),
 	}
 	mux := http.NewServeMux()
@@ -157,7 +159,7 @@
 	}
 	x = &Execution{
 		Request: r.Header.Get(hgendpoint.HeaderRequest), Program: r.Header.Get(hgendpoint.HeaderProgram),
-		Operation: operation, Fence: fence, StartMs: time.Since(e.start).Milliseconds(),
+		Operation: operation, Fence: fence, StartUs: time.Now().UnixMicro(),
 	}
 	e.record = append(e.record, x)
 	e.running++
@@ -211,7 +213,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
-	x.EndMs = max(time.Since(e.start).Milliseconds(), 1)
+	x.EndUs = time.Now().UnixMicro()
 	x.Tokens = tokens
 }
 
@@ -289,6 +291,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, http.StatusOK, hgendpoint.Status{
-		Running: e.running, CacheShare: e.cache.share(), Draining: e.fault.Draining, LastEventID: e.cache.lastEvent,
+		Running: e.running, CacheShare: e.cache.share(), Draining: e.fault.Draining || e.fault.Leaving, LastEventID: e.cache.lastEvent,
 	})
 }
--- a/hgstandin/engine.go
+++ b/hgstandin/engine.go
@@ -64,7 +64,7 @@
 	time.Sleep(time.Duration(prompt-cached) * e.opts.PrefillTime)
 	text := Answer(body.Messages, body.MaxTokens)
 	tokens := len(text) / tokenBytes
-	defer func() { e.end(x, uint64(prompt-cached+tokens)) }()
+	defer func() { e.end(x, uint64(tokens)) }()
 	e.answerID(w, x.Request)
 	if !e.stream(w, r, text) {
 		return
--- a/hgstandin/platform.go
+++ b/hgstandin/platform.go
@@ -18,7 +18,12 @@
 
 // NewPlatform serves an empty platform at the address.
 func NewPlatform(address string) (p *Platform, err error) {
-	p = &Platform{Store: hgstore.NewMemory()}
+	return NewPlatformOver(address, hgstore.NewMemory())
+}
+
+// NewPlatformOver serves a store at the address; one store can be served at several addresses.
+func NewPlatformOver(address string, store *hgstore.Memory) (p *Platform, err error) {
+	p = &Platform{Store: store}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /table/row", p.row)
 	mux.HandleFunc("GET /table/rows", p.rows)
