--- /dev/null
+++ b/hgbench/result.go
@@ -0,0 +1,85 @@
+package hgbench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Result is what one run, or several together, gave.
+type Result struct {
+	Offered    int
+	Done       int
+	Good       int
+	Calls      int
+	Dispatches int
+	Refusals   int
+	Retries    int
+	Written    int
+	Unused     int
+	latencies  []time.Duration
+}
+
+func newResult() Result { return Result{} }
+
+func (r *Result) add(d time.Duration, ok bool) {
+	r.Offered++
+	if !ok {
+		return
+	}
+	r.Done++
+	if d <= goodWithin {
+		r.Good++
+	}
+	r.latencies = append(r.latencies, d)
+}
+
+// Plus returns the results of two runs together.
+func (r Result) Plus(o Result) Result {
+	r.Offered += o.Offered
+	r.Done += o.Done
+	r.Good += o.Good
+	r.Calls += o.Calls
+	r.Dispatches += o.Dispatches
+	r.Refusals += o.Refusals
+	r.Retries += o.Retries
+	r.Written += o.Written
+	r.Unused += o.Unused
+	r.latencies = append(slices.Clone(r.latencies), o.latencies...)
+	return r
+}
+
+// Mean returns the mean program latency.
+func (r Result) Mean() time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	return lo.Sum(r.latencies) / time.Duration(len(r.latencies))
+}
+
+// Quantile returns a quantile of the program latency.
+func (r Result) Quantile(q float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	l := slices.Clone(r.latencies)
+	slices.Sort(l)
+	return l[min(int(q*float64(len(l))), len(l)-1)]
+}
+
+// Wasted returns the share of the written prefix tokens that were never reused.
+func (r Result) Wasted() float64 { return float64(r.Unused) / float64(max(r.Written, 1)) }
+
+// Header is the head of the table that Row makes lines for.
+const Header = `| workload | policy | mean s | p50 | p95 | p99 | wasted | good in 60 s | undone | refusals | retries | dispatches/calls |
+|---|---|---|---|---|---|---|---|---|---|---|---|`
+
+// Row returns the result as a line of a Markdown table.
+func (r Result) Row(workload, policy string) string {
+	return fmt.Sprintf("| %s | %s | %.2f | %.2f | %.2f | %.2f | %.1f %% | %.1f %% | %d | %d | %d | %.3f |",
+		workload, policy, r.Mean().Seconds(), r.Quantile(0.5).Seconds(), r.Quantile(0.95).Seconds(), r.Quantile(0.99).Seconds(),
+		100*r.Wasted(), 100*float64(r.Good)/float64(max(r.Offered, 1)), r.Offered-r.Done, r.Refusals, r.Retries,
+		float64(r.Dispatches)/float64(max(r.Calls, 1)))
+}
--- a/hgretain/keeper.go
+++ b/hgretain/keeper.go
@@ -192,3 +192,12 @@
 	}
 	return nil
 }
+
+// Holds tells all that an endpoint holds: prefixes that it was thought to hold and does not are forgotten.
+func (k *Keeper) Holds(endpoint string, tokens map[string]int) {
+	for id, p := range k.prefixes {
+		if p.endpoint == endpoint {
+			k.Evicted(id, endpoint, tokens[id])
+		}
+	}
+}
