Price the recomputation of a prefix at its cost to the whole batch

Cause: calls left the engine that held their prefix too easily. A prompt computed anew stops the whole batch, not only its own call; the score counted it once. Per-endpoint prefill rates were noise that drew all new programs to one engine, and the decode term took the time between tokens for proportional to the calls in flight. New programs behind all others hurt the mean: half of them are one call long.

--- a/hgadmit/queue.go
+++ b/hgadmit/queue.go
@@ -1,7 +1,6 @@
 package hgadmit
 
 import (
-	"math"
 	"time"
 
 	"github.com/google/btree"
@@ -9,10 +8,10 @@
 	"hyssopgrade/hgpreset"
 )
 
-// Order gives a waiting call its place.
+// Order orders waiting calls.
 type Order interface {
-	// Place returns a call's class and its key within the class; lower ones go first.
-	Place(w Waiting) (class int, key float64)
+	// Key returns a call's key, which never changes while it waits; lower ones go first.
+	Key(w Waiting) float64
 	// String names the order.
 	String() string
 }
@@ -30,15 +29,11 @@
 
 type item struct {
 	Waiting
-	class int
-	key   float64
+	key float64
 }
 
 func before(a, b item) bool {
-	switch {
-	case a.class != b.class:
-		return a.class < b.class
-	case a.key != b.key:
+	if a.key != b.key {
 		return a.key < b.key
 	}
 	return a.ID < b.ID
@@ -57,11 +52,11 @@
 type Queue struct {
 	order  Order
 	preset hgpreset.Preset
-	tree   *btree.BTreeG[item]
-	items  map[uint64]item
-	fresh  int
-	gapMs  [2]float64
-	last   [2]time.Duration
+	// trees hold the calls of programs under way and of new programs.
+	trees [2]*btree.BTreeG[item]
+	items map[uint64]item
+	gapMs [2]float64
+	last  [2]time.Duration
 }
 
 // btreeDegree is the number of children of the queue's tree nodes.
@@ -69,7 +64,10 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(p hgpreset.Preset) *Queue {
-	q := &Queue{tree: btree.NewG(btreeDegree, before), items: map[uint64]item{}}
+	q := &Queue{items: map[uint64]item{}}
+	for k := range q.trees {
+		q.trees[k] = btree.NewG(btreeDegree, before)
+	}
 	q.SetPreset(p)
 	return q
 }
@@ -90,19 +88,15 @@
 		v.Refused, v.Closed = true, true
 	case q.Len() >= q.preset.MaxQueue, q.Len() > 0 && v.Expected > left:
 		v.Refused = true
-	case w.New && q.fresh > 0 && v.Expected > limit:
+	case w.New && q.trees[fresh].Len() > 0 && v.Expected > limit:
 		v.Refused = true
 	}
 	if v.Refused {
 		return v
 	}
-	class, key := q.order.Place(w)
-	it := item{Waiting: w, class: class, key: key}
+	it := item{Waiting: w, key: q.order.Key(w)}
 	q.items[w.ID] = it
-	q.tree.ReplaceOrInsert(it)
-	if w.New {
-		q.fresh++
-	}
+	q.trees[kind(w.New)].ReplaceOrInsert(it)
 	return v
 }
 
@@ -113,10 +107,7 @@
 		return false
 	}
 	delete(q.items, id)
-	q.tree.Delete(it)
-	if it.New {
-		q.fresh--
-	}
+	q.trees[kind(it.New)].Delete(it)
 	return true
 }
 
@@ -139,20 +130,23 @@
 // smoothing is the weight of a new observation of the gap between starts.
 const smoothing = 0.05
 
+// The kinds of waiting calls.
+const (
+	underWay = iota
+	fresh
+)
+
 func kind(isNew bool) int {
 	if isNew {
-		return 1
+		return fresh
 	}
-	return 0
+	return underWay
 }
 
 // expected returns the wait of a call that comes now: the calls ahead at the rate of starts, and for a new program
 // at least the time that the first new one has waited.
 func (q *Queue) expected(isNew bool, now time.Duration) time.Duration {
-	ahead := len(q.items) - q.fresh
-	if isNew {
-		ahead = q.fresh
-	}
+	ahead := q.trees[kind(isNew)].Len()
 	wait := time.Duration(float64(ahead) * q.gapMs[kind(isNew)] * float64(time.Millisecond))
 	if isNew {
 		wait = max(wait, q.firstNew(now))
@@ -161,21 +155,42 @@
 }
 
 // firstNew returns how long the first waiting call of a new program has waited.
-func (q *Queue) firstNew(now time.Duration) (waited time.Duration) {
-	if q.fresh == 0 {
+func (q *Queue) firstNew(now time.Duration) time.Duration {
+	it, ok := q.trees[fresh].Min()
+	if !ok {
 		return 0
 	}
-	class, _ := q.order.Place(Waiting{New: true})
-	q.tree.AscendGreaterOrEqual(item{class: class, key: math.Inf(-1)}, func(it item) bool {
-		waited = now - it.Since
-		return !it.New
-	})
-	return waited
+	return now - it.Since
 }
 
-// Each calls fn for the waiting calls in order until it returns false; fn must not change the queue.
-func (q *Queue) Each(fn func(w Waiting) bool) {
-	q.tree.Ascend(func(it item) bool { return fn(it.Waiting) })
+// maxFirst bounds the calls that First returns.
+const maxFirst = 16
+
+// First fills buf with the first waiting calls in order, without those of new programs unless withNew.
+func (q *Queue) First(buf []Waiting, withNew bool) []Waiting {
+	var heads [2][maxFirst]item
+	var n [2]int
+	for k, tree := range q.trees {
+		if k == fresh && !withNew {
+			continue
+		}
+		tree.Ascend(func(it item) bool {
+			heads[k][n[k]] = it
+			n[k]++
+			return n[k] < maxFirst
+		})
+	}
+	buf = buf[:0]
+	for i, j := 0, 0; len(buf) < maxFirst && i+j < n[underWay]+n[fresh]; {
+		if j == n[fresh] || i < n[underWay] && before(heads[underWay][i], heads[fresh][j]) {
+			buf = append(buf, heads[underWay][i].Waiting)
+			i++
+			continue
+		}
+		buf = append(buf, heads[fresh][j].Waiting)
+		j++
+	}
+	return buf
 }
 
 // Len returns the number of waiting calls.
--- a/hgbench/engine.go
+++ b/hgbench/engine.go
@@ -67,8 +67,10 @@
 	entries map[string]*list.Element
 	written int
 	reused  int
-	wake    chan struct{}
-	closed  bool
+	// evictions counts the idle prefixes dropped for lack of memory.
+	evictions int
+	wake      chan struct{}
+	closed    bool
 }
 
 // NewEngine returns a running engine.
@@ -219,6 +221,7 @@
 
 func (e *Engine) evict() {
 	for e.inUse+e.idle > e.cfg.MemoryTokens && e.order.Len() > 0 {
+		e.evictions++
 		e.drop(e.order.Back().Value.(*prefix).program)
 	}
 }
--- a/hgbench/result.go
+++ b/hgbench/result.go
@@ -19,7 +19,11 @@
 	Retries    int
 	Written    int
 	Unused     int
-	latencies  []time.Duration
+	// Moves is the number of calls that ran on another engine than their program's last one.
+	Moves int
+	// Evictions is the number of idle prefixes of unfinished programs that engines dropped for lack of memory.
+	Evictions int
+	latencies []time.Duration
 }
 
 func newResult() Result { return Result{} }
@@ -47,6 +51,8 @@
 	r.Retries += o.Retries
 	r.Written += o.Written
 	r.Unused += o.Unused
+	r.Moves += o.Moves
+	r.Evictions += o.Evictions
 	r.latencies = append(slices.Clone(r.latencies), o.latencies...)
 	return r
 }
@@ -73,13 +79,13 @@
 func (r Result) Wasted() float64 { return float64(r.Unused) / float64(max(r.Written, 1)) }
 
 // Header is the head of the table that Row makes lines for.
-const Header = `| workload | policy | mean s | p50 | p95 | p99 | wasted | good in 60 s | undone | refusals | retries | dispatches/calls |
-|---|---|---|---|---|---|---|---|---|---|---|---|`
+const Header = `| workload | policy | mean s | p50 | p95 | p99 | wasted | good in 60 s | undone | refusals | moves | evictions | retries | dispatches/calls |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
 
 // Row returns the result as a line of a Markdown table.
 func (r Result) Row(workload, policy string) string {
-	return fmt.Sprintf("| %s | %s | %.2f | %.2f | %.2f | %.2f | %.1f %% | %.1f %% | %d | %d | %d | %.3f |",
+	return fmt.Sprintf("| %s | %s | %.2f | %.2f | %.2f | %.2f | %.1f %% | %.1f %% | %d | %d | %d | %d | %d | %.3f |",
 		workload, policy, r.Mean().Seconds(), r.Quantile(0.5).Seconds(), r.Quantile(0.95).Seconds(), r.Quantile(0.99).Seconds(),
-		100*r.Wasted(), 100*float64(r.Good)/float64(max(r.Offered, 1)), r.Offered-r.Done, r.Refusals, r.Retries,
+		100*r.Wasted(), 100*float64(r.Good)/float64(max(r.Offered, 1)), r.Offered-r.Done, r.Refusals, r.Moves, r.Evictions, r.Retries,
 		float64(r.Dispatches)/float64(max(r.Calls, 1)))
 }
--- a/hgbench/run.go
+++ b/hgbench/run.go
@@ -106,7 +106,7 @@
 	for i := range c.Shape.Replicas {
 		id := fmt.Sprintf("engine-%d", i)
 		b.engines[id] = NewEngine(c.Shape.Engine)
-		eps = append(eps, hgroute.Endpoint{ID: id, Domain: fmt.Sprint(i % 3), Targets: []string{model}})
+		eps = append(eps, hgroute.Endpoint{ID: id, Domain: fmt.Sprint(i % 3), Targets: []string{model}, MemoryTokens: c.Shape.Engine.MemoryTokens})
 	}
 	ps := preset(p)
 	for i := range nodes {
@@ -126,6 +126,7 @@
 	for _, e := range b.engines {
 		b.result.Written += e.written
 		b.result.Unused += e.written - e.reused
+		b.result.Evictions += e.evictions
 		e.Close()
 	}
 	return b.result
@@ -152,10 +153,14 @@
 // beat tells every node the others' calls in flight.
 func (b *bench) beat() {
 	for i, from := range b.nodes {
-		calls := from.sched.InFlight()
+		calls, held := from.sched.InFlight(), map[string]int{}
+		from.mu.Lock()
+		from.keep.Demand(held)
+		from.mu.Unlock()
+		from.sched.SetHeld(held)
 		for j, to := range b.nodes {
 			if i != j {
-				to.sched.PeerLoads(fmt.Sprint("node-", i), calls)
+				to.sched.PeerLoads(fmt.Sprint("node-", i), calls, held)
 			}
 		}
 	}
@@ -316,6 +321,7 @@
 func (b *bench) ran(n *entry, id, root string, g hgsched.Grant, t Turn, tokens int, o outcome) {
 	n.sched.Done(g, hgsched.Result{Timing: hgroute.Timing{FirstToken: o.firstToken, Total: o.total, Computed: o.computed, Output: t.Output}})
 	n.mu.Lock()
+	home, _, held := n.keep.Home(id)
 	orders := n.keep.Ran(id, g.Endpoint, tokens+t.New+t.Output, b.now())
 	n.mu.Unlock()
 	b.order(orders)
@@ -323,6 +329,9 @@
 	defer b.mu.Unlock()
 	b.served[root] += uint64(t.New + t.Output)
 	b.result.Calls++
+	if held && home != g.Endpoint {
+		b.result.Moves++
+	}
 }
 
 func (b *bench) count(fn func(res *Result)) {
--- a/hgcell/cell.go
+++ b/hgcell/cell.go
@@ -82,6 +82,7 @@
 		c.Endpoints[id] = e
 		eps = append(eps, hgconfig.Endpoint{
 			ID: id, Kind: kind, Address: e.Address(), Domain: Domains[i%len(Domains)], Targets: targets, ChecksFencing: c.opts.Engine.ChecksFencing,
+			MemoryTokens: lo.Ternary(kind == hgconfig.Engine, c.opts.Engine.CacheTokens, 0),
 		})
 		return nil
 	}
--- a/hgconfig/config.go
+++ b/hgconfig/config.go
@@ -99,6 +99,8 @@
 	Targets []string `toml:"targets"`
 	// ChecksFencing says that it refuses orders with an old fencing number.
 	ChecksFencing bool `toml:"checksFencing"`
+	// MemoryTokens is an engine's memory for prefixes, in tokens; 0 means not known.
+	MemoryTokens int `toml:"memoryTokens"`
 }
 
 // Default returns the settings before a file is read.
@@ -217,6 +219,8 @@
 			return at(data, key+"id", "%q: want a name that no other endpoint has", e.ID)
 		case e.Kind != Engine && e.Kind != Tool:
 			return at(data, key+"kind", "%q: want %q or %q", e.Kind, Engine, Tool)
+		case e.MemoryTokens < 0:
+			return at(data, key+"memoryTokens", "%d: want at least 0", e.MemoryTokens)
 		case e.Domain == "":
 			return at(data, key+"domain", "want the failure domain")
 		case len(e.Targets) == 0 || lo.Contains(e.Targets, ""):
--- a/hginner/message.go
+++ b/hginner/message.go
@@ -15,6 +15,8 @@
 	Preset hgpreset.Peer
 	// InFlight are the sender's calls in flight, by endpoint.
 	InFlight map[string]int
+	// Held are the tokens that the sender's live programs hold, by endpoint.
+	Held map[string]int
 	// Leaving are the endpoints that the sender knows to be leaving.
 	Leaving []string
 	// Shards are the epochs of the shards that the sender owns.
--- a/hgnode/cell.go
+++ b/hgnode/cell.go
@@ -122,6 +122,7 @@
 		Heartbeat: hgmember.Heartbeat{ID: n.cfg.Node.ID, Run: n.run, Draining: n.draining, Silent: n.view.Silent(now)},
 		Preset:    hgpreset.Peer{Number: n.gate.Applied().Number, Age: n.gate.Age(now), StoreFailing: n.gate.StoreFailing()},
 		InFlight:  n.sched.InFlight(),
+		Held:      n.held,
 		Leaving:   lo.Keys(n.leaving[sourceReports]),
 		Shards:    n.owner.Epochs(),
 		Suspects:  n.owner.Suspects(),
@@ -135,14 +136,17 @@
 		n.learnOwner(s, b.ID, epoch)
 	}
 	n.setLeaving(b.ID, lo.SliceToMap(b.Leaving, func(id string) (string, bool) { return id, true }))
-	n.sched.PeerLoads(b.ID, b.InFlight)
+	n.sched.PeerLoads(b.ID, b.InFlight, b.Held)
 	n.owner.Merge(b.Suspects)
 }
 
 // beatAll exchanges heartbeats with all peers, each at most once at a time.
 func (n *Node) beatAll() {
+	held := n.owner.HeldTokens()
+	n.sched.SetHeld(held)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.held = held
 	for _, m := range n.view.Peers() {
 		if n.beating[m.ID] {
 			continue
--- a/hgnode/node.go
+++ b/hgnode/node.go
@@ -65,8 +65,10 @@
 	owners  map[uint32]shardOwner
 	beating map[string]bool
 	// leaving are the endpoints that each source knows to be leaving; left are those of any source.
-	leaving  map[string]map[string]bool
-	left     map[string]bool
+	leaving map[string]map[string]bool
+	left    map[string]bool
+	// held are the tokens of this node's programs, by endpoint, at the last heartbeat.
+	held     map[string]int
 	draining bool
 	beat     uint64
 }
--- a/hgnode/wire.go
+++ b/hgnode/wire.go
@@ -56,7 +56,7 @@
 func newScheduler(i do.Injector) (*hgsched.Scheduler, error) {
 	cfg := do.MustInvoke[hgconfig.Config](i)
 	eps := lo.Map(cfg.Endpoint, func(e hgconfig.Endpoint, _ int) hgroute.Endpoint {
-		return hgroute.Endpoint{ID: e.ID, Domain: e.Domain, Targets: e.Targets}
+		return hgroute.Endpoint{ID: e.ID, Domain: e.Domain, Targets: e.Targets, MemoryTokens: e.MemoryTokens}
 	})
 	timer := do.MustInvoke[*hgtimer.Service](i)
 	return hgsched.NewScheduler(cfg.Node.ID, cfg.Node.Domain, eps, do.MustInvoke[hgpreset.Version](i).Preset,
--- a/hgowner/status.go
+++ b/hgowner/status.go
@@ -105,3 +105,16 @@
 		return s.state.Summaries(o.now())
 	})
 }
+
+// HeldTokens returns the tokens that the programs of the held shards have in the endpoints' memory, by endpoint.
+func (o *Owner) HeldTokens() map[string]int {
+	sum := map[string]int{}
+	for _, s := range o.shards {
+		s.mu.Lock()
+		if s.keeper != nil {
+			s.keeper.Demand(sum)
+		}
+		s.mu.Unlock()
+	}
+	return sum
+}
--- a/hgpreset/preset.go
+++ b/hgpreset/preset.go
@@ -41,6 +41,8 @@
 	RemoteDomainMs float64 `toml:"remoteDomainMs" json:"remoteDomainMs"`
 	// RecomputeWeight multiplies the time to compute a prefix anew; more keeps programs on their replicas longer.
 	RecomputeWeight float64 `toml:"recomputeWeight" json:"recomputeWeight"`
+	// MemoryFillPercent is the share of an engine's memory that live programs may hold before new programs wait; 0 means no limit.
+	MemoryFillPercent int `toml:"memoryFillPercent" json:"memoryFillPercent"`
 	// HoldMs is the longest expected pause for which a prefix is held under memory pressure, in milliseconds.
 	HoldMs int `toml:"holdMs" json:"holdMs"`
 	// SilenceMs is the time without a call after which a program's engine memory is released, in milliseconds.
@@ -90,6 +92,7 @@
 		{"ageingTokensPerSecond", p.AgeingTokensPerSecond, 0, 1_000_000},
 		{"maxQueue", p.MaxQueue, 1, 1_000_000},
 		{"maxNewWaitMs", p.MaxNewWaitMs, 0, 3_600_000},
+		{"memoryFillPercent", p.MemoryFillPercent, 0, 1000},
 		{"holdMs", p.HoldMs, 0, 3_600_000},
 		{"silenceMs", p.SilenceMs, 1_000, 86_400_000},
 		{"retryPercent", p.RetryPercent, 0, 100},
--- a/hgretain/keeper.go
+++ b/hgretain/keeper.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"hyssopgrade/hgpreset"
 )
 
@@ -41,9 +39,11 @@
 // exportTokens is the length of a prefix from which an export is cheaper than computing it anew.
 const exportTokens = 4000
 
+// prefix is what is known of a live program's memory: tokens are in the engine's memory, context is the whole conversation.
 type prefix struct {
 	endpoint string
 	tokens   int
+	context  int
 	at       time.Duration
 	tool     string
 }
@@ -73,10 +73,10 @@
 // Ran tells that a model call of a program ended on an endpoint, which now holds so many tokens.
 // A prefix left on another endpoint is released.
 func (k *Keeper) Ran(program, endpoint string, tokens int, now time.Duration) (orders []Order) {
-	if old, ok := k.prefixes[program]; ok && old.endpoint != endpoint {
+	if old, ok := k.prefixes[program]; ok && old.endpoint != endpoint && old.tokens > 0 {
 		orders = append(orders, Order{Program: program, Endpoint: old.endpoint, Action: Release, Reason: "moved"})
 	}
-	k.prefixes[program] = prefix{endpoint: endpoint, tokens: tokens, at: now}
+	k.prefixes[program] = prefix{endpoint: endpoint, tokens: tokens, context: tokens, at: now}
 	return orders
 }
 
@@ -89,11 +89,11 @@
 	p.tool, p.at = tool, now
 	k.prefixes[program] = p
 	a := k.decide(p)
-	if a == Hold {
+	if a == Hold || p.tokens == 0 {
 		return nil
 	}
 	if a == Release {
-		delete(k.prefixes, program)
+		k.Evicted(program, p.endpoint, 0)
 	}
 	return []Order{{Program: program, Endpoint: p.endpoint, Action: a, Reason: "longPause"}}
 }
@@ -135,19 +135,18 @@
 // Evicted tells that an endpoint holds less of a program's prefix.
 func (k *Keeper) Evicted(program, endpoint string, tokens int) {
 	p, ok := k.prefixes[program]
-	switch {
-	case !ok || p.endpoint != endpoint:
-	case tokens == 0:
-		delete(k.prefixes, program)
-	default:
-		p.tokens = min(p.tokens, tokens)
-		k.prefixes[program] = p
+	if !ok || p.endpoint != endpoint {
+		return
 	}
+	p.tokens = min(p.tokens, tokens)
+	k.prefixes[program] = p
 }
 
 // EndpointLost tells that an endpoint's memory is gone.
 func (k *Keeper) EndpointLost(endpoint string) {
-	k.prefixes = lo.OmitBy(k.prefixes, func(_ string, p prefix) bool { return p.endpoint == endpoint })
+	for id := range k.prefixes {
+		k.Evicted(id, endpoint, 0)
+	}
 }
 
 // Ended tells that a program has ended.
@@ -157,6 +156,9 @@
 		return nil
 	}
 	delete(k.prefixes, program)
+	if p.tokens == 0 {
+		return nil
+	}
 	return []Order{{Program: program, Endpoint: p.endpoint, Action: Release, Reason: "ended"}}
 }
 
@@ -184,7 +186,7 @@
 		delete(k.prefixes, program)
 		return []Order{{Program: program, Endpoint: endpoint, Action: Release, Reason: "orphan"}}
 	case !known:
-		k.prefixes[program] = prefix{endpoint: endpoint, tokens: tokens, at: now}
+		k.prefixes[program] = prefix{endpoint: endpoint, tokens: tokens, context: tokens, at: now}
 	case p.endpoint == endpoint:
 		k.Evicted(program, endpoint, tokens)
 	case !running:
@@ -201,3 +203,11 @@
 		}
 	}
 }
+
+// Demand adds the conversations of the live programs to sum, by the endpoint that last ran them, in tokens.
+// What was evicted counts too, as it comes back with the program's next call.
+func (k *Keeper) Demand(sum map[string]int) {
+	for _, p := range k.prefixes {
+		sum[p.endpoint] += p.context
+	}
+}
--- a/hgroute/endpoint.go
+++ b/hgroute/endpoint.go
@@ -43,8 +43,9 @@
 }
 
 type peerLoad struct {
-	calls int
-	at    time.Duration
+	calls  int
+	tokens int
+	at     time.Duration
 }
 
 type endpoint struct {
@@ -57,7 +58,8 @@
 	maxWindow     float64
 	targetMs      float64
 	tokenMs       float64
-	prefillMs     float64
+	leastTokenMs  float64
+	meanInFlight  float64
 	serviceMs     float64
 	shrunk        time.Duration
 	failures      int
@@ -66,12 +68,16 @@
 	leaving       bool
 	exclusive     bool
 	reservedUntil time.Duration
+	// held are the tokens of this node's live programs, arriving those placed since held was told.
+	held     int
+	arriving int
+	fill     float64
 }
 
 func newEndpoint(e Endpoint, remote bool, p hgpreset.Preset) endpoint {
 	return endpoint{
 		Endpoint: e, remote: remote, peers: map[string]peerLoad{}, window: float64(p.Window),
-		prefillMs: firstPrefillMs, serviceMs: firstServiceMs,
+		serviceMs: firstServiceMs,
 	}
 }
 
@@ -79,6 +85,21 @@
 	e.minWindow, e.maxWindow = float64(p.MinWindow), float64(p.MaxWindow)
 	e.window = min(max(e.window, e.minWindow), e.maxWindow)
 	e.targetMs = float64(p.TokenTargetMs)
+	e.fill = float64(p.MemoryFillPercent) / 100
+}
+
+// hasRoom tells whether the memory has room for a new program, as far as live programs of all nodes are known.
+func (e *endpoint) hasRoom(now time.Duration) bool {
+	if e.MemoryTokens == 0 || e.fill == 0 {
+		return true
+	}
+	tokens := e.held + e.arriving
+	for _, p := range e.peers {
+		if now-p.at <= peerMaxAge {
+			tokens += p.tokens
+		}
+	}
+	return float64(tokens) < e.fill*float64(e.MemoryTokens)
 }
 
 func (e *endpoint) others(now time.Duration) int {
@@ -115,17 +136,16 @@
 	e.failures = 0
 	e.ejections = 0
 	e.serviceMs += smoothing * (ms(t.Total) - e.serviceMs)
-	if t.Computed >= minPrefillTokens {
-		e.prefillMs += smoothing * (ms(t.FirstToken)/float64(t.Computed) - e.prefillMs)
-	}
 	if t.Output < 2 {
 		return
 	}
 	tokenMs := ms(t.Total-t.FirstToken) / float64(t.Output-1)
 	if e.tokenMs == 0 {
-		e.tokenMs = tokenMs
+		e.tokenMs, e.leastTokenMs, e.meanInFlight = tokenMs, tokenMs, 1
 	}
 	e.tokenMs += smoothing * (tokenMs - e.tokenMs)
+	e.leastTokenMs = min(e.leastTokenMs, tokenMs)
+	e.meanInFlight += smoothing * (float64(e.inFlight(now)+1) - e.meanInFlight)
 	e.resize(now)
 }
 
@@ -157,9 +177,6 @@
 	e.window = max(e.window/2, e.minWindow)
 }
 
-// prefill returns the time to compute tokens, in milliseconds.
-func (e *endpoint) prefill(tokens int) float64 { return float64(max(tokens, 0)) * e.prefillMs }
-
 // waitMs returns the expected wait for a place.
 func (e *endpoint) waitMs(now time.Duration) float64 {
 	if e.free(now) {
@@ -169,6 +186,11 @@
 	return max(over, 1) * e.serviceMs / max(e.window, 1)
 }
 
+// slowdownMs returns by how much one more call in flight lengthens the time between tokens.
+func (e *endpoint) slowdownMs() float64 {
+	return max(e.tokenMs-e.leastTokenMs, 0) / max(e.meanInFlight, 1)
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func sortBy(list []int, less func(a, b int) bool) {
--- a/hgroute/policy.go
+++ b/hgroute/policy.go
@@ -29,7 +29,7 @@
 	for k := range list {
 		i := list[(k+r.turn)%len(list)]
 		e := &r.eps[i]
-		if i == q.Exclude || !e.usable(now) {
+		if i == q.Exclude || !e.usable(now) || q.New && !e.hasRoom(now) {
 			continue
 		}
 		n++
@@ -49,9 +49,9 @@
 	if i == q.Home {
 		uncached -= q.HomeTokens
 	}
-	c.PrefillMs = e.prefill(uncached) * r.preset.RecomputeWeight
+	c.PrefillMs = float64(max(uncached, 0)) * r.prefillMs * r.preset.RecomputeWeight
 	c.WaitMs = e.waitMs(now)
-	c.DecodeMs = float64(q.Output) * max(e.tokenMs, 1) * float64(e.inFlight(now)) / max(e.window, 1)
+	c.DecodeMs = float64(q.Output) * e.slowdownMs() * float64(e.inFlight(now))
 	if e.remote {
 		c.DomainMs = r.preset.RemoteDomainMs
 	}
--- a/hgroute/router.go
+++ b/hgroute/router.go
@@ -22,6 +22,8 @@
 	Domain string
 	// Targets are the models or services that it serves.
 	Targets []string
+	// MemoryTokens is its memory for prefixes; 0 means not known.
+	MemoryTokens int
 }
 
 // Query is what a choice depends on.
@@ -41,6 +43,8 @@
 	Exclude int
 	// Alone demands an endpoint that runs nothing else.
 	Alone bool
+	// New demands an endpoint with memory for a new program.
+	New bool
 }
 
 // Choice is the endpoint chosen and the terms of its score, in milliseconds.
@@ -68,12 +72,15 @@
 	eps      []endpoint
 	byTarget map[string][]int
 	turn     int
+	// prefillMs is the time to compute a prompt token, in milliseconds, over all endpoints: they are alike,
+	// and what differs between single observations would draw all new programs to one endpoint.
+	prefillMs float64
 }
 
 // NewRouter returns a router for a node in a failure domain. When more than subset endpoints serve a target,
 // the node uses those that rendezvous hashing on its name gives it.
 func NewRouter(node, domain string, eps []Endpoint, subset int, p hgpreset.Preset) *Router {
-	r := &Router{domain: domain, byTarget: map[string][]int{}}
+	r := &Router{domain: domain, byTarget: map[string][]int{}, prefillMs: firstPrefillMs}
 	for _, e := range eps {
 		r.eps = append(r.eps, newEndpoint(e, e.Domain != domain, p))
 		for _, t := range e.Targets {
@@ -161,9 +168,29 @@
 }
 
 // Started counts a call on endpoint i.
-func (r *Router) Started(i int, alone bool) {
-	r.eps[i].own++
-	r.eps[i].exclusive = alone
+func (r *Router) Started(i int, q Query) {
+	e := &r.eps[i]
+	e.own++
+	e.exclusive = q.Alone
+	if i != q.Home {
+		e.arriving += q.Tokens
+	}
+}
+
+// HasRoom tells whether an endpoint of the target has memory for a new program.
+func (r *Router) HasRoom(target string, now time.Duration) bool {
+	for _, i := range r.byTarget[target] {
+		if r.eps[i].hasRoom(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// SetHeld tells how many tokens this node's live programs hold on endpoint i.
+func (r *Router) SetHeld(i, tokens int) {
+	r.eps[i].held = tokens
+	r.eps[i].arriving = 0
 }
 
 // Finished counts the end of a call on endpoint i and learns from its timing.
@@ -174,15 +201,18 @@
 		e.exclusive = false
 		e.reservedUntil = 0
 	}
+	if t.Computed >= minPrefillTokens {
+		r.prefillMs += smoothing * (ms(t.FirstToken)/float64(t.Computed) - r.prefillMs)
+	}
 	e.learn(t, now)
 }
 
 // Failed tells that endpoint i failed a call; refused says that it took no connection.
 func (r *Router) Failed(i int, refused bool, now time.Duration) { r.eps[i].fail(refused, now) }
 
-// PeerLoad tells how many calls a peer has in flight on endpoint i.
-func (r *Router) PeerLoad(i int, peer string, calls int, now time.Duration) {
-	r.eps[i].peers[peer] = peerLoad{calls: calls, at: now}
+// PeerLoad tells how many calls a peer has in flight on endpoint i, and the tokens that its live programs hold there.
+func (r *Router) PeerLoad(i int, peer string, calls, tokens int, now time.Duration) {
+	r.eps[i].peers[peer] = peerLoad{calls: calls, tokens: tokens, at: now}
 }
 
 // SetLeaving tells whether endpoint i takes no new work.
--- a/hgsched/pool.go
+++ b/hgsched/pool.go
@@ -13,9 +13,6 @@
 	"hyssopgrade/hgroute"
 )
 
-// scanDepth is the number of waiting calls that are tried for a free place, in order.
-const scanDepth = 16
-
 // minRetryAfter and maxRetryAfter bound when a refused caller is told to come back.
 const (
 	minRetryAfter = 500 * time.Millisecond
@@ -32,6 +29,8 @@
 	queues  map[string]*hgadmit.Queue
 	waiters map[uint64]*waiter
 	lastID  uint64
+	// first is the buffer for the calls that are tried for a free place.
+	first []hgadmit.Waiting
 }
 
 type waiter struct {
@@ -101,7 +100,7 @@
 func (p *pool) query(r Request) hgroute.Query {
 	return hgroute.Query{
 		Target: r.Target, Program: xxhash.Sum64String(hgcall.Root(r.Program)), Home: p.router.Index(r.Home), HomeTokens: r.HomeTokens,
-		Tokens: r.Tokens, Output: r.Output, Exclude: p.router.Index(r.Exclude), Alone: r.Alone,
+		Tokens: r.Tokens, Output: r.Output, Exclude: p.router.Index(r.Exclude), Alone: r.Alone, New: r.New,
 	}
 }
 
@@ -122,33 +121,33 @@
 }
 
 // dispatch grants places to waiting calls of a target, in order, until none of the first ones can start.
+// While no endpoint has memory for a new program, only programs under way are tried.
 func (p *pool) dispatch(target string, now time.Duration) {
-	for p.dispatchOne(target, now) {
+	queue := p.queue(target)
+	for queue.Len() > 0 && p.dispatchOne(queue, p.router.HasRoom(target, now), now) {
 	}
 }
 
-func (p *pool) dispatchOne(target string, now time.Duration) (ok bool) {
-	var id uint64
-	var choice hgroute.Choice
-	n := 0
-	queue := p.queue(target)
-	queue.Each(func(wt hgadmit.Waiting) bool {
-		choice = p.router.Pick(p.waiters[wt.ID].q, now)
-		ok = choice.Endpoint >= 0 && !choice.Wait
-		id = wt.ID
-		n++
-		return !ok && n < scanDepth
-	})
-	if !ok {
-		return false
-	}
-	queue.Grant(id, now)
-	w := p.waiters[id]
+func (p *pool) dispatchOne(queue *hgadmit.Queue, room bool, now time.Duration) bool {
+	p.first = queue.First(p.first, room)
+	for _, wt := range p.first {
+		w := p.waiters[wt.ID]
+		choice := p.router.Pick(w.q, now)
+		if choice.Endpoint < 0 || choice.Wait {
+			continue
+		}
+		queue.Grant(wt.ID, now)
+		p.grant(wt.ID, w, choice, now)
+		return true
+	}
+	return false
+}
+
+func (p *pool) grant(id uint64, w *waiter, choice hgroute.Choice, now time.Duration) {
 	delete(p.waiters, id)
-	p.router.Started(choice.Endpoint, w.r.Alone)
+	p.router.Started(choice.Endpoint, w.q)
 	g := Grant{Endpoint: p.router.Endpoint(choice.Endpoint).ID, Waited: now - w.since, pool: p, index: choice.Endpoint}
 	w.granted <- granted{grant: g, choice: choice}
-	return true
 }
 
 func (p *pool) done(g Grant, r Result) {
@@ -191,12 +190,22 @@
 	}
 }
 
-func (p *pool) peerLoads(peer string, calls map[string]int) {
+func (p *pool) setHeld(tokens map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.router.Len() {
+		p.router.SetHeld(i, tokens[p.router.Endpoint(i).ID])
+	}
+	p.poke(p.o.now())
+}
+
+func (p *pool) peerLoads(peer string, calls, tokens map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.o.now()
 	for i := range p.router.Len() {
-		p.router.PeerLoad(i, peer, calls[p.router.Endpoint(i).ID], now)
+		id := p.router.Endpoint(i).ID
+		p.router.PeerLoad(i, peer, calls[id], tokens[id], now)
 	}
 	p.poke(now)
 }
--- a/hgsched/scheduler.go
+++ b/hgsched/scheduler.go
@@ -129,10 +129,17 @@
 	}
 }
 
-// PeerLoads tells a peer's calls in flight, by endpoint.
-func (s *Scheduler) PeerLoads(peer string, calls map[string]int) {
+// PeerLoads tells a peer's calls in flight and the tokens that its live programs hold, by endpoint.
+func (s *Scheduler) PeerLoads(peer string, calls, tokens map[string]int) {
 	for _, pl := range s.pools {
-		pl.peerLoads(peer, calls)
+		pl.peerLoads(peer, calls, tokens)
+	}
+}
+
+// SetHeld tells the tokens that this node's live programs hold, by endpoint.
+func (s *Scheduler) SetHeld(tokens map[string]int) {
+	for _, pl := range s.pools {
+		pl.setHeld(tokens)
 	}
 }
 
