--- /dev/null
+++ b/hgcell/front_test.go
@@ -0,0 +1,150 @@
+package hgcell
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgstandin"
+)
+
+func smallCell(t *testing.T) *Cell {
+	t.Helper()
+	opts := Demo(hglog.Discard())
+	opts.Nodes = 2
+	c, err := NewCell(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.WaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestOfficialClient talks to a node with the official client library, by base URL, whole and streamed.
+func TestOfficialClient(t *testing.T) {
+	c := smallCell(t)
+	client := openai.NewClient(option.WithBaseURL("http://"+c.Addresses()[0]+"/v1"), option.WithAPIKey("none"),
+		option.WithHeader("Hg-Program", "official"))
+	params := func(text string) openai.ChatCompletionNewParams {
+		return openai.ChatCompletionNewParams{
+			Model: "clerk-7b", MaxTokens: openai.Int(16), Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+		}
+	}
+	history := []hgcall.Message{{Role: "user", Content: "first"}}
+	got, err := client.Chat.Completions.New(t.Context(), params("first"), option.WithHeader("Hg-Seq", "1"), option.WithHeader("Hg-Request", "r1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := hgstandin.Answer(history, 16)
+	if diff := cmp.Diff(first, got.Choices[0].Message.Content); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	history = append(history, hgcall.Message{Role: "assistant", Content: first}, hgcall.Message{Role: "user", Content: "second"})
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params("second"), option.WithHeader("Hg-Seq", "2"), option.WithHeader("Hg-Request", "r2"))
+	text := ""
+	for stream.Next() {
+		text += stream.Current().Choices[0].Delta.Content
+	}
+	if stream.Err() != nil {
+		t.Fatal(stream.Err())
+	}
+	if diff := cmp.Diff(hgstandin.Answer(history, 16), text); diff != "" {
+		t.Errorf("streamed answer (-want +got):\n%s", diff)
+	}
+}
+
+// TestBadInput sends bad requests: each gets a typed error that names the field, and nothing runs.
+func TestBadInput(t *testing.T) {
+	c := smallCell(t)
+	good := `{"model":"clerk-7b","messages":[{"role":"user","content":"hi"}]}`
+	h := func(kv ...string) http.Header {
+		header := http.Header{"Hg-Program": {"bad"}, "Hg-Seq": {"1"}, "Hg-Request": {"r"}}
+		for i := 0; i < len(kv); i += 2 {
+			header.Set(kv[i], kv[i+1])
+		}
+		return header
+	}
+	tests := map[string]struct {
+		path, body string
+		header     http.Header
+		status     int
+		want       string
+	}{
+		"malformed JSON":      {"/v1/chat/completions", `{"model":`, h(), 400, "body"},
+		"wrong type":          {"/v1/chat/completions", `{"model":5,"messages":[]}`, h(), 422, "body.model"},
+		"no messages":         {"/v1/chat/completions", `{"model":"clerk-7b","messages":[]}`, h(), 422, "body.messages"},
+		"unknown model":       {"/v1/chat/completions", strings.Replace(good, "clerk-7b", "clerk-8b", 1), h(), 422, `"param":"target"`},
+		"bad program":         {"/v1/chat/completions", good, h("Hg-Program", "a b"), 422, `"param":"program"`},
+		"too deep":            {"/v1/chat/completions", good, h("Hg-Program", "a/b/c/d/e/f/g/h/i"), 422, `"param":"program"`},
+		"seq out of range":    {"/v1/chat/completions", good, h("Hg-Seq", "99999999999"), 422, `"param":"seq"`},
+		"seq is no number":    {"/v1/chat/completions", good, h("Hg-Seq", "x"), 422, "header.Hg-Seq"},
+		"no request":          {"/v1/chat/completions", good, h("Hg-Request", ""), 422, `"param":"request"`},
+		"another parent":      {"/v1/chat/completions", good, h("Hg-Program", "a/b", "Hg-Parent", "c"), 422, `"param":"Hg-Parent"`},
+		"deadline":            {"/v1/chat/completions", good, h("Hg-Deadline-Ms", "-1"), 422, `"param":"Hg-Deadline-Ms"`},
+		"oversized":           {"/v1/chat/completions", `{"model":"` + strings.Repeat("x", 5<<20) + `"}`, h(), 413, "too large"},
+		"unknown service":     {"/v1/tools/nothing/do", "{}", h(), 422, `"param":"target"`},
+		"end of no program":   {"/v1/programs/end", `{"program":"never"}`, h(), 422, `"param":"program"`},
+		"unknown preset":      {"/v1/presets/use", `{"name":"calm","by":"me"}`, h(), 422, `"param":"name"`},
+		"preset out of range": {"/v1/presets", `{"name":"x"}`, h(), 422, "body"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+c.Addresses()[0]+tc.path, strings.NewReader(tc.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header = tc.header
+			r.Header.Set("Content-Type", "application/json")
+			w, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer w.Body.Close()
+			data, _ := io.ReadAll(w.Body)
+			if w.StatusCode != tc.status || !strings.Contains(string(data), tc.want) {
+				t.Errorf("status %d, want %d; body %.300s does not contain %q", w.StatusCode, tc.status, data, tc.want)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n := len(c.Record()); n != 0 {
+		t.Errorf("%d bad requests ran", n)
+	}
+}
+
+// TestAnothersIdentifiers uses an identifier and a place of a program for other content: both are refused.
+func TestAnothersIdentifiers(t *testing.T) {
+	c := smallCell(t)
+	post := func(request, text string) (status int) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+c.Addresses()[0]+"/v1/chat/completions",
+			strings.NewReader(`{"model":"clerk-7b","messages":[{"role":"user","content":"`+text+`"}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header = http.Header{"Hg-Program": {"own"}, "Hg-Seq": {"1"}, "Hg-Request": {request}, "Content-Type": {"application/json"}}
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.Body.Close()
+		return w.StatusCode
+	}
+	got := []int{post("r", "mine"), post("r", "mine"), post("r", "not mine"), post("s", "not mine")}
+	if diff := cmp.Diff([]int{200, 200, 422, 422}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	if n := len(c.Record()); n != 1 {
+		t.Errorf("%d calls ran", n)
+	}
+}
--- a/hgfront/call.go
+++ b/hgfront/call.go
@@ -82,13 +82,13 @@
 }
 
 func (f *Front) chat(ctx context.Context, in *chatInput) (out *huma.StreamResponse, err error) {
-	c, err := in.call()
+	c, bad := in.call()
 	c.Kind, c.Target, c.Messages = hgcall.Model, in.Body.Model, in.Body.Messages
 	c.MaxTokens = max(in.Body.MaxTokens, in.Body.MaxCompletionTokens)
 	return &huma.StreamResponse{Body: func(hctx huma.Context) {
 		w := newChatWriter(hctx, c, in.Body.Stream)
-		if err != nil {
-			f.refuse(hctx, err)
+		if bad != nil {
+			f.refuse(hctx, bad)
 			return
 		}
 		f.serveChat(ctx, hctx, c, w)
@@ -123,11 +123,11 @@
 }
 
 func (f *Front) tool(ctx context.Context, in *toolInput) (out *huma.StreamResponse, err error) {
-	c, err := in.call()
+	c, bad := in.call()
 	c.Kind, c.Target, c.Body, c.Idempotent = hgcall.Tool, in.Service+"/"+in.Operation, in.RawBody, in.Idempotent
 	return &huma.StreamResponse{Body: func(hctx huma.Context) {
-		if err != nil {
-			f.refuse(hctx, err)
+		if bad != nil {
+			f.refuse(hctx, bad)
 			return
 		}
 		r, err := f.backend.Serve(ctx, c, nil)
--- a/hgfront/front.go
+++ b/hgfront/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -122,8 +123,17 @@
 	return f
 }
 
-// ServeHTTP serves one request.
+// ServeHTTP serves one request; one that is too large is refused before it is read, and its connection closed.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength > f.opts.MaxBody {
+		bad := hgcall.Invalid("body", "%d bytes are too large, the limit is %d", r.ContentLength, f.opts.MaxBody)
+		f.backend.Refused(bad)
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		_ = json.NewEncoder(w).Encode(errorBody(bad))
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, f.opts.MaxBody)
 	f.mux.ServeHTTP(w, r)
 }
--- /dev/null
+++ b/hgjournal/committer_test.go
@@ -0,0 +1,245 @@
+package hgjournal
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgprogram"
+	"hyssopgrade/hgstore"
+)
+
+// watcher notes what a committer reports.
+type watcher struct {
+	mu        sync.Mutex
+	committed map[uint32]uint64
+	lost      map[uint32]bool
+}
+
+func newWatcher() *watcher {
+	return &watcher{committed: map[uint32]uint64{}, lost: map[uint32]bool{}}
+}
+
+func (w *watcher) Committed(s uint32, n uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.committed[s] = n
+}
+
+func (w *watcher) LostShard(s uint32) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost[s] = true
+}
+
+func (w *watcher) told() map[uint32]uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.committed)
+}
+
+func (w *watcher) isLost(s uint32) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost[s]
+}
+
+func (w *watcher) CommitDone(int, int, time.Duration) {}
+
+// writer is a node's run in a test.
+type writer struct {
+	*Committer
+	watch *watcher
+	// mu guards the states, as the owner's locks do.
+	mu     sync.Mutex
+	states map[uint32]*hgprogram.Shard
+	epochs map[uint32]uint64
+}
+
+func newWriter(store hgstore.Store, run string, opts ...Option) *writer {
+	w := &writer{watch: newWatcher(), states: map[uint32]*hgprogram.Shard{}, epochs: map[uint32]uint64{}}
+	opts = append(opts, WithCompaction(20, func(s uint32) ([]byte, uint64, bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		snap := w.states[s].Snapshot()
+		data, err := SnapshotCodec.Encode(snap)
+		return data, snap.N, err == nil
+	}))
+	w.Committer = NewCommitter(store, run, w.watch, opts...)
+	return w
+}
+
+// claim takes all shards and recovers them.
+func (w *writer) claim(t *testing.T, store hgstore.Store, shards uint32) {
+	t.Helper()
+	rows, err := ReadRows(t.Context(), store, shards)
+	if err != nil {
+		t.Fatal(err)
+	}
+	won, err := w.Claim(t.Context(), w.run, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	states, err := Recover(t.Context(), store, won, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range won {
+		w.states[s.Shard], w.epochs[s.Shard] = states[s.Shard], s.Row.Epoch
+		w.Hold(s, states[s.Shard].N())
+	}
+}
+
+// write opens and answers a call in a shard.
+func (w *writer) write(shard uint32, i int) {
+	c := hgcall.Call{
+		Program: fmt.Sprintf("%s-%d", w.run, i), Seq: 1, Request: "r", Kind: hgcall.Tool, Target: "t/o", Deadline: time.Minute,
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := w.states[shard].Begin(c, hgprogram.Limits{BudgetTokens: 10}, 0).(hgprogram.Run)
+	w.Append(shard, w.epochs[shard], d.Records)
+	w.Append(shard, w.epochs[shard], w.states[shard].Finish(c.Program, "r", hgcall.Result{State: hgcall.Done}, 0))
+}
+
+// TestTakeoverKeepsWhatWasCommitted lets one run write while the store fails and another take its shards over:
+// the new owner has exactly the records that the old one may have told of, none is lost, and the old one commits nothing more.
+func TestTakeoverKeepsWhatWasCommitted(t *testing.T) {
+	const shards = 4
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			store := hgstore.NewMemory()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			old := newWriter(store, "old")
+			old.claim(t, store, shards)
+			go old.Run(ctx)
+			for i := range 200 {
+				old.write(uint32(rnd.IntN(shards)), i)
+				store.SetFault(hgstore.Fault{LoseReplies: rnd.IntN(2), Down: rnd.IntN(8) == 0, DelayMs: rnd.IntN(30)})
+				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+			}
+			store.SetFault(hgstore.Fault{})
+			next := newWriter(store, "next")
+			next.claim(t, store, shards)
+			told := old.watch.told()
+			for s := range uint32(shards) {
+				if got := next.states[s].N(); got < told[s] || got > old.states[s].N() {
+					t.Errorf("seed %d, shard %d: recovered %d records, %d were told as committed of %d", seed, s, got, told[s], old.states[s].N())
+				}
+				before := next.states[s].N()
+				old.write(s, 1000+int(s))
+				time.Sleep(5 * time.Second)
+				again, err := Recover(ctx, store, mustRows(t, store, shards)[s:s+1], 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(before, again[s].N()); diff != "" {
+					t.Errorf("seed %d, shard %d: the old owner committed after the takeover:\n%s", seed, s, diff)
+				}
+				if !old.watch.isLost(s) {
+					t.Errorf("seed %d, shard %d: the old owner was not told", seed, s)
+				}
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+func mustRows(t *testing.T, store hgstore.Store, shards uint32) []SeenRow {
+	t.Helper()
+	rows, err := ReadRows(t.Context(), store, shards)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+// TestCompactionAndCollection writes enough for segments, collects the batch rows and recovers the same state.
+func TestCompactionAndCollection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := hgstore.NewMemory()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := newWriter(store, "run")
+		w.claim(t, store, 2)
+		go w.Run(ctx)
+		for i := range 100 {
+			w.write(uint32(i%2), i)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		n, err := Collect(ctx, store, 2, 1000)
+		if err != nil || n < 50 {
+			t.Errorf("collected %d batch rows: %v", n, err)
+		}
+		states, err := Recover(ctx, store, mustRows(t, store, 2), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for s := range uint32(2) {
+			if diff := cmp.Diff(w.states[s].Snapshot(), states[s].Snapshot()); diff != "" {
+				t.Errorf("shard %d (-written +recovered):\n%s", s, diff)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestReleaseFlushesFirst gives a shard up right after a write: the next owner has the record.
+func TestReleaseFlushesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := hgstore.NewMemory()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w := newWriter(store, "run")
+		w.claim(t, store, 1)
+		go w.Run(ctx)
+		w.write(0, 1)
+		if err := w.Release(ctx, 0); err != nil {
+			t.Fatal(err)
+		}
+		rows := mustRows(t, store, 1)
+		states, err := Recover(ctx, store, rows, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]any{"", w.states[0].N()}, []any{rows[0].Row.Owner, states[0].N()}); diff != "" {
+			t.Errorf("owner and records (-want +got):\n%s", diff)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	data, _ := BatchCodec.Encode(Batch{Entries: []Entry{{Shard: 1, Records: []hgprogram.Record{{N: 1, Type: hgprogram.Opened, Program: "p"}}}}})
+	f.Add(data)
+	f.Add([]byte(`{"epoch":1,"owner":"a","run":"r","writers":[],"nonce":"n"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := BatchCodec.Decode(data)
+		if err == nil {
+			s := hgprogram.NewShard()
+			for _, e := range b.Entries {
+				for _, r := range e.Records {
+					_ = s.Apply(r, 0)
+				}
+			}
+		}
+		_, _ = ShardRowCodec.Decode(data)
+		if snap, err := SnapshotCodec.Decode(data); err == nil {
+			_ = hgprogram.NewShard().Restore(snap, 0)
+		}
+	})
+}
--- a/hgroute/endpoint.go
+++ b/hgroute/endpoint.go
@@ -1,6 +1,7 @@
 package hgroute
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -50,9 +51,13 @@
 
 type endpoint struct {
 	Endpoint
-	remote        bool
-	own           int
-	peers         map[string]peerLoad
+	remote bool
+	own    int
+	peers  map[string]peerLoad
+	// peerCalls and peerTokens are the peers' sums, valid until sumUntil.
+	peerCalls     int
+	peerTokens    int
+	sumUntil      time.Duration
 	window        float64
 	minWindow     float64
 	maxWindow     float64
@@ -76,7 +81,7 @@
 
 func newEndpoint(e Endpoint, remote bool, p hgpreset.Preset) endpoint {
 	return endpoint{
-		Endpoint: e, remote: remote, peers: map[string]peerLoad{}, window: float64(p.Window),
+		Endpoint: e, remote: remote, peers: map[string]peerLoad{}, sumUntil: never, window: float64(p.Window),
 		serviceMs: firstServiceMs,
 	}
 }
@@ -93,23 +98,40 @@
 	if e.MemoryTokens == 0 || e.fill == 0 {
 		return true
 	}
-	tokens := e.held + e.arriving
-	for _, p := range e.peers {
-		if now-p.at <= peerMaxAge {
-			tokens += p.tokens
+	e.others(now)
+	tokens := e.held + e.arriving + e.peerTokens
+	return float64(tokens) < e.fill*float64(e.MemoryTokens)
+}
+
+// setPeer notes a peer's load.
+func (e *endpoint) setPeer(peer string, l peerLoad) {
+	e.peers[peer] = l
+	e.sum(l.at)
+}
+
+// sum adds up the peers' loads that are not too old, until the first of them is.
+func (e *endpoint) sum(now time.Duration) {
+	e.peerCalls, e.peerTokens, e.sumUntil = 0, 0, never
+	for id, p := range e.peers {
+		end := p.at + peerMaxAge
+		if now > end {
+			delete(e.peers, id)
+			continue
 		}
+		e.peerCalls += p.calls
+		e.peerTokens += p.tokens
+		e.sumUntil = min(e.sumUntil, end)
 	}
-	return float64(tokens) < e.fill*float64(e.MemoryTokens)
 }
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
 func (e *endpoint) others(now time.Duration) int {
-	n := 0
-	for _, p := range e.peers {
-		if now-p.at <= peerMaxAge {
-			n += p.calls
-		}
+	if now > e.sumUntil {
+		e.sum(now)
 	}
-	return n
+	return e.peerCalls
 }
 
 func (e *endpoint) inFlight(now time.Duration) int { return e.own + e.others(now) }
@@ -119,14 +141,17 @@
 }
 
 // free tells whether a call may start now. After an ejection one call at a time tries the endpoint.
-func (e *endpoint) free(now time.Duration) bool {
+func (e *endpoint) free(now time.Duration) bool { return e.freeWith(e.inFlight(now), now) }
+
+// freeWith tells the same for a known number of calls in flight.
+func (e *endpoint) freeWith(n int, now time.Duration) bool {
 	if e.exclusive || now < e.reservedUntil {
 		return false
 	}
 	if e.failures > 0 && e.ejections > 0 {
 		return e.own == 0
 	}
-	return float64(e.inFlight(now)) < e.window
+	return float64(n) < e.window
 }
 
 func (e *endpoint) learn(t Timing, now time.Duration) {
@@ -177,13 +202,9 @@
 	e.window = max(e.window/2, e.minWindow)
 }
 
-// waitMs returns the expected wait for a place.
-func (e *endpoint) waitMs(now time.Duration) float64 {
-	if e.free(now) {
-		return 0
-	}
-	over := float64(e.inFlight(now)) - e.window + 1
-	return max(over, 1) * e.serviceMs / max(e.window, 1)
+// waitMs returns the expected wait for a place at an endpoint that has none free.
+func (e *endpoint) waitMs(n int) float64 {
+	return max(float64(n)-e.window+1, 1) * e.serviceMs / max(e.window, 1)
 }
 
 // slowdownMs returns by how much one more call in flight lengthens the time between tokens.
--- a/hgroute/policy.go
+++ b/hgroute/policy.go
@@ -1,6 +1,7 @@
 package hgroute
 
 import (
+	"math"
 	"time"
 )
 
@@ -23,35 +24,47 @@
 // Pick returns the endpoint with the least sum of terms.
 func (score) Pick(r *Router, q Query, now time.Duration) Choice {
 	best := Choice{Endpoint: -1}
+	least := math.Inf(1)
 	list := r.byTarget[q.Target]
 	r.turn++
 	n := 0
 	for k := range list {
-		i := list[(k+r.turn)%len(list)]
+		i := list[wrap(k+r.turn%len(list), len(list))]
 		e := &r.eps[i]
 		if i == q.Exclude || !e.usable(now) || q.New && !e.hasRoom(now) {
 			continue
 		}
 		n++
-		c := r.terms(e, i, q, now)
-		if best.Endpoint < 0 || c.Score() < best.Score() {
-			best = c
+		c := r.terms(e, i, &q, now)
+		if s := c.Score(); s < least {
+			best, least = c, s
 		}
 	}
 	best.Candidates = n
 	return best
 }
 
+// wrap returns i modulo n, for i below 2n.
+func wrap(i, n int) int {
+	if i >= n {
+		return i - n
+	}
+	return i
+}
+
 // terms returns the terms of endpoint i's score.
-func (r *Router) terms(e *endpoint, i int, q Query, now time.Duration) Choice {
-	c := Choice{Endpoint: i, Wait: !e.free(now)}
+func (r *Router) terms(e *endpoint, i int, q *Query, now time.Duration) Choice {
+	n := e.inFlight(now)
+	c := Choice{Endpoint: i, Wait: !e.freeWith(n, now)}
 	uncached := q.Tokens
 	if i == q.Home {
 		uncached -= q.HomeTokens
 	}
 	c.PrefillMs = float64(max(uncached, 0)) * r.prefillMs * r.preset.RecomputeWeight
-	c.WaitMs = e.waitMs(now)
-	c.DecodeMs = float64(q.Output) * e.slowdownMs() * float64(e.inFlight(now))
+	if c.Wait {
+		c.WaitMs = e.waitMs(n)
+	}
+	c.DecodeMs = float64(q.Output) * e.slowdownMs() * float64(n)
 	if e.remote {
 		c.DomainMs = r.preset.RemoteDomainMs
 	}
--- a/hgroute/router.go
+++ b/hgroute/router.go
@@ -212,7 +212,7 @@
 
 // PeerLoad tells how many calls a peer has in flight on endpoint i, and the tokens that its live programs hold there.
 func (r *Router) PeerLoad(i int, peer string, calls, tokens int, now time.Duration) {
-	r.eps[i].peers[peer] = peerLoad{calls: calls, tokens: tokens, at: now}
+	r.eps[i].setPeer(peer, peerLoad{calls: calls, tokens: tokens, at: now})
 }
 
 // SetLeaving tells whether endpoint i takes no new work.
