--- a/hgcell/cell.go
+++ b/hgcell/cell.go
@@ -13,6 +13,7 @@
 
 	"hyssopgrade/hgcaller"
 	"hyssopgrade/hgconfig"
+	"hyssopgrade/hginner"
 	"hyssopgrade/hgnode"
 	"hyssopgrade/hgreplay"
 	"hyssopgrade/hgstandin"
@@ -33,6 +34,8 @@
 	Log      *slog.Logger
 	// Change changes each node's settings, if set.
 	Change func(cfg *hgconfig.Config)
+	// Dial returns how a node connects to its peers, if set.
+	Dial func(node string) hginner.Dial
 }
 
 // Cell is a running cell.
@@ -132,6 +135,9 @@
 // StartNode starts one more node, or one again.
 func (c *Cell) StartNode(cfg hgconfig.Config) (n *hgnode.Node, err error) {
 	i := hgnode.Wire(cfg, hgnode.CellKey{Key: key}, c.opts.Log, hgnode.Release{Version: "cell"})
+	if c.opts.Dial != nil {
+		do.ProvideValue(i, c.opts.Dial(cfg.Node.ID))
+	}
 	if n, err = do.Invoke[*hgnode.Node](i); err != nil {
 		return nil, err
 	}
--- a/hginner/client.go
+++ b/hginner/client.go
@@ -27,17 +27,23 @@
 	key     string
 	timer   hgtimer.Timer
 	timeout time.Duration
+	dial    Dial
 	forward *http.Client
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 }
 
-// NewClient returns a client that bounds each control message by the timeout.
-func NewClient(key string, timer hgtimer.Timer, timeout time.Duration) *Client {
-	dial := (&net.Dialer{Timeout: timeout}).DialContext
+// Dial connects to a peer.
+type Dial func(ctx context.Context, network, address string) (conn net.Conn, err error)
+
+// NewClient returns a client that bounds each control message by the timeout; without dial it connects by TCP.
+func NewClient(key string, timer hgtimer.Timer, timeout time.Duration, dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: timeout}).DialContext
+	}
 	return &Client{
-		key: key, timer: timer, timeout: timeout, conns: map[string]*rpc.Client{},
+		key: key, timer: timer, timeout: timeout, dial: dial, conns: map[string]*rpc.Client{},
 		forward: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32}},
 	}
 }
@@ -96,7 +102,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	conn, err = dialRPC(address, c.key, c.timeout)
+	conn, err = c.dialRPC(address)
 	if err != nil {
 		return nil, err
 	}
@@ -119,8 +125,11 @@
 	_ = conn.Close()
 }
 
-func dialRPC(address, key string, timeout time.Duration) (client *rpc.Client, err error) {
-	conn, err := net.DialTimeout("tcp", address, timeout)
+// dialRPC opens a control connection.
+func (c *Client) dialRPC(address string) (client *rpc.Client, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -129,10 +138,10 @@
 			_ = conn.Close()
 		}
 	}()
-	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(c.timeout)); err != nil {
 		return nil, err
 	}
-	if _, err := fmt.Fprintf(conn, "CONNECT /inner/rpc HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", key); err != nil {
+	if _, err := fmt.Fprintf(conn, "CONNECT /inner/rpc HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", c.key); err != nil {
 		return nil, err
 	}
 	w, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
--- a/hginner/server_test.go
+++ b/hginner/server_test.go
@@ -51,7 +51,7 @@
 func client(t *testing.T, key string) *Client {
 	t.Helper()
 	timer := hgtimer.NewService()
-	c := NewClient(key, timer, time.Second)
+	c := NewClient(key, timer, time.Second, nil)
 	t.Cleanup(func() { c.Close(); timer.Close() })
 	return c
 }
--- a/hgnode/wire.go
+++ b/hgnode/wire.go
@@ -23,7 +23,8 @@
 // Release is the program's version.
 type Release struct{ Version string }
 
-// Wire returns the services of a node; later provisions may override them before the node is made.
+// Wire returns the services of a node; later provisions may override them before the node is made,
+// or add a hginner.Dial, by which the node then connects to its peers.
 func Wire(cfg hgconfig.Config, key CellKey, log *slog.Logger, rel Release) *do.RootScope {
 	i := do.New()
 	do.ProvideValue(i, cfg)
@@ -66,5 +67,6 @@
 func newClient(i do.Injector) (*hginner.Client, error) {
 	cfg := do.MustInvoke[hgconfig.Config](i)
 	timeout := hgconfig.MS(cfg.Limits.SilentMs) / 2
-	return hginner.NewClient(do.MustInvoke[CellKey](i).Key, do.MustInvoke[*hgtimer.Service](i), timeout), nil
+	dial, _ := do.Invoke[hginner.Dial](i)
+	return hginner.NewClient(do.MustInvoke[CellKey](i).Key, do.MustInvoke[*hgtimer.Service](i), timeout, dial), nil
 }
--- a/hgshard/plan.go
+++ b/hgshard/plan.go
@@ -53,7 +53,8 @@
 }
 
 // Plan compares the rows with the view. held tells whether this node commits for a shard;
-// a row that names this run but is not held is claimed anew, as the reply to its claim was lost.
+// a row that names this run but is not held is claimed anew, whoever is preferred: the reply to its claim was lost,
+// or its recovery failed, and as long as this run lives no other node takes it.
 func (p *Planner) Plan(rows []hgjournal.SeenRow, v *hgmember.View, held func(shard uint32) bool, draining bool, now time.Duration) (plan Plan) {
 	takers := v.Takers(draining, now)
 	self := v.Self()
@@ -67,7 +68,7 @@
 			continue
 		}
 		own := r.Row.Owner == self.ID && r.Row.Run == self.Run
-		if mine && (own || r.Row.Owner == "" || v.Dead(r.Row.Owner, r.Row.Run, now)) {
+		if own || mine && (r.Row.Owner == "" || v.Dead(r.Row.Owner, r.Row.Run, now)) {
 			plan.Claim = append(plan.Claim, r)
 		}
 	}
