--- a/hgcall/call.go
+++ b/hgcall/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/gravitational/trace"
 )
 
 // Limits of the fields that callers set.
@@ -214,12 +213,3 @@
 func (r Result) Digest() string {
 	return fmt.Sprintf("%016x", xxhash.Sum64(r.Answer))
 }
-
-// ParseKind returns the kind named s, or a BadParameter error.
-func ParseKind(s string) (k Kind, err error) {
-	switch Kind(s) {
-	case Model, Tool:
-		return Kind(s), nil
-	}
-	return "", trace.BadParameter("kind %q is neither %q nor %q", s, Model, Tool)
-}
--- a/hgcall/refusal.go
+++ b/hgcall/refusal.go
@@ -43,6 +43,8 @@
 	ReasonInProgress   Reason = "inProgress"
 	ReasonBadField     Reason = "badField"
 	ReasonEndpointFail Reason = "endpointFailed"
+	// ReasonNoAnswer is given by the caller library alone.
+	ReasonNoAnswer Reason = "noFinalAnswer"
 )
 
 // Refusal is the final answer to a request that gets no result.
--- a/hgcaller/client.go
+++ b/hgcaller/client.go
@@ -69,7 +69,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return a, hgcall.NewRefusal(hgcall.KindUnknown, hgcall.ReasonDeadline, 0, "no final answer within the deadline: %v", err)
+			return a, hgcall.NewRefusal(hgcall.KindUnknown, hgcall.ReasonNoAnswer, 0, "no final answer within the deadline: %v", err)
 		case <-time.After(wait):
 		}
 	}
--- a/hgendpoint/endpoint.go
+++ b/hgendpoint/endpoint.go
@@ -21,8 +21,6 @@
 	Status(ctx context.Context) (s Status, err error)
 	// Outcome returns the recorded result of a tool request, or a trace.NotFound error.
 	Outcome(ctx context.Context, request string) (t ToolResult, err error)
-	// Events returns the cache events after a number.
-	Events(ctx context.Context, after uint64) (events []CacheEvent, err error)
 	// Programs returns the programs that hold engine memory, with their tokens.
 	Programs(ctx context.Context) (tokens map[string]int, err error)
 	// String names the endpoint.
@@ -83,18 +81,10 @@
 
 // Status is a load report.
 type Status struct {
-	Running     int     `json:"running"`
-	Queued      int     `json:"queued"`
-	CacheShare  float64 `json:"cacheShare"`
-	Draining    bool    `json:"draining"`
-	LastEventID uint64  `json:"lastEventId"`
-}
-
-// CacheEvent tells how many tokens of a program's prefix an engine holds.
-type CacheEvent struct {
-	ID      uint64 `json:"id"`
-	Program string `json:"program"`
-	Tokens  int    `json:"tokens"`
+	Running int `json:"running"`
+	// CacheShare is the share of the memory for prefixes that is in use.
+	CacheShare float64 `json:"cacheShare"`
+	Draining   bool    `json:"draining"`
 }
 
 // Error is a failed dispatch.
--- a/hgendpoint/http.go
+++ b/hgendpoint/http.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -236,11 +235,6 @@
 	return t, h.get(ctx, "/outcome?request="+url.QueryEscape(request), &t)
 }
 
-// Events returns the cache events after a number.
-func (h *HTTP) Events(ctx context.Context, after uint64) (events []CacheEvent, err error) {
-	return events, h.get(ctx, "/cache/events?after="+strconv.FormatUint(after, 10), &events)
-}
-
 // Programs returns the programs that hold engine memory.
 func (h *HTTP) Programs(ctx context.Context) (tokens map[string]int, err error) {
 	return tokens, h.get(ctx, "/cache/programs", &tokens)
--- a/hgfront/call.go
+++ b/hgfront/call.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// failure turns a failed model call into the error that its caller gets.
+// failure turns a failed call without an answer into the error that its caller gets.
 func failure(r hgcall.Result) *hgcall.Refusal {
 	return hgcall.NewRefusal(hgcall.KindUnknown, r.Reason, 0, "the call was run and failed; it will not run again under this identifier")
 }
@@ -131,6 +131,9 @@
 			return
 		}
 		r, err := f.backend.Serve(ctx, c, nil)
+		if err == nil && r.Status == 0 {
+			err = failure(r)
+		}
 		if err != nil {
 			f.refuse(hctx, err)
 			return
--- a/hgnode/cell.go
+++ b/hgnode/cell.go
@@ -64,11 +64,30 @@
 	sharing := len(n.view.Live(n.now())) + 1
 	n.mu.Unlock()
 	n.committer.SetRate(float64(n.cfg.Platform.CommitsPerSecond) / float64(sharing))
+	if !n.rowsDue() {
+		return
+	}
 	if err := n.readRows(ctx); err != nil {
 		n.log.Warn("shard rows not read", "err", err)
 	}
 }
 
+// rowsEvery is the number of polls after which the shard rows are read in any case.
+const rowsEvery = 5
+
+// rowsDue tells whether the shard rows are to be read: heartbeats tell who owns what while all members are heard.
+func (n *Node) rowsDue() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.polls++
+	now := n.now()
+	settled := len(n.view.Silent(now)) == 0 && len(n.view.Takers(false, now)) == len(n.view.Peers())+1
+	for s := range uint32(n.cfg.Node.Shards) {
+		settled = settled && n.owners[s].id != ""
+	}
+	return !settled || n.polls%rowsEvery == 0
+}
+
 // readRows reads the shard rows and learns the owners.
 func (n *Node) readRows(ctx context.Context) (err error) {
 	rows, err := hgjournal.ReadRows(ctx, n.store, uint32(n.cfg.Node.Shards))
@@ -127,7 +146,7 @@
 		Echo:      n.stamps[to].stamp,
 		EchoRun:   n.stamps[to].run,
 		Loads:     hginner.NewLoads(n.names, n.sched.InFlight(), n.held),
-		Leaving:   lo.Keys(n.leaving[sourceReports]),
+		Leaving:   lo.Keys(lo.Assign(n.leaving[sourceReports], n.leaving[sourceList])),
 		Shards:    n.owner.Epochs(),
 		Suspects:  n.owner.Suspects(),
 	}
--- a/hgnode/endpoint.go
+++ b/hgnode/endpoint.go
@@ -22,7 +22,7 @@
 	sourceList    = "/list"
 )
 
-// watchers is the number of nodes that read one endpoint's load report; the others hear of it by heartbeat.
+// watchers is the number of nodes that read one endpoint's load report, or the VM list; the others hear of it by heartbeat.
 const watchers = 2
 
 // watchEndpoints reads the load reports of this node's share of the endpoints.
@@ -54,13 +54,30 @@
 func (n *Node) watched() []string {
 	takers := n.view.Takers(n.draining, n.now())
 	return lo.FilterMap(n.cfg.Endpoint, func(e hgconfig.Endpoint, _ int) (string, bool) {
-		first := hgshard.Ranked(e.ID, takers, watchers)
-		return e.ID, lo.ContainsBy(first, func(m hgmember.Member) bool { return m.ID == n.cfg.Node.ID })
+		return e.ID, n.chosen(e.ID, takers)
 	})
 }
 
-// readVMs learns which endpoints the platform lists as leaving.
+// chosen tells whether this node is one of the watchers that rendezvous hashing gives the key.
+func (n *Node) chosen(key string, takers []hgmember.Member) bool {
+	first := hgshard.Ranked(key, takers, watchers)
+	return lo.ContainsBy(first, func(m hgmember.Member) bool { return m.ID == n.cfg.Node.ID })
+}
+
+// listKey is the key by which the nodes that read the VM list are chosen.
+const listKey = "vms"
+
+// readVMs learns which endpoints the platform lists as leaving, if this node is one that reads the list for the cell.
 func (n *Node) readVMs(ctx context.Context) {
+	n.mu.Lock()
+	mine := n.chosen(listKey, n.view.Takers(n.draining, n.now()))
+	if !mine {
+		delete(n.leaving, sourceList)
+	}
+	n.mu.Unlock()
+	if !mine {
+		return
+	}
 	vms, err := n.store.VMs(ctx)
 	if err != nil {
 		return
--- a/hgnode/node.go
+++ b/hgnode/node.go
@@ -77,6 +77,8 @@
 	held     map[string]int
 	draining bool
 	beat     uint64
+	// polls counts the reads of the platform.
+	polls uint64
 }
 
 // NewNode returns a node that the injector's services make up; Start starts it.
--- a/hgnode/peer.go
+++ b/hgnode/peer.go
@@ -38,7 +38,16 @@
 func (p *peerSide) Suspect(s hgquarantine.Suspect) { p.owner.Merge([]hgquarantine.Suspect{s}) }
 
 // Nudge reads the shard rows and plans anew.
-func (p *peerSide) Nudge() { (*Node)(p).plan() }
+func (p *peerSide) Nudge() {
+	n := (*Node)(p)
+	ctx, cancel := context.WithTimeout(n.ctx, opTimeout)
+	defer cancel()
+	if err := n.readRows(ctx); err != nil {
+		n.log.Warn("shard rows not read", "err", err)
+		return
+	}
+	n.plan()
+}
 
 // Serve runs a call of a shard that this node owns.
 func (p *peerSide) Serve(ctx context.Context, c hgcall.Call, out hgowner.Sink) (r hgcall.Result, err error) {
--- a/hgnode/serve.go
+++ b/hgnode/serve.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// ownerOf returns the live owner of a shard; a release passes it on to the one that should take it next.
+// ownerOf returns the owner of a shard, if it is another node that is heard.
 func (n *Node) ownerOf(shard uint32) (m hgmember.Member, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -82,7 +82,7 @@
 
 // run executes the call to its end.
 func (j *job) run() {
-	ctx, cancel := context.WithTimeout(j.o.ctx, j.c.Deadline)
+	ctx, cancel := context.WithTimeout(j.o.ctx, j.c.Deadline-min(answerMargin, j.c.Deadline/10))
 	defer cancel()
 	e := j.execute(ctx)
 	r, err := j.settle(e)
@@ -264,7 +264,7 @@
 		Program: j.c.Program, Request: j.c.Request, Target: j.c.Service(),
 		New:    j.c.Seq == 1 && j.c.Root() == j.c.Program && j.c.Kind == hgcall.Model,
 		Served: j.plan.Served, Tokens: int(j.plan.Context + j.c.NewBytes()/bytesPerToken), Output: int(min(j.plan.MaxTokens, expectedOutput)),
-		Exclude: exclude, Alone: j.alone, Left: time.Until(deadline) - min(answerMargin, j.c.Deadline/10),
+		Exclude: exclude, Alone: j.alone, Left: time.Until(deadline),
 	}
 	if j.c.Kind == hgcall.Model {
 		r.Home, r.HomeTokens = j.s.home(j.c.Program)
@@ -274,7 +274,7 @@
 	return g, err
 }
 
-// answerMargin is the time before the deadline at which a call stops waiting for a place, so that its refusal is in time.
+// answerMargin is the time before the deadline at which a call is given up, so that its final answer is in time.
 const answerMargin = 500 * time.Millisecond
 
 // bytesPerToken is the usual size of a token, for estimates only.
--- a/hgowner/ownership.go
+++ b/hgowner/ownership.go
@@ -122,30 +122,52 @@
 	}
 }
 
-// Sweep compares the programs that hold memory on an endpoint with the programs of the held shards:
-// it releases what belongs to no live program, and learns where live programs' prefixes are.
+// Sweep compares what an endpoint holds, and how full its memory is, with the programs of the held shards: it releases what
+// belongs to no live program, learns where live programs' prefixes are, and forgets those that were evicted.
 func (o *Owner) Sweep(ctx context.Context, endpoint string) (err error) {
-	tokens, err := o.cfg.Endpoints[endpoint].Programs(ctx)
+	defer func() { err = trace.Wrap(err, "sweep endpoint %q", endpoint) }()
+	ep := o.cfg.Endpoints[endpoint]
+	status, err := ep.Status(ctx)
 	if err != nil {
 		return err
 	}
+	tokens, err := ep.Programs(ctx)
+	if err != nil {
+		return err
+	}
+	byShard := map[*shard]map[string]int{}
 	for program, n := range tokens {
 		if hgcall.CheckProgram(program) != nil {
 			continue
 		}
 		s := o.shardOf(program)
-		epoch := s.heldEpoch()
-		if epoch == 0 {
-			continue
+		if byShard[s] == nil {
+			byShard[s] = map[string]int{}
 		}
-		var orders []hgretain.Order
-		_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, k *hgretain.Keeper) []hgprogram.Record {
-			sum, ok := st.Summary(program, o.now())
-			root, _ := st.Summary(hgcall.Root(program), o.now())
-			orders = k.Found(program, endpoint, n, ok && !sum.Ended && !root.Ended, sum.Running, o.now())
-			return nil
-		})
-		o.order(s, epoch, orders)
+		byShard[s][program] = n
+	}
+	for _, s := range o.shards {
+		o.sweepShard(s, endpoint, status.CacheShare, byShard[s])
 	}
 	return nil
 }
+
+// sweepShard tells a held shard what an endpoint holds of its programs.
+func (o *Owner) sweepShard(s *shard, endpoint string, share float64, tokens map[string]int) {
+	epoch := s.heldEpoch()
+	if epoch == 0 {
+		return
+	}
+	var orders []hgretain.Order
+	_, _ = s.update(o.cfg.Journal, epoch, func(st *hgprogram.Shard, k *hgretain.Keeper) []hgprogram.Record {
+		k.Pressure(endpoint, share)
+		k.Holds(endpoint, tokens)
+		for program, n := range tokens {
+			sum, ok := st.Summary(program, o.now())
+			root, _ := st.Summary(hgcall.Root(program), o.now())
+			orders = append(orders, k.Found(program, endpoint, n, ok && !sum.Ended && !root.Ended, sum.Running, o.now())...)
+		}
+		return nil
+	})
+	o.order(s, epoch, orders)
+}
--- a/hgretain/keeper.go
+++ b/hgretain/keeper.go
@@ -15,8 +15,6 @@
 	Hold Action = "hold"
 	// Release gives its memory back.
 	Release Action = "release"
-	// Export writes it out of the engine's memory, to be imported when the program goes on.
-	Export Action = "export"
 )
 
 // Order tells to act on a program's prefix on an endpoint.
@@ -36,9 +34,6 @@
 // pressureHigh is the share of an engine's memory in use from which long pauses lose their prefix.
 const pressureHigh = 0.9
 
-// exportTokens is the length of a prefix from which an export is cheaper than computing it anew.
-const exportTokens = 4000
-
 // prefix is what is known of a live program's memory: tokens are in the engine's memory, context is the whole conversation.
 type prefix struct {
 	endpoint string
@@ -88,14 +83,11 @@
 	}
 	p.tool, p.at = tool, now
 	k.prefixes[program] = p
-	a := k.decide(p)
-	if a == Hold || p.tokens == 0 {
+	if k.decide(p) == Hold || p.tokens == 0 {
 		return nil
 	}
-	if a == Release {
-		k.Evicted(program, p.endpoint, 0)
-	}
-	return []Order{{Program: program, Endpoint: p.endpoint, Action: a, Reason: "longPause"}}
+	k.Evicted(program, p.endpoint, 0)
+	return []Order{{Program: program, Endpoint: p.endpoint, Action: Release, Reason: "longPause"}}
 }
 
 func (k *Keeper) decide(p prefix) Action {
@@ -104,13 +96,10 @@
 		expected = firstPause
 	}
 	long := expected > time.Duration(k.preset.HoldMs)*time.Millisecond
-	switch {
-	case !long || k.pressure[p.endpoint] < pressureHigh:
-		return Hold
-	case p.tokens >= exportTokens:
-		return Export
+	if long && k.pressure[p.endpoint] >= pressureHigh {
+		return Release
 	}
-	return Release
+	return Hold
 }
 
 // Resumed tells that a program goes on after a pause, from which the tool's expected pause is learned.
@@ -174,9 +163,6 @@
 	return orders
 }
 
-// Forget drops a program without an order, as its shard has another owner.
-func (k *Keeper) Forget(program string) { delete(k.prefixes, program) }
-
 // Found tells that an endpoint holds tokens of a program; live says that the program exists and has not ended,
 // running that it has a call in progress. Memory that no live program will use is released.
 func (k *Keeper) Found(program, endpoint string, tokens int, live, running bool, now time.Duration) (orders []Order) {
@@ -185,7 +171,7 @@
 	case !live && !running:
 		delete(k.prefixes, program)
 		return []Order{{Program: program, Endpoint: endpoint, Action: Release, Reason: "orphan"}}
-	case !known:
+	case !known || p.tokens == 0 && !running:
 		k.prefixes[program] = prefix{endpoint: endpoint, tokens: tokens, context: tokens, at: now}
 	case p.endpoint == endpoint:
 		k.Evicted(program, endpoint, tokens)
--- a/hgstore/memory.go
+++ b/hgstore/memory.go
@@ -26,7 +26,9 @@
 type Usage struct {
 	Commits uint64 `json:"commits"`
 	Reads   uint64 `json:"reads"`
-	Bytes   uint64 `json:"bytes"`
+	// Bytes and ReadBytes are the sizes of the values written and read.
+	Bytes     uint64 `json:"bytes"`
+	ReadBytes uint64 `json:"readBytes"`
 }
 
 type vmsAt struct {
@@ -101,6 +103,7 @@
 	if !ok {
 		return row, trace.NotFound("row %q does not exist", key)
 	}
+	m.usage.ReadBytes += uint64(len(row.Value))
 	return row, nil
 }
 
@@ -120,6 +123,7 @@
 		}
 		if k != after {
 			rows = append(rows, m.rows[k])
+			m.usage.ReadBytes += uint64(len(m.rows[k].Value))
 		}
 	}
 	return rows, nil
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -67,4 +67,8 @@
   hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
 red lostReply TestTakeoverKeepsWhatWasCommitted hgjournal \
   hgjournal/committer.go 's/conflict = !applied/_ = applied/'
+red hung TestHungTool hgproof \
+  hgowner/job.go 's/context\.WithTimeout\(j\.o\.ctx, [^\n]*/context.WithCancel(j.o.ctx)/'
+red outage TestStoreOutage hgproof \
+  hgowner/call.go 's/context\.WithTimeout\(ctx, o\.cfg\.Limits\.CommitWait\)/context.WithTimeout(ctx, time.Minute)/'
 exit "$status"
