--- a/hgowner/dispatch.go
+++ b/hgowner/dispatch.go
@@ -97,13 +97,15 @@
 		j.o.died(j.digest, g.Endpoint, j.alone)
 	}
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Failed: !de.Fenced, Refused: de.Draining || !de.Sent && de.Cut})
+	j.mayHaveRun = j.mayHaveRun || de.Sent
 	idempotent := j.c.Idempotent || j.c.Kind == hgcall.Model
 	switch {
+	case de.Fenced:
+		return ending{lost: true}
 	case !de.Sent:
-		j.dispatched = false
 		ref := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonEndpoint, retryNotRun, "no connection to an endpoint for %q", j.c.Target)
-		e := notRun(hgcall.ReasonEndpoint, ref)
-		e.exclude = g.Endpoint
+		e := j.unlessRan(notRun(hgcall.ReasonEndpoint, ref))
+		e.exclude, e.unsent = g.Endpoint, true
 		return e
 	case idempotent && ctx.Err() != nil:
 		return ending{result: hgcall.Result{State: hgcall.Failed, Reason: hgcall.ReasonDeadline}}
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -26,8 +26,9 @@
 	plan   hgprogram.Run
 	began  time.Duration
 	// intended is when the intent was given to the journal.
-	intended   time.Duration
-	dispatched bool
+	intended time.Duration
+	// mayHaveRun says that an earlier dispatch may have run, so that the call can no longer be refused as not run.
+	mayHaveRun bool
 	// alone says that the call runs on an endpoint that runs nothing else of this node, and no other suspect.
 	alone bool
 	times Times
@@ -103,6 +104,8 @@
 	refusal *hgcall.Refusal
 	// abandon says that an idempotent call was dispatched without a result and may run again.
 	abandon bool
+	// unsent says that the attempt reached no endpoint.
+	unsent bool
 	// lost says that the shard has another owner.
 	lost bool
 	// exclude names the endpoint that failed, if the call may be tried elsewhere: it was abandoned, or never sent.
@@ -124,7 +127,7 @@
 		switch {
 		case e.exclude == "" || ctx.Err() != nil:
 			return e
-		case !e.abandon:
+		case e.unsent:
 			if unsent++; unsent == maxUnsent {
 				return e
 			}
@@ -174,7 +177,7 @@
 	verdict := j.o.check(j.digest)
 	if verdict == hgquarantine.Refused {
 		ref := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonQuarantined, 0, "requests with this content crashed endpoints and are no longer run")
-		return j.unlessDispatched(notRun(hgcall.ReasonQuarantined, ref))
+		return j.unlessRan(notRun(hgcall.ReasonQuarantined, ref))
 	}
 	durable := make(chan error, 1)
 	go func() { durable <- j.o.confirm(ctx, j.s, j.epoch, j.intent) }()
@@ -182,7 +185,7 @@
 	g, leave, err := j.place(ctx, exclude)
 	if err != nil {
 		ref := hgcall.AsRefusal(err)
-		return j.unlessDispatched(notRun(ref.Reason, ref))
+		return j.unlessRan(notRun(ref.Reason, ref))
 	}
 	defer leave()
 	waited := j.o.now()
@@ -204,12 +207,12 @@
 	if errors.As(err, &other) {
 		return ending{lost: true}
 	}
-	return j.unlessDispatched(notRun(hgcall.ReasonStore, errSlow))
+	return j.unlessRan(notRun(hgcall.ReasonStore, errSlow))
 }
 
-// unlessDispatched turns a notRun ending of a call that was dispatched before into an abandoned one.
-func (j *job) unlessDispatched(e ending) ending {
-	if !j.dispatched {
+// unlessRan turns a notRun ending of a call that may have run before into an abandoned one.
+func (j *job) unlessRan(e ending) ending {
+	if !j.mayHaveRun {
 		return e
 	}
 	if e.result.Reason == hgcall.ReasonQuarantined {
@@ -328,7 +331,6 @@
 
 // dispatch sends the call on the granted place.
 func (j *job) dispatch(ctx context.Context, g hgsched.Grant) ending {
-	j.dispatched = true
 	start := j.o.now()
 	ep := j.o.cfg.Endpoints[g.Endpoint]
 	fence := hgendpoint.Fence{Shard: j.s.no, Epoch: j.epoch}
--- /dev/null
+++ b/hgowner/owner_test.go
@@ -0,0 +1,210 @@
+package hgowner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/gravitational/trace"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgendpoint"
+	"hyssopgrade/hgjournal"
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgpreset"
+	"hyssopgrade/hgquarantine"
+	"hyssopgrade/hgroute"
+	"hyssopgrade/hgsched"
+	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
+)
+
+// script answers the dispatches of all endpoints of a test, one after the other, with errors or, when none is left, well.
+type script struct {
+	mu   sync.Mutex
+	errs []error
+	sent int
+}
+
+func (s *script) next() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if len(s.errs) == 0 {
+		return nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return err
+}
+
+// fake is an endpoint that follows a script.
+type fake struct{ *script }
+
+func (f fake) Chat(context.Context, hgendpoint.ChatRequest, func(string)) (hgendpoint.ChatResult, error) {
+	return hgendpoint.ChatResult{Text: "hi", PromptTokens: 2, OutputTokens: 1}, f.next()
+}
+
+func (f fake) Call(context.Context, hgendpoint.ToolRequest) (hgendpoint.ToolResult, error) {
+	return hgendpoint.ToolResult{Status: 200, Body: []byte("{}")}, f.next()
+}
+
+func (fake) Order(context.Context, hgendpoint.Order) error { return nil }
+func (fake) Status(context.Context) (hgendpoint.Status, error) {
+	return hgendpoint.Status{}, nil
+}
+func (fake) Outcome(context.Context, string) (hgendpoint.ToolResult, error) {
+	return hgendpoint.ToolResult{}, trace.NotFound("no outcome")
+}
+func (fake) Programs(context.Context) (map[string]int, error) { return nil, nil }
+func (fake) String() string                                   { return "fake" }
+
+// quiet shares and records nothing.
+type quiet struct{}
+
+func (quiet) Share(hgquarantine.Suspect)                 {}
+func (quiet) CallDone(hgcall.Call, hgcall.Result, Times) {}
+func (quiet) Retried()                                   {}
+
+// newTestOwner returns the owner of the one shard of a store, and what ends it.
+func newTestOwner(t *testing.T, store hgstore.Store, run string, s *script) (o *Owner, end func()) {
+	t.Helper()
+	p := hgpreset.Shipped()["ordinary"]
+	endpoints := map[string]hgendpoint.Endpoint{}
+	var eps []hgroute.Endpoint
+	for i := range 3 {
+		id := fmt.Sprintf("e%d", i)
+		endpoints[id] = fake{s}
+		eps = append(eps, hgroute.Endpoint{ID: id, Domain: "x", Targets: []string{"m", "t"}})
+	}
+	timer := hgtimer.NewService()
+	o = NewOwner(Config{
+		Node: "n", Run: run, Shards: 1, Store: store, Endpoints: endpoints, Sharer: quiet{}, Recorder: quiet{}, Timer: timer,
+		Limits:    Limits{DispatchWindow: time.Second, Hold: time.Second, CommitWait: 2 * time.Second, Retain: time.Hour},
+		Scheduler: hgsched.NewScheduler("n", "x", eps, p, hgsched.WithNow(timer.Now)), Log: hglog.Discard(), Preset: p,
+		Targets: map[string][]string{"t": {"e0", "e1", "e2"}}, Dead: func(string, string) bool { return true },
+	})
+	c := hgjournal.NewCommitter(store, run, o)
+	o.SetJournal(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	go c.Run(ctx)
+	rows, err := hgjournal.ReadRows(ctx, store, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Take(ctx, rows); err != nil {
+		t.Fatal(err)
+	}
+	return o, func() {
+		cancel()
+		o.Close()
+		timer.Close()
+	}
+}
+
+func modelCall() hgcall.Call {
+	return hgcall.Call{
+		Program: "p", Seq: 1, Request: "r", Kind: hgcall.Model, Target: "m", MaxTokens: 10, Deadline: 20 * time.Second,
+		Messages: []hgcall.Message{{Role: "user", Content: "hello"}},
+	}
+}
+
+func toolCall(idempotent bool) hgcall.Call {
+	return hgcall.Call{Program: "p", Seq: 1, Request: "r", Kind: hgcall.Tool, Target: "t/o", Idempotent: idempotent, Deadline: 20 * time.Second}
+}
+
+// TestEndings plays what endpoints answer and asks what the caller is told, and again under the same identifier.
+func TestEndings(t *testing.T) {
+	cut := &hgendpoint.Error{Sent: true, Cut: true, Err: errors.New("cut")}
+	refused := &hgendpoint.Error{Cut: true, Err: errors.New("refused")}
+	fenced := &hgendpoint.Error{Fenced: true, Err: errors.New("fenced")}
+	tests := map[string]struct {
+		call        hgcall.Call
+		errs        []error
+		first, then string
+		sent        int
+	}{
+		"answered":                  {modelCall(), nil, "done", "done", 1},
+		"model, cut once":           {modelCall(), []error{cut}, "done", "done", 2},
+		"model, refused once":       {modelCall(), []error{refused}, "done", "done", 2},
+		"never sent":                {modelCall(), []error{refused, refused, refused, refused}, "notRun", "notRun", 3},
+		"sent once, then never":     {modelCall(), []error{cut, refused, refused, refused, refused}, "unavailable", "done", 6},
+		"tool, cut":                 {toolCall(false), []error{cut}, "unknown", "unknown", 1},
+		"tool, refused once":        {toolCall(false), []error{refused}, "done", "done", 2},
+		"idempotent tool, cut once": {toolCall(true), []error{cut}, "done", "done", 2},
+		"tool, fenced":              {toolCall(false), []error{fenced}, "not owner", "running", 1},
+		"model, fenced":             {modelCall(), []error{fenced}, "not owner", "running", 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{errs: tc.errs}
+				o, end := newTestOwner(t, hgstore.NewMemory(), "run", s)
+				defer end()
+				first := told(o.Call(t.Context(), tc.call, nil))
+				time.Sleep(40 * time.Second)
+				then := told(o.Call(t.Context(), tc.call, nil))
+				if diff := cmp.Diff([]any{tc.first, tc.then}, []any{first, then}); diff != "" {
+					t.Errorf("told (-want +got):\n%s", diff)
+				}
+				if s.sent > tc.sent {
+					t.Errorf("dispatched %d times, at most %d are allowed", s.sent, tc.sent)
+				}
+			})
+		})
+	}
+}
+
+func told(r hgcall.Result, err error) string {
+	var other *NotOwner
+	var ref *hgcall.Refusal
+	switch {
+	case errors.As(err, &other):
+		return "not owner"
+	case errors.As(err, &ref):
+		return string(ref.Kind)
+	}
+	return string(r.State)
+}
+
+// TestNextOwnerDoesNotRunAnOpenCall kills an owner between intent and outcome and lets another run take the shard:
+// the call that may not be repeated is unknown, the idempotent one runs.
+func TestNextOwnerDoesNotRunAnOpenCall(t *testing.T) {
+	for name, tc := range map[string]struct {
+		idempotent bool
+		want       string
+		sent       int
+	}{"not idempotent": {false, "unknown", 0}, "idempotent": {true, "done", 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := hgstore.NewMemory()
+				o, end := newTestOwner(t, store, "first", &script{})
+				sh := o.shards[0]
+				b, err := o.begin(t.Context(), sh, toolCall(tc.idempotent))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := sh.durable(t.Context(), b.epoch, b.n); err != nil {
+					t.Fatal(err)
+				}
+				end()
+				s := &script{}
+				next, end := newTestOwner(t, store, "second", s)
+				defer end()
+				if got := told(next.Call(t.Context(), toolCall(tc.idempotent), nil)); got != "running" {
+					t.Errorf("within the dispatch window the caller is told %q", got)
+				}
+				time.Sleep(2 * time.Second)
+				got := told(next.Call(t.Context(), toolCall(tc.idempotent), nil))
+				if diff := cmp.Diff([]any{tc.want, tc.sent}, []any{got, s.sent}); diff != "" {
+					t.Errorf("told and dispatches (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
