Say once which calls may be repeated; name the demand for what it is

Ruled out for now: one table of bounds for settings and presets (hgconfig, hgpreset), which stands twice. No behaviour changes.

--- a/hgcall/call.go
+++ b/hgcall/call.go
@@ -77,6 +77,9 @@
 	return service
 }
 
+// Repeatable tells whether the call may run more than once, as each model call may.
+func (c Call) Repeatable() bool { return c.Idempotent || c.Kind == Model }
+
 // WithDeadline returns the call with another time left.
 func (c Call) WithDeadline(d time.Duration) Call {
 	c.Deadline = d
--- a/hgnode/cell.go
+++ b/hgnode/cell.go
@@ -183,7 +183,7 @@
 
 // beatAll exchanges heartbeats with the peers of greater names, each at most once at a time; the others ask this node.
 func (n *Node) beatAll() {
-	held := n.owner.HeldTokens()
+	held := n.owner.Demand()
 	n.sched.SetHeld(held)
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/hgowner/dispatch.go
+++ b/hgowner/dispatch.go
@@ -98,7 +98,6 @@
 	}
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Failed: !de.Fenced, Refused: de.Draining || !de.Sent && de.Cut})
 	j.mayHaveRun = j.mayHaveRun || de.Sent
-	idempotent := j.c.Idempotent || j.c.Kind == hgcall.Model
 	switch {
 	case de.Fenced:
 		return ending{lost: true}
@@ -107,9 +106,9 @@
 		e := j.unlessRan(notRun(hgcall.ReasonEndpoint, ref))
 		e.exclude, e.unsent = g.Endpoint, true
 		return e
-	case idempotent && ctx.Err() != nil:
+	case j.c.Repeatable() && ctx.Err() != nil:
 		return ending{result: hgcall.Result{State: hgcall.Failed, Reason: hgcall.ReasonDeadline}}
-	case idempotent:
+	case j.c.Repeatable():
 		return ending{abandon: true, exclude: g.Endpoint}
 	}
 	return j.resolve(ep)
--- a/hgowner/status.go
+++ b/hgowner/status.go
@@ -106,8 +106,8 @@
 	})
 }
 
-// HeldTokens returns the tokens that the programs of the held shards have in the endpoints' memory, by endpoint.
-func (o *Owner) HeldTokens() map[string]int {
+// Demand returns the conversations of the held shards' live programs, by the endpoint that last ran them, in tokens.
+func (o *Owner) Demand() map[string]int {
 	sum := map[string]int{}
 	for _, s := range o.shards {
 		s.mu.Lock()
--- a/hgprogram/shard.go
+++ b/hgprogram/shard.go
@@ -109,7 +109,7 @@
 	history := p.history()
 	recs = append(recs, s.record(Record{
 		Type: Intent, Program: c.Program, Seq: c.Seq, Request: c.Request, Digest: c.Digest(),
-		Kind: c.Kind, Target: c.Target, Idempotent: c.Idempotent || c.Kind == hgcall.Model,
+		Kind: c.Kind, Target: c.Target, Idempotent: c.Repeatable(),
 		Messages: c.Messages, Body: c.Body, Tokens: reserve,
 	}, now))
 	return Run{Records: recs, History: history, Context: p.context, Served: root.spent, MaxTokens: maxTokens}
