Quarantine a request by its whole conversation

Cause: a suspect was known by the digest of its new messages alone. When endpoints died under a short message ("ok") after some history, that message was refused to every program of the cell for an hour. Ruled out: a weaker rule (a third death), which only delays the harm. Change: the digest runs over the conversation message by message, kept per program and rebuilt from its records, so that it depends on what the engine gets and not on which call brought it. A tool call keeps the digest of its body. Before: TestQuarantineIsForTheWholeConversation red, another program's "ok" was refused as notRun. After: green; the same conversation of another program is still refused.

--- a/hgcall/call.go
+++ b/hgcall/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -112,12 +113,28 @@
 	h := xxhash.New()
 	fmt.Fprintf(h, "%s\n%s\n%d\n", c.Kind, c.Target, len(c.Messages))
 	for _, m := range c.Messages {
-		fmt.Fprintf(h, "%q %q %q %q\n", m.Role, m.Name, m.ToolCallID, fmt.Sprint(m.Content))
+		m.write(h)
 	}
 	h.Write(c.Body)
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+// ConversationDigest extends the digest of a conversation, or the empty string, by messages. It depends on the messages
+// and their order, not on the calls that brought them.
+func ConversationDigest(before string, messages ...Message) string {
+	for _, m := range messages {
+		h := xxhash.New()
+		_, _ = h.WriteString(before)
+		m.write(h)
+		before = hex.EncodeToString(h.Sum(nil))
+	}
+	return before
+}
+
+func (m Message) write(w io.Writer) {
+	fmt.Fprintf(w, "%q %q %q %q\n", m.Role, m.Name, m.ToolCallID, fmt.Sprint(m.Content))
+}
+
 // NewBytes returns the size of the content that the call adds, in bytes.
 func (c Call) NewBytes() uint64 {
 	n := len(c.Body)
--- a/hgowner/dispatch.go
+++ b/hgowner/dispatch.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return j.failed(ctx, ep, g, err)
 	}
-	j.o.succeeded(j.digest)
+	j.o.succeeded(j.plan.Content)
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Timing: hgroute.Timing{
 		FirstToken: res.FirstToken, Total: res.Total,
 		Computed: int(res.PromptTokens - min(res.CachedTokens, res.PromptTokens)), Output: int(res.OutputTokens),
@@ -62,7 +62,7 @@
 	if err != nil {
 		return j.failed(ctx, ep, g, err)
 	}
-	j.o.succeeded(j.digest)
+	j.o.succeeded(j.plan.Content)
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Timing: hgroute.Timing{Total: j.o.now() - start}})
 	return ending{result: toolResult(res)}
 }
@@ -94,7 +94,7 @@
 	j.o.cfg.Log.Warn("dispatch failed", "program", j.c.Program, "request", j.c.Request, "endpoint", g.Endpoint,
 		"sent", de.Sent, "cut", de.Cut, "draining", de.Draining, "fenced", de.Fenced, "err", err)
 	if de.Sent && de.Cut && !alive(ep) {
-		j.o.died(j.digest, g.Endpoint, j.alone)
+		j.o.died(j.plan.Content, g.Endpoint, j.alone)
 	}
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Failed: !de.Fenced, Refused: de.Draining || !de.Sent && de.Cut})
 	j.mayHaveRun = j.mayHaveRun || de.Sent
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -19,7 +19,6 @@
 	o      *Owner
 	s      *shard
 	c      hgcall.Call
-	digest string
 	stream bool
 	epoch  uint64
 	intent uint64
@@ -43,9 +42,9 @@
 
 func newJob(o *Owner, s *shard, b begun, c hgcall.Call, stream bool) *job {
 	now := o.now()
+	plan := b.decision.(hgprogram.Run)
 	return &job{
-		o: o, s: s, c: c, digest: c.Digest(), stream: stream, epoch: b.epoch, intent: b.n,
-		plan: b.decision.(hgprogram.Run), began: now, intended: now, changed: make(chan struct{}),
+		o: o, s: s, c: c, stream: stream, epoch: b.epoch, intent: b.n, plan: plan, began: now, intended: now, changed: make(chan struct{}),
 	}
 }
 
@@ -174,7 +173,7 @@
 
 // attempt dispatches the call at most once.
 func (j *job) attempt(ctx context.Context, exclude string) ending {
-	verdict := j.o.check(j.digest)
+	verdict := j.o.check(j.plan.Content)
 	if verdict == hgquarantine.Refused {
 		ref := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonQuarantined, 0, "requests with this content crashed endpoints and are no longer run")
 		return j.unlessRan(notRun(hgcall.ReasonQuarantined, ref))
--- a/hgowner/owner_test.go
+++ b/hgowner/owner_test.go
@@ -33,6 +33,8 @@
 	outcomes []hgendpoint.OutcomeState
 	asked    int
 	fencing  bool
+	// dead says that no endpoint answers a question for its load.
+	dead bool
 }
 
 func (s *script) nextOutcome() (o hgendpoint.Outcome, err error) {
@@ -73,7 +75,10 @@
 }
 
 func (fake) Order(context.Context, hgendpoint.Order) error { return nil }
-func (fake) Status(context.Context) (hgendpoint.Status, error) {
+func (f fake) Status(context.Context) (hgendpoint.Status, error) {
+	if f.dead {
+		return hgendpoint.Status{}, errors.New("dead")
+	}
 	return hgendpoint.Status{}, nil
 }
 func (f fake) Outcome(context.Context, string, hgendpoint.Fence) (hgendpoint.Outcome, error) {
@@ -258,3 +263,32 @@
 		}
 	})
 }
+
+// TestQuarantineIsForTheWholeConversation lets endpoints die under a short message that follows a history:
+// the same message in another conversation still runs, and the same conversation of another program does not.
+func TestQuarantineIsForTheWholeConversation(t *testing.T) {
+	cut := &hgendpoint.Error{Sent: true, Cut: true, Err: errors.New("cut")}
+	call := func(program string, seq uint64, text string) hgcall.Call {
+		c := modelCall()
+		c.Program, c.Seq, c.Request = program, seq, fmt.Sprintf("%s-%d", program, seq)
+		c.Messages = []hgcall.Message{{Role: "user", Content: text}}
+		return c
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{errs: []error{nil, cut, cut}, dead: true}
+		o, end := newTestOwner(t, hgstore.NewMemory(), "run", s)
+		defer end()
+		var got []string
+		for _, c := range []hgcall.Call{
+			call("guilty", 1, "hello"), call("guilty", 2, "ok"),
+			call("other", 1, "ok"), call("other", 2, "hello"),
+			call("copy", 1, "hello"), call("copy", 2, "ok"),
+		} {
+			got = append(got, told(o.Call(t.Context(), c, nil)))
+		}
+		want := []string{"done", "failed", "done", "done", "done", "notRun"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("told (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/hgprogram/program.go
+++ b/hgprogram/program.go
@@ -28,33 +28,40 @@
 
 // program is one program; a root program holds the budget of all its sub-agents.
 type program struct {
-	id         string
-	budget     uint64
-	spent      uint64
-	reserved   uint64
-	lost       uint64
-	next       uint64
-	open       *turn
-	turns      []*turn
-	byRequest  map[string]*turn
-	context    uint64
-	ended      bool
-	lastActive time.Duration
+	id       string
+	budget   uint64
+	spent    uint64
+	reserved uint64
+	lost     uint64
+	next     uint64
+	open     *turn
+	turns    []*turn
+	// conversation is the digest of the history.
+	conversation string
+	byRequest    map[string]*turn
+	context      uint64
+	ended        bool
+	lastActive   time.Duration
 }
 
 // history returns the messages of the answered model calls, in order.
 func (p *program) history() []hgcall.Message {
 	var ms []hgcall.Message
 	for _, t := range p.turns {
-		if t.kind != hgcall.Model || t.result.State != hgcall.Done {
-			continue
-		}
-		ms = append(ms, t.messages...)
-		ms = append(ms, hgcall.Message{Role: "assistant", Content: string(t.result.Answer)})
+		ms = append(ms, t.conversation()...)
 	}
 	return ms
 }
 
+// conversation returns the messages that the call has added to the program's history.
+func (t *turn) conversation() []hgcall.Message {
+	if t.kind != hgcall.Model || t.result.State != hgcall.Done {
+		return nil
+	}
+	answer := hgcall.Message{Role: "assistant", Content: string(t.result.Answer)}
+	return append(slices.Clip(t.messages), answer)
+}
+
 // Apply changes the state by one record; records up to N are skipped, a gap or a bad record is a BadParameter error.
 func (s *Shard) Apply(r Record, now time.Duration) (err error) {
 	if r.N <= s.n {
@@ -137,6 +144,7 @@
 	p.next = t.seq + 1
 	p.context += r.Result.InputTokens + r.Result.OutputTokens
 	p.turns = append(p.turns, t)
+	p.conversation = hgcall.ConversationDigest(p.conversation, t.conversation()...)
 	return nil
 }
 
--- a/hgprogram/shard.go
+++ b/hgprogram/shard.go
@@ -20,6 +20,8 @@
 	Records []Record
 	// History is the program's conversation before the call.
 	History []hgcall.Message
+	// Content is the digest of what the endpoint gets: a model call's whole conversation, or a tool call.
+	Content string
 	// Context is the number of tokens in History.
 	Context uint64
 	// Served is the tokens that the root program has been served.
@@ -112,7 +114,15 @@
 		Kind: c.Kind, Target: c.Target, Idempotent: c.Repeatable(),
 		Messages: c.Messages, Body: c.Body, Tokens: reserve,
 	}, now))
-	return Run{Records: recs, History: history, Context: p.context, Served: root.spent, MaxTokens: maxTokens}
+	return Run{Records: recs, History: history, Content: p.content(c), Context: p.context, Served: root.spent, MaxTokens: maxTokens}
+}
+
+// content returns the digest of what the endpoint gets of a call.
+func (p *program) content(c hgcall.Call) string {
+	if c.Kind == hgcall.Model {
+		return c.Target + ":" + hgcall.ConversationDigest(p.conversation, c.Messages...)
+	}
+	return c.Digest()
 }
 
 // checkPlace returns the decision about a call that cannot run now, or nil.
