Let copies of an unproven request run one after the other in a cell

Cause: a request that crashes its endpoint is known only after the first death, so that copies sent at one instant as programs with different owners each took an endpoint. Ruled out: the retry budget (no retries are needed for it), the isolation rows (they begin after a death). Change: hgquarantine.Turns, kept by the node that rendezvous hashing gives the digest; asked beside the intent's commit; a request is proven with its first piece or result. The quarantine's verdict is taken again after each wait.

--- a/hgbench/slope_test.go
+++ b/hgbench/slope_test.go
@@ -42,7 +42,9 @@
 	t.Run("records", recordSlope)
 	t.Run("memory", memorySlope)
 	t.Run("recovery", recoverySlope)
-	t.Run("path", pathSlope)
+	for _, nodes := range []int{1, 3} {
+		t.Run(fmt.Sprintf("path, nodes %d", nodes), func(t *testing.T) { pathSlope(t, nodes) })
+	}
 	t.Run("idle", idleSlope)
 }
 
@@ -205,10 +207,10 @@
 	return states[0].N() == n
 }
 
-// pathSlope measures model calls through one node, one after the other, against direct ones.
-func pathSlope(t *testing.T) {
+// pathSlope measures model calls to a cell of so many nodes, one after the other, against direct ones.
+func pathSlope(t *testing.T, nodes int) {
 	opts := hgcell.Demo(hglog.Discard())
-	opts.Nodes, opts.Engines = 1, 1
+	opts.Nodes, opts.Engines = nodes, 1
 	c, err := hgcell.NewCell(opts)
 	if err != nil {
 		t.Fatal(err)
@@ -220,14 +222,14 @@
 	client := hgcaller.NewClient(c.Addresses()...)
 	defer client.Close()
 	direct := hgendpoint.NewHTTP("engine-0", c.Endpoints["engine-0"].Address())
-	t.Log("calls, direct ms per call, ms through one node, of it commits, µs of processor time per call through the node, stand-ins included")
+	t.Log("calls, direct ms per call, ms through the cell, of it commits, µs of processor time per call through the cell, stand-ins included")
 	for _, n := range []int{50, 100, 200} {
 		start := time.Now()
 		for i := range n {
 			id := fmt.Sprintf("direct-%d-%d", n, i)
 			_, err := direct.Chat(t.Context(), hgendpoint.ChatRequest{
 				Program: id, Request: id, Model: "clerk-7b", MaxTokens: 8, Fence: hgendpoint.Fence{Epoch: 1 << 40},
-				Messages: []hgcall.Message{{Role: "user", Content: "hello"}},
+				Messages: []hgcall.Message{{Role: "user", Content: id}},
 			}, func(string) {})
 			if err != nil {
 				t.Fatal(err)
@@ -240,7 +242,7 @@
 			id := fmt.Sprintf("path-%d-%d", n, i)
 			call := hgcall.Call{
 				Program: id, Seq: 1, Request: id, Kind: hgcall.Model, Target: "clerk-7b", MaxTokens: 8, Deadline: time.Minute,
-				Messages: []hgcall.Message{{Role: "user", Content: "hello"}},
+				Messages: []hgcall.Message{{Role: "user", Content: id}},
 			}
 			if _, err := client.Call(t.Context(), call); err != nil {
 				t.Fatal(err)
--- a/hginner/client.go
+++ b/hginner/client.go
@@ -64,6 +64,18 @@
 	return err
 }
 
+// EnterTurn asks the node at address whether a copy of a request may run now.
+func (c *Client) EnterTurn(address string, t Turn) (ok bool, err error) {
+	reply, err := invoke[Turn, TurnReply](c, address, "Inner.EnterTurn", t)
+	return reply.OK, err
+}
+
+// LeaveTurn tells the node at address that a copy of a request has ended.
+func (c *Client) LeaveTurn(address string, t Turn) (err error) {
+	_, err = invoke[Turn, Empty](c, address, "Inner.LeaveTurn", t)
+	return err
+}
+
 // Nudge tells the node at address that shard rows have changed.
 func (c *Client) Nudge(address string) (err error) {
 	_, err = invoke[Empty, Empty](c, address, "Inner.Nudge", Empty{})
--- a/hginner/message.go
+++ b/hginner/message.go
@@ -32,6 +32,17 @@
 	Suspects []hgquarantine.Suspect
 }
 
+// Turn asks for a copy of a request to run, or tells that it has ended.
+type Turn struct {
+	Digest string
+	Holder hgquarantine.Holder
+	// Proven tells that an ended copy has run without harm.
+	Proven bool
+}
+
+// TurnReply tells whether the copy may run.
+type TurnReply struct{ OK bool }
+
 // Loads are loads on endpoints by their place among the names, without the names themselves.
 type Loads struct {
 	// Names is a hash of the names; loads of nodes with other settings are ignored.
--- a/hginner/server.go
+++ b/hginner/server.go
@@ -30,6 +30,10 @@
 	Preset() PresetReply
 	// Suspect takes a suspect that an endpoint died under.
 	Suspect(s hgquarantine.Suspect)
+	// EnterTurn tells whether a copy of a request may run now.
+	EnterTurn(t Turn) (ok bool)
+	// LeaveTurn takes the end of a copy.
+	LeaveTurn(t Turn)
 	// Nudge tells that shard rows have changed.
 	Nudge()
 	// Serve runs a call of a shard that this node owns; the error is a *hgowner.NotOwner or a *hgcall.Refusal.
@@ -95,6 +99,16 @@
 	return s.guard(func() { s.node.Suspect(q) })
 }
 
+// EnterTurn answers whether a copy of a request may run.
+func (s *service) EnterTurn(t Turn, reply *TurnReply) (err error) {
+	return s.guard(func() { reply.OK = s.node.EnterTurn(t) })
+}
+
+// LeaveTurn takes the end of a copy.
+func (s *service) LeaveTurn(t Turn, _ *Empty) (err error) {
+	return s.guard(func() { s.node.LeaveTurn(t) })
+}
+
 // Nudge tells that shard rows have changed.
 func (s *service) Nudge(_ Empty, _ *Empty) (err error) {
 	return s.guard(s.node.Nudge)
--- a/hginner/server_test.go
+++ b/hginner/server_test.go
@@ -25,6 +25,8 @@
 func (node) Beat(b Beat) Beat                  { b.ID = "answer to " + b.ID; return b }
 func (node) Preset() PresetReply               { return PresetReply{Age: time.Second} }
 func (node) Suspect(hgquarantine.Suspect)      {}
+func (node) EnterTurn(Turn) bool               { return true }
+func (node) LeaveTurn(Turn)                    {}
 func (node) Nudge()                            {}
 func (node) End(context.Context, string) error { return &hgowner.NotOwner{Shard: 3} }
 func (node) Query(Query) (Answer, error)       { return Answer{}, hgcall.Invalid("program", "unknown") }
--- a/hgnode/node.go
+++ b/hgnode/node.go
@@ -47,6 +47,7 @@
 	sched     *hgsched.Scheduler
 	owner     *hgowner.Owner
 	committer *hgjournal.Committer
+	turns     *turns
 	client    *hginner.Client
 	inner     *hginner.Server
 	front     *hgfront.Front
@@ -107,6 +108,7 @@
 	n.view = hgmember.NewView(n.self(), hgmember.Limits{
 		Silent: hgconfig.MS(l.SilentMs), Stale: hgconfig.MS(l.StaleMs), Gone: goneFactor * hgconfig.MS(l.StaleMs),
 	})
+	n.turns = newTurns(n.timer)
 	n.gate = hgpreset.NewGate(first, hgconfig.MS(l.PresetBoundMs))
 	n.planner = hgshard.NewPlanner(settleBeats * hgconfig.MS(l.HeartbeatMs))
 	n.owner = hgowner.NewOwner(n.ownerConfig(first))
@@ -157,7 +159,7 @@
 			DispatchWindow: hgconfig.MS(l.DispatchWindowMs), Hold: hgconfig.MS(l.HoldMs),
 			CommitWait: hgconfig.MS(l.CommitWaitMs), Retain: hgconfig.MS(l.RetainMs),
 		},
-		Store: n.store, Scheduler: n.sched, Endpoints: n.endpoints, Targets: targets, Fencing: fencing, Sharer: (*peerSide)(n),
+		Store: n.store, Scheduler: n.sched, Endpoints: n.endpoints, Targets: targets, Fencing: fencing, Sharer: (*peerSide)(n), Turns: (*peerSide)(n),
 		Dead: func(id, run string) bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -213,7 +215,10 @@
 	})
 	n.timer.Every(hgconfig.MS(l.HeartbeatMs), func(time.Duration) { n.watchEndpoints() })
 	n.timer.Every(collectEvery, func(time.Duration) { n.collect() })
-	n.timer.Every(time.Second, func(time.Duration) { n.report() })
+	n.timer.Every(time.Second, func(time.Duration) {
+		n.turns.tick()
+		n.report()
+	})
 }
 
 // startBeats is the number of heartbeats in which a new node finds the others before it takes shards.
--- a/hgnode/peer.go
+++ b/hgnode/peer.go
@@ -35,7 +35,12 @@
 }
 
 // Suspect takes a suspect that an endpoint died under.
-func (p *peerSide) Suspect(s hgquarantine.Suspect) { p.owner.Merge([]hgquarantine.Suspect{s}) }
+func (p *peerSide) Suspect(s hgquarantine.Suspect) {
+	if !s.Cleared {
+		p.turns.refute(s.Digest)
+	}
+	p.owner.Merge([]hgquarantine.Suspect{s})
+}
 
 // Nudge reads the shard rows and plans anew.
 func (p *peerSide) Nudge() {
@@ -76,6 +81,9 @@
 // Share tells the live peers of a suspect.
 func (p *peerSide) Share(s hgquarantine.Suspect) {
 	n := (*Node)(p)
+	if !s.Cleared {
+		n.turns.refute(s.Digest)
+	}
 	n.mu.Lock()
 	live := n.view.Live(n.now())
 	n.mu.Unlock()
--- /dev/null
+++ b/hgnode/turn.go
@@ -0,0 +1,109 @@
+package hgnode
+
+import (
+	"sync"
+	"time"
+
+	"hyssopgrade/hginner"
+	"hyssopgrade/hgmember"
+	"hyssopgrade/hgquarantine"
+	"hyssopgrade/hgshard"
+	"hyssopgrade/hgtimer"
+)
+
+// turnTimeout bounds the question for a turn; without an answer the copy runs.
+const turnTimeout = 200 * time.Millisecond
+
+// turns are the turns that this node gives, and the requests that it knows to be proven.
+type turns struct {
+	timer hgtimer.Timer
+
+	mu    sync.Mutex
+	state *hgquarantine.Turns
+}
+
+func newTurns(timer hgtimer.Timer) *turns {
+	return &turns{timer: timer, state: hgquarantine.NewTurns()}
+}
+
+func (t *turns) enter(digest string, h hgquarantine.Holder) (ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Enter(digest, h, t.timer.Now())
+}
+
+func (t *turns) leave(digest string, h hgquarantine.Holder, proven bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Leave(digest, h, proven)
+}
+
+func (t *turns) proven(digest string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Proven(digest)
+}
+
+func (t *turns) refute(digest string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Refute(digest)
+}
+
+func (t *turns) tick() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Tick(t.timer.Now())
+}
+
+// turnKeeper returns the node that gives the turns of a request: rendezvous hashing over the members that are heard.
+func (n *Node) turnKeeper(digest string) hgmember.Member {
+	n.mu.Lock()
+	members := append(n.view.Live(n.now()), n.view.Self())
+	n.mu.Unlock()
+	return hgshard.Ranked(digest, members, 1)[0]
+}
+
+// Enter tells whether a copy of a request may run now. It may too if the node that gives its turns does not answer.
+func (p *peerSide) Enter(digest string, h hgquarantine.Holder) (ok bool) {
+	n := (*Node)(p)
+	if n.turns.proven(digest) {
+		return true
+	}
+	keeper := n.turnKeeper(digest)
+	if keeper.ID == n.cfg.Node.ID {
+		return n.turns.enter(digest, h)
+	}
+	answer := make(chan bool, 1)
+	n.wg.Go(func() {
+		ok, err := n.client.EnterTurn(keeper.Inner, hginner.Turn{Digest: digest, Holder: h})
+		if err != nil {
+			n.log.Warn("turn not answered", "digest", digest, "keeper", keeper.ID, "err", err)
+		}
+		answer <- ok || err != nil
+	})
+	select {
+	case ok = <-answer:
+		return ok
+	case <-time.After(turnTimeout):
+		return true
+	}
+}
+
+// Leave ends a copy's turn.
+func (p *peerSide) Leave(digest string, h hgquarantine.Holder, proven bool) {
+	n := (*Node)(p)
+	known := n.turns.proven(digest)
+	n.turns.leave(digest, h, proven)
+	keeper := n.turnKeeper(digest)
+	if known || keeper.ID == n.cfg.Node.ID {
+		return
+	}
+	n.wg.Go(func() { _ = n.client.LeaveTurn(keeper.Inner, hginner.Turn{Digest: digest, Holder: h, Proven: proven}) })
+}
+
+// EnterTurn gives a peer's copy its turn.
+func (p *peerSide) EnterTurn(t hginner.Turn) (ok bool) { return p.turns.enter(t.Digest, t.Holder) }
+
+// LeaveTurn takes the end of a peer's copy.
+func (p *peerSide) LeaveTurn(t hginner.Turn) { p.turns.leave(t.Digest, t.Holder, t.Proven) }
--- a/hgowner/dispatch.go
+++ b/hgowner/dispatch.go
@@ -24,11 +24,13 @@
 		Program: j.c.Program, Request: j.c.Request, Model: j.c.Target, MaxTokens: j.plan.MaxTokens, Fence: j.fence(),
 		Messages: append(append([]hgcall.Message(nil), j.plan.History...), j.c.Messages...),
 	}, func(text string) {
+		j.prove()
 		j.change(func() { j.pieces = append(j.pieces, text) })
 	})
 	if err != nil {
 		return j.failed(ctx, ep, g, err)
 	}
+	j.prove()
 	j.o.succeeded(j.plan.Content)
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Timing: hgroute.Timing{
 		FirstToken: res.FirstToken, Total: res.Total,
@@ -62,6 +64,7 @@
 	if err != nil {
 		return j.failed(ctx, ep, g, err)
 	}
+	j.prove()
 	j.o.succeeded(j.plan.Content)
 	j.o.cfg.Scheduler.Done(g, hgsched.Result{Timing: hgroute.Timing{Total: j.o.now() - start}})
 	return ending{result: toolResult(res)}
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -30,7 +30,9 @@
 	mayHaveRun bool
 	// alone says that the call runs on an endpoint that runs nothing else of this node, and no other suspect.
 	alone bool
-	times Times
+	// proven says that an endpoint has begun to answer the dispatch.
+	proven bool
+	times  Times
 
 	mu      sync.Mutex
 	pieces  []string
@@ -173,14 +175,8 @@
 
 // attempt dispatches the call at most once.
 func (j *job) attempt(ctx context.Context, exclude string) ending {
-	verdict := j.o.check(j.plan.Content)
-	if verdict == hgquarantine.Refused {
-		ref := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonQuarantined, 0, "requests with this content crashed endpoints and are no longer run")
-		return j.unlessRan(notRun(hgcall.ReasonQuarantined, ref))
-	}
 	durable := make(chan error, 1)
 	go func() { durable <- j.o.confirm(ctx, j.s, j.epoch, j.intent) }()
-	j.alone = verdict == hgquarantine.Alone
 	g, leave, err := j.place(ctx, exclude)
 	if err != nil {
 		ref := hgcall.AsRefusal(err)
@@ -238,28 +234,77 @@
 	return j.o.confirm(ctx, j.s, j.epoch, n)
 }
 
-// place waits for a place on an endpoint; a suspect also waits until no other suspect of the cell runs there.
+// errQuarantined refuses a request that crashed endpoints.
+var errQuarantined = hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonQuarantined, 0, "requests with this content crashed endpoints and are no longer run")
+
+// place waits for a place on an endpoint, and for the request's turn: no unproven copy of it runs at once with another,
+// and a suspect runs on an endpoint without other suspects of the cell.
 func (j *job) place(ctx context.Context, exclude string) (g hgsched.Grant, leave func(), err error) {
 	for {
-		if g, err = j.acquire(ctx, exclude); err != nil || !j.alone {
-			return g, func() {}, err
+		verdict := j.o.check(j.plan.Content)
+		if verdict == hgquarantine.Refused {
+			return g, nil, errQuarantined
 		}
-		entered, err := j.o.isolation.enter(ctx, g.Endpoint)
-		if entered {
-			return g, func() { j.o.isolation.leave(g.Endpoint) }, nil
+		j.alone = verdict == hgquarantine.Alone
+		if g, err = j.acquire(ctx, exclude); err != nil {
+			return g, nil, err
 		}
-		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
-		if err != nil {
-			j.o.cfg.Log.Warn("suspect waits", "program", j.c.Program, "endpoint", g.Endpoint, "err", err)
+		if leave, ok := j.enter(ctx, g, verdict); ok {
+			return g, leave, nil
 		}
+		j.o.cfg.Scheduler.Done(g, hgsched.Result{})
 		select {
 		case <-ctx.Done():
-			return g, nil, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonDeadline, retryNotRun, "no endpoint was free of other suspects within the deadline")
+			return g, nil, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonDeadline, retryNotRun, "no endpoint was free for a suspect, or a copy of the request ran, until the deadline")
 		case <-time.After(isolationRetry):
 		}
 	}
 }
 
+// enter takes the request's turn, and a suspect's row; it fails if the verdict has changed meanwhile.
+func (j *job) enter(ctx context.Context, g hgsched.Grant, verdict hgquarantine.Verdict) (leave func(), ok bool) {
+	if !j.o.cfg.Turns.Enter(j.plan.Content, j.holder()) {
+		return nil, false
+	}
+	j.proven = false
+	leave = func() { j.leaveTurn(j.proven) }
+	if j.o.check(j.plan.Content) != verdict {
+		leave()
+		return nil, false
+	}
+	if !j.alone {
+		return leave, true
+	}
+	entered, err := j.o.isolation.enter(ctx, g.Endpoint)
+	if err != nil {
+		j.o.cfg.Log.Warn("suspect waits", "program", j.c.Program, "endpoint", g.Endpoint, "err", err)
+	}
+	if !entered {
+		leave()
+		return nil, false
+	}
+	return func() {
+		j.o.isolation.leave(g.Endpoint)
+		j.leaveTurn(j.proven)
+	}, true
+}
+
+// prove lets other copies of the request run: an endpoint has begun to answer it.
+func (j *job) prove() {
+	if !j.proven && !j.alone {
+		j.proven = true
+		j.leaveTurn(true)
+	}
+}
+
+func (j *job) leaveTurn(proven bool) {
+	j.o.cfg.Turns.Leave(j.plan.Content, j.holder(), proven)
+}
+
+func (j *job) holder() hgquarantine.Holder {
+	return hgquarantine.Holder{Node: j.o.cfg.Node, Run: j.o.cfg.Run, Request: j.c.Program + " " + j.c.Request}
+}
+
 func (j *job) acquire(ctx context.Context, exclude string) (g hgsched.Grant, err error) {
 	deadline, _ := ctx.Deadline()
 	r := hgsched.Request{
--- a/hgowner/owner.go
+++ b/hgowner/owner.go
@@ -51,6 +51,14 @@
 	Share(s hgquarantine.Suspect)
 }
 
+// Turns keeps the copies of an unproven request from running at once in the cell.
+type Turns interface {
+	// Enter tells whether a copy may run now; it must ask again later if not.
+	Enter(digest string, h hgquarantine.Holder) (ok bool)
+	// Leave ends a copy's turn; proven tells that it has run without harm.
+	Leave(digest string, h hgquarantine.Holder, proven bool)
+}
+
 // Recorder takes the figures of finished calls.
 type Recorder interface {
 	// CallDone records one call's outcome and the parts of its time.
@@ -93,6 +101,7 @@
 	// Fencing names the endpoints that refuse old fencing numbers.
 	Fencing  map[string]bool
 	Sharer   Sharer
+	Turns    Turns
 	Recorder Recorder
 	Timer    hgtimer.Timer
 	// Dead tells whether a run of a node may be taken over.
--- a/hgowner/owner_test.go
+++ b/hgowner/owner_test.go
@@ -93,6 +93,8 @@
 func (quiet) Share(hgquarantine.Suspect)                 {}
 func (quiet) CallDone(hgcall.Call, hgcall.Result, Times) {}
 func (quiet) Retried()                                   {}
+func (quiet) Enter(string, hgquarantine.Holder) bool     { return true }
+func (quiet) Leave(string, hgquarantine.Holder, bool)    {}
 
 // newTestOwner returns the owner of the one shard of a store, and what ends it.
 func newTestOwner(t *testing.T, store hgstore.Store, run string, s *script) (o *Owner, end func()) {
@@ -107,7 +109,7 @@
 	}
 	timer := hgtimer.NewService()
 	o = NewOwner(Config{
-		Node: "n", Run: run, Shards: 1, Store: store, Endpoints: endpoints, Sharer: quiet{}, Recorder: quiet{}, Timer: timer,
+		Node: "n", Run: run, Shards: 1, Store: store, Endpoints: endpoints, Sharer: quiet{}, Turns: quiet{}, Recorder: quiet{}, Timer: timer,
 		Limits:    Limits{DispatchWindow: time.Second, Hold: time.Second, CommitWait: 2 * time.Second, Retain: time.Hour},
 		Scheduler: hgsched.NewScheduler("n", "x", eps, p, hgsched.WithNow(timer.Now)), Log: hglog.Discard(), Preset: p,
 		Targets: map[string][]string{"t": {"e0", "e1", "e2"}}, Fencing: map[string]bool{"e0": true, "e1": true, "e2": s.fencing}, Dead: func(string, string) bool { return true },
--- a/hgproof/fault_test.go
+++ b/hgproof/fault_test.go
@@ -48,6 +48,30 @@
 	}
 }
 
+// TestCrashingCopiesAtOnce sends copies of a request that crashes its endpoint at one instant, as programs of their own
+// with different owners: at most two endpoints are lost, and copies of an innocent request are all answered.
+func TestCrashingCopiesAtOnce(t *testing.T) {
+	b := newBench(t, benchOptions{nodes: 3, engines: 4, tools: 1, engine: quickEngine})
+	b.setFault("engine", hgstandin.Fault{CrashOn: "poison", RestartMs: 300})
+	var wg sync.WaitGroup
+	for i := range 24 {
+		text := lo.Ternary(i%2 == 0, "poison", "harmless")
+		c := model(fmt.Sprintf("%s-%d", text, i), 1, text)
+		c.Deadline = 10 * time.Second
+		wg.Go(func() {
+			a, err := b.via(i%3).Call(t.Context(), c)
+			if done := err == nil && a.State == hgcall.Done; done != (text == "harmless") {
+				t.Errorf("%s: %v %v", c.Request, a.State, err)
+			}
+		})
+	}
+	wg.Wait()
+	crashes := lo.SumBy(lo.Values(b.endpoints), func(e *hgstandin.Endpoint) int { return e.Crashes() })
+	if crashes > 2 || crashes == 0 {
+		t.Errorf("%d endpoints crashed", crashes)
+	}
+}
+
 // TestHungTool ends at the deadline with a typed outcome.
 func TestHungTool(t *testing.T) {
 	b := newBench(t, benchOptions{nodes: 2, engines: 1, tools: 1, engine: quickEngine})
--- /dev/null
+++ b/hgquarantine/turns_test.go
@@ -0,0 +1,64 @@
+package hgquarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestTurns(t *testing.T) {
+	a, b := Holder{Node: "a"}, Holder{Node: "b"}
+	enter := func(h Holder, at time.Duration) func(*Turns) bool {
+		return func(t *Turns) bool { return t.Enter("digest", h, at) }
+	}
+	leave := func(h Holder, proven bool) func(*Turns) bool {
+		return func(t *Turns) bool { t.Leave("digest", h, proven); return true }
+	}
+	other := func(t *Turns) bool { return t.Enter("other", b, 0) }
+	refute := func(t *Turns) bool { t.Refute("digest"); return true }
+	tick := func(at time.Duration) func(*Turns) bool {
+		return func(t *Turns) bool { t.Tick(at); return len(t.running) > 0 }
+	}
+	tests := map[string]struct {
+		steps []func(*Turns) bool
+		want  []bool
+	}{
+		"a copy waits":                     {[]func(*Turns) bool{enter(a, 0), enter(b, time.Second), other}, []bool{true, false, true}},
+		"the holder enters again":          {[]func(*Turns) bool{enter(a, 0), enter(a, time.Second), enter(b, 2500*time.Millisecond)}, []bool{true, true, false}},
+		"after the end":                    {[]func(*Turns) bool{enter(a, 0), leave(a, false), enter(b, 0), enter(a, 0)}, []bool{true, true, true, false}},
+		"another's end":                    {[]func(*Turns) bool{enter(a, 0), leave(b, false), enter(b, 0)}, []bool{true, true, false}},
+		"proven":                           {[]func(*Turns) bool{enter(a, 0), leave(a, true), enter(a, 0), enter(b, 0)}, []bool{true, true, true, true}},
+		"proven while others wait":         {[]func(*Turns) bool{enter(a, 0), leave(b, true), enter(b, 0)}, []bool{true, true, true}},
+		"refuted":                          {[]func(*Turns) bool{leave(a, true), refute, enter(a, 0), enter(b, 0)}, []bool{true, true, true, false}},
+		"too long":                         {[]func(*Turns) bool{enter(a, 0), enter(b, exclusiveFor)}, []bool{true, true}},
+		"forgotten when it keeps none out": {[]func(*Turns) bool{enter(a, 0), tick(exclusiveFor - 1), tick(exclusiveFor)}, []bool{true, true, false}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			turns := NewTurns()
+			var got []bool
+			for _, step := range tc.steps {
+				got = append(got, step(turns))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("steps (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestProvenIsBounded proves more requests than are remembered: the last ones stay.
+func TestProvenIsBounded(t *testing.T) {
+	turns := NewTurns()
+	digest := func(i int) string { return time.Duration(i).String() }
+	for i := range 5 * maxProven {
+		turns.Leave(digest(i), Holder{}, true)
+	}
+	if n := len(turns.proven) + len(turns.older); n > 2*maxProven {
+		t.Errorf("%d requests are remembered", n)
+	}
+	if !turns.Proven(digest(4*maxProven+1)) || turns.Proven(digest(0)) {
+		t.Error("the last requests are not remembered, or the first still is")
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -67,6 +67,8 @@
   hgpreset/gate.go 's/return g\.Age\(now\) <= g\.bound/return true/'
 red quarantine TestCrashingRequest hgproof \
   hgquarantine/list.go 's/case !ok \|\| e\.cleared:/case !ok || e.deaths > 0 || e.cleared:/'
+red turns TestCrashingCopiesAtOnce hgproof \
+  hgquarantine/turns.go 's/now-r\.since < exclusiveFor \{\n\t\treturn false/now-r.since < exclusiveFor {\n\t\treturn true/'
 red epochs TestTakeoverKeepsWhatWasCommitted hgjournal \
   hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
 red cut TestSupersededOwnerDispatchesNothing hgproof \
