Release shards in one transaction

Cause: a node gave its shards up one after the other, a commit each, and told its peers after the last one: the first ones had no owner for the whole time, and the commits of calls waited behind. Ruled out: the peers' claims (one transaction already, 3 to 5 ms). Change: Owner.Release and Committer.Release take all shards that are idle at once; those that have another owner are left out and reported lost. The row of a compaction goes the same way, so that rows are written in one place. Lost, an error that nobody read, is gone. TestReleaseOfManyShards is new (green at once); TestReleaseFlushesFirst, TestGracefulStop, TestHistorySurvivesKills green.

--- a/hgjournal/committer.go
+++ b/hgjournal/committer.go
@@ -13,12 +13,6 @@
 	"hyssopgrade/hgstore"
 )
 
-// Lost reports that a shard has another owner; its records since the last commit will never be durable.
-type Lost struct{ Shard uint32 }
-
-// Error names the shard.
-func (e Lost) Error() string { return "shard has another owner" }
-
 // Events receives what a Committer did; its methods must not block.
 type Events interface {
 	// Committed tells that all records of the shard up to n are durable.
--- a/hgjournal/committer_test.go
+++ b/hgjournal/committer_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/hgprogram"
@@ -212,7 +214,7 @@
 		w.claim(t, store, 1)
 		go w.Run(ctx)
 		w.write(0, 1)
-		if err := w.Release(ctx, 0); err != nil {
+		if _, err := w.Release(ctx, []uint32{0}); err != nil {
 			t.Fatal(err)
 		}
 		rows := mustRows(t, store, 1)
@@ -228,6 +230,59 @@
 	})
 }
 
+// TestReleaseOfManyShards gives shards up while replies are lost and another run has taken some:
+// the others are given up in one transaction, and those taken are reported as lost.
+func TestReleaseOfManyShards(t *testing.T) {
+	tests := map[string]struct {
+		taken       []uint32
+		loseReplies int
+		want, lost  []uint32
+	}{
+		"all":                           {nil, 0, []uint32{0, 1, 2, 3}, nil},
+		"reply lost":                    {nil, 1, []uint32{0, 1, 2, 3}, nil},
+		"replies lost":                  {nil, 3, []uint32{0, 1, 2, 3}, nil},
+		"first taken":                   {[]uint32{0}, 0, []uint32{1, 2, 3}, []uint32{0}},
+		"some taken, reply lost":        {[]uint32{1, 3}, 1, []uint32{0, 2}, []uint32{1, 3}},
+		"all taken":                     {[]uint32{0, 1, 2, 3}, 0, nil, []uint32{0, 1, 2, 3}},
+		"first taken, replies lost":     {[]uint32{0}, 4, []uint32{1, 2, 3}, []uint32{0}},
+		"all but one taken, reply lost": {[]uint32{0, 1, 2}, 1, []uint32{3}, []uint32{0, 1, 2}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := hgstore.NewMemory()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := newWriter(store, "run")
+				w.claim(t, store, 4)
+				go w.Run(ctx)
+				rows := mustRows(t, store, 4)
+				seen := lo.Filter(rows, func(r SeenRow, _ int) bool { return lo.Contains(tc.taken, r.Shard) })
+				if _, err := newWriter(store, "other").Claim(ctx, "other", seen); err != nil {
+					t.Fatal(err)
+				}
+				before := store.Usage().Commits
+				store.SetFault(hgstore.Fault{LoseReplies: tc.loseReplies})
+				got, err := w.Release(ctx, []uint32{0, 1, 2, 3})
+				if err != nil {
+					t.Fatal(err)
+				}
+				lost := lo.Filter([]uint32{0, 1, 2, 3}, func(s uint32, _ int) bool { return w.watch.isLost(s) })
+				free := lo.FilterMap(mustRows(t, store, 4), func(r SeenRow, _ int) (uint32, bool) { return r.Shard, r.Row.Owner == "" })
+				if diff := cmp.Diff([][]uint32{tc.want, tc.want, tc.lost}, [][]uint32{got, free, lost}, cmpopts.EquateEmpty()); diff != "" {
+					t.Errorf("released, without owner, lost (-want +got):\n%s", diff)
+				}
+				tries := 1 + tc.loseReplies + min(len(tc.taken), 1)
+				if n := store.Usage().Commits - before; n > uint64(tries) {
+					t.Errorf("%d tries, one for each fault and one more are enough", n)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	data, _ := BatchCodec.Encode(Batch{Entries: []Entry{{Shard: 1, Records: []hgprogram.Record{{N: 1, Type: hgprogram.Opened, Program: "p"}}}}})
 	f.Add(data)
--- a/hgjournal/ownership.go
+++ b/hgjournal/ownership.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
+	"github.com/samber/lo"
 
 	"hyssopgrade/hgstore"
 )
@@ -132,80 +133,123 @@
 	c.held[claimed.Shard] = &heldShard{row: claimed.Row, version: claimed.Version, appended: n, committed: n}
 }
 
-// Release gives a shard up once all its records are durable; its row then has no owner.
-func (c *Committer) Release(ctx context.Context, shard uint32) (err error) {
-	defer func() { err = trace.Wrap(err, "release shard %d", shard) }()
-	done := make(chan error, 1)
-	op := func(run context.Context) { done <- c.release(run, shard) }
+// Release gives shards up in one transaction once all their records are durable; their rows then have no owner.
+// Shards that have another owner are left out of those released.
+func (c *Committer) Release(ctx context.Context, shards []uint32) (released []uint32, err error) {
+	defer func() { err = trace.Wrap(err, "release %d shards", len(shards)) }()
+	type outcome struct {
+		released []uint32
+		err      error
+	}
+	done := make(chan outcome, 1)
+	op := func(run context.Context) {
+		released, err := c.release(run, shards)
+		done <- outcome{released, err}
+	}
 	select {
 	case c.ops <- op:
 	case <-ctx.Done():
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 	select {
-	case err := <-done:
-		return err
+	case o := <-done:
+		return o.released, o.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
-func (c *Committer) release(ctx context.Context, shard uint32) (err error) {
-	for !c.flushed(shard) && ctx.Err() == nil {
+func (c *Committer) release(ctx context.Context, shards []uint32) (released []uint32, err error) {
+	for !c.flushed(shards) && ctx.Err() == nil {
 		c.flush(ctx)
 	}
-	c.mu.Lock()
-	h := c.held[shard]
-	c.mu.Unlock()
-	if h == nil {
-		return Lost{Shard: shard}
+	rows := c.heldRows(shards)
+	for i := range rows {
+		rows[i].Row.Epoch++
+		rows[i].Row.Owner, rows[i].Row.Run = "", ""
 	}
-	row := h.row
-	row.Epoch++
-	row.Owner, row.Run = "", ""
-	if _, err := c.writeRow(ctx, shard, h.version, row); err != nil {
-		return err
+	written, _, err := c.writeRows(ctx, rows)
+	for _, r := range written {
+		c.forget(r.Shard)
+		released = append(released, r.Shard)
 	}
-	c.forget(shard)
-	return nil
+	return released, err
 }
 
-func (c *Committer) flushed(shard uint32) bool {
+// heldRows returns the rows of those of the shards that are held.
+func (c *Committer) heldRows(shards []uint32) (rows []SeenRow) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.held[shard]
-	return h == nil || h.committed == h.appended
+	for _, s := range shards {
+		if h := c.held[s]; h != nil {
+			rows = append(rows, SeenRow{Shard: s, Version: h.version, Row: h.row})
+		}
+	}
+	return rows
 }
 
-// writeRow replaces a held shard's row and returns its new version; a conflict is a Lost error.
-func (c *Committer) writeRow(ctx context.Context, shard uint32, version uint64, row ShardRow) (next uint64, err error) {
-	row.Nonce = uuid.NewString()
-	data, err := ShardRowCodec.Encode(row)
-	if err != nil {
-		return 0, err
+// flushed tells whether all records of the shards are durable.
+func (c *Committer) flushed(shards []uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range shards {
+		if h := c.held[s]; h != nil && h.committed != h.appended {
+			return false
+		}
 	}
-	key := ShardKey(shard)
-	t := hgstore.Txn{
-		Conditions: []hgstore.Condition{{Key: key, Version: version}},
-		Puts:       []hgstore.Put{{Key: key, Value: data}},
+	return true
+}
+
+// writeRows replaces held shards' rows in one transaction. It returns those written and their new version;
+// the others have another owner and are lost.
+func (c *Committer) writeRows(ctx context.Context, rows []SeenRow) (written []SeenRow, version uint64, err error) {
+	for len(rows) > 0 {
+		nonce := uuid.NewString()
+		t, err := rowsTxn(rows, nonce)
+		if err != nil {
+			return nil, 0, err
+		}
+		first := ShardKey(rows[0].Shard)
+		conflicts, version, _, err := c.write(ctx, t, func(ctx context.Context) (uint64, bool, error) {
+			r, err := c.store.Get(ctx, first)
+			if err != nil {
+				return 0, false, err
+			}
+			now, err := ShardRowCodec.Decode(r.Value)
+			return r.Version, err == nil && now.Nonce == nonce, err
+		})
+		if err != nil || len(conflicts) == 0 {
+			return rows, version, err
+		}
+		rows = c.dropRows(rows, conflicts)
 	}
-	conflicts, next, _, err := c.write(ctx, t, func(ctx context.Context) (uint64, bool, error) {
-		r, err := c.store.Get(ctx, key)
+	return nil, 0, nil
+}
+
+func rowsTxn(rows []SeenRow, nonce string) (t hgstore.Txn, err error) {
+	for _, r := range rows {
+		r.Row.Nonce = nonce
+		data, err := ShardRowCodec.Encode(r.Row)
 		if err != nil {
-			return 0, false, err
+			return t, err
 		}
-		now, err := ShardRowCodec.Decode(r.Value)
-		return r.Version, err == nil && now.Nonce == row.Nonce, err
-	})
-	if err != nil {
-		return 0, err
+		key := ShardKey(r.Shard)
+		t.Conditions = append(t.Conditions, hgstore.Condition{Key: key, Version: r.Version})
+		t.Puts = append(t.Puts, hgstore.Put{Key: key, Value: data})
 	}
-	if len(conflicts) > 0 {
-		c.forget(shard)
-		c.events.LostShard(shard)
-		return 0, Lost{Shard: shard}
+	return t, nil
+}
+
+// dropRows forgets the shards whose rows have changed and returns the others.
+func (c *Committer) dropRows(rows []SeenRow, conflicts []string) []SeenRow {
+	rest := without(rows, conflicts)
+	for _, r := range rows {
+		if !lo.ContainsBy(rest, func(s SeenRow) bool { return s.Shard == r.Shard }) {
+			c.forget(r.Shard)
+			c.events.LostShard(r.Shard)
+		}
 	}
-	return next, nil
+	return rest
 }
 
 // compactOne writes a segment for one shard that has enough records for it.
@@ -230,8 +274,8 @@
 	if err := c.store.PutObject(putCtx, row.Segment, data); err != nil {
 		return
 	}
-	version, err := c.writeRow(ctx, shard, h.version, row)
-	if err != nil {
+	written, version, err := c.writeRows(ctx, []SeenRow{{Shard: shard, Version: h.version, Row: row}})
+	if err != nil || len(written) == 0 {
 		return
 	}
 	c.mu.Lock()
--- a/hgnode/cell.go
+++ b/hgnode/cell.go
@@ -270,10 +270,7 @@
 			n.wg.Go(n.announce)
 		}
 	}
-	release := n.planned().Release
-	if n.releaseAll(ctx, release, true) > 0 {
-		n.nudgeAll()
-	}
+	n.release(ctx, n.planned().Release, true)
 }
 
 // planTimeout bounds the taking of shards.
@@ -285,18 +282,15 @@
 	return n.planner.Plan(n.rows, n.view, n.owner.Held, n.draining, n.now())
 }
 
-// releaseAll gives shards up and returns how many.
-func (n *Node) releaseAll(ctx context.Context, shards []uint32, idle bool) (released int) {
-	for _, s := range shards {
-		ok, err := n.owner.Release(ctx, s, idle)
-		if err != nil {
-			n.log.Warn("shard not released", "shard", s, "err", err)
-		}
-		if ok {
-			released++
-		}
+// release gives shards up and tells the live peers.
+func (n *Node) release(ctx context.Context, shards []uint32, idle bool) {
+	released, err := n.owner.Release(ctx, shards, idle)
+	if err != nil {
+		n.log.Warn("shards not released", "shards", len(shards), "err", err)
+	}
+	if len(released) > 0 {
+		n.nudgeAll()
 	}
-	return released
 }
 
 // nudgeAll tells the live peers that shard rows have changed.
--- a/hgnode/operate.go
+++ b/hgnode/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -178,9 +179,7 @@
 		if len(held) == 0 {
 			return
 		}
-		if n.releaseAll(ctx, held, true) > 0 {
-			n.nudgeAll()
-		}
+		n.release(ctx, held, true)
 		time.Sleep(drainRetry)
 	}
 }
@@ -198,15 +197,11 @@
 		if len(held) == 0 {
 			return nil
 		}
-		done := make(chan int, len(held))
+		var wg sync.WaitGroup
 		for _, s := range held {
-			n.wg.Go(func() { done <- n.releaseAll(ctx, []uint32{s}, false) })
-		}
-		for range held {
-			if <-done > 0 {
-				n.nudgeAll()
-			}
+			wg.Go(func() { n.release(ctx, []uint32{s}, false) })
 		}
+		wg.Wait()
 	}
 	return trace.LimitExceeded("%d calls in progress are cut", n.owner.Running())
 }
--- a/hgowner/owner.go
+++ b/hgowner/owner.go
@@ -29,8 +29,8 @@
 	Claim(ctx context.Context, node string, seen []hgjournal.SeenRow) (won []hgjournal.SeenRow, err error)
 	// Hold starts committing for a claimed shard.
 	Hold(claimed hgjournal.SeenRow, n uint64)
-	// Release gives a shard up once its records are durable.
-	Release(ctx context.Context, shard uint32) (err error)
+	// Release gives shards up once their records are durable and returns those that were still owned.
+	Release(ctx context.Context, shards []uint32) (released []uint32, err error)
 	// FailingFor returns how long commits have failed.
 	FailingFor() time.Duration
 }
--- a/hgowner/ownership.go
+++ b/hgowner/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/gravitational/trace"
+	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/hgjournal"
@@ -56,23 +57,31 @@
 	s.drop()
 }
 
-// Release gives a shard up. With idle, it does so only if no call is in progress; else it waits for them,
-// while new calls of the shard wait for the next owner.
-func (o *Owner) Release(ctx context.Context, n uint32, idle bool) (ok bool, err error) {
-	s := o.shards[n]
-	if !s.setClosing(idle) {
-		return false, nil
+// Release gives shards up, together, and returns those that were. With idle, it does so only with shards that run no call;
+// else it waits for their calls, while new calls of the shards wait for the next owner.
+func (o *Owner) Release(ctx context.Context, shards []uint32, idle bool) (released []uint32, err error) {
+	closing := lo.Filter(shards, func(n uint32, _ int) bool { return o.shards[n].setClosing(idle) })
+	if len(closing) == 0 {
+		return nil, nil
 	}
-	defer s.reopen()
-	if err := s.idle(ctx); err != nil {
-		return false, err
+	defer func() {
+		for _, n := range closing {
+			o.shards[n].reopen()
+		}
+	}()
+	for _, n := range closing {
+		if err := o.shards[n].idle(ctx); err != nil {
+			return nil, err
+		}
 	}
-	if err := o.cfg.Journal.Release(ctx, n); err != nil {
-		return false, err
+	released, err = o.cfg.Journal.Release(ctx, closing)
+	for _, n := range released {
+		o.shards[n].drop()
 	}
-	o.cfg.Log.Info("shard released", "shard", n)
-	s.drop()
-	return true, nil
+	if len(released) > 0 {
+		o.cfg.Log.Info("shards released", "shards", len(released))
+	}
+	return released, err
 }
 
 // Snapshot returns the encoded state of a held shard and its last record.
