--- a/hgbench/slope_test.go
+++ b/hgbench/slope_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"net/rpc"
 	"os"
 	"runtime"
 	"strings"
@@ -24,6 +25,7 @@
 	"hyssopgrade/hgjournal"
 	"hyssopgrade/hglog"
 	"hyssopgrade/hgprogram"
+	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgstore"
 )
 
@@ -49,6 +51,7 @@
 	for _, nodes := range []int{1, 3} {
 		t.Run(fmt.Sprintf("path, nodes %d", nodes), func(t *testing.T) { pathSlope(t, nodes) })
 	}
+	t.Run("turns", turnSlope)
 	t.Run("handover", handoverSlope)
 	t.Run("idle", idleSlope)
 }
@@ -295,6 +298,36 @@
 	}
 }
 
+// turnSlope measures the bytes of a question for a turn and of its end, with their answers, on an open connection.
+func turnSlope(t *testing.T) {
+	t.Log("calls, bytes per call if another node keeps its turn")
+	for _, n := range []int{10, 100, 1000} {
+		var buf bytes.Buffer
+		enc := gob.NewEncoder(&buf)
+		size := 0
+		for i := range n + 1 {
+			if i == 1 {
+				size = buf.Len()
+			}
+			turn := hginner.Turn{
+				Key:    hgquarantine.KeyOf(fmt.Sprint("content", i)),
+				Holder: hgquarantine.HolderOf("node-000-6a8f1f0e0000", fmt.Sprint("permit-", i), "r"),
+			}
+			for _, v := range []any{
+				rpc.Request{ServiceMethod: "Inner.Enter", Seq: uint64(2 * i)}, turn,
+				rpc.Response{ServiceMethod: "Inner.Enter", Seq: uint64(2 * i)}, hginner.TurnReply{OK: true},
+				rpc.Request{ServiceMethod: "Inner.Leave", Seq: uint64(2*i + 1)}, turn,
+				rpc.Response{ServiceMethod: "Inner.Leave", Seq: uint64(2*i + 1)}, hginner.Empty{},
+			} {
+				if err := enc.Encode(v); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		t.Logf("%d, %d", n, (buf.Len()-size)/n)
+	}
+}
+
 // handoverTime is how long calls are measured around a change of the members.
 const handoverTime = 4 * time.Second
 
--- a/hginner/client.go
+++ b/hginner/client.go
@@ -66,13 +66,13 @@
 
 // EnterTurn asks the node at address whether a copy of a request may run now.
 func (c *Client) EnterTurn(address string, t Turn) (ok bool, err error) {
-	reply, err := invoke[Turn, TurnReply](c, address, "Inner.EnterTurn", t)
+	reply, err := invoke[Turn, TurnReply](c, address, "Inner.Enter", t)
 	return reply.OK, err
 }
 
 // LeaveTurn tells the node at address that a copy of a request has ended.
 func (c *Client) LeaveTurn(address string, t Turn) (err error) {
-	_, err = invoke[Turn, Empty](c, address, "Inner.LeaveTurn", t)
+	_, err = invoke[Turn, Empty](c, address, "Inner.Leave", t)
 	return err
 }
 
--- a/hginner/message.go
+++ b/hginner/message.go
@@ -34,7 +34,7 @@
 
 // Turn asks for a copy of a request to run, or tells that it has ended.
 type Turn struct {
-	Digest string
+	Key    hgquarantine.Key
 	Holder hgquarantine.Holder
 	// Proven tells that an ended copy has run without harm.
 	Proven bool
--- a/hginner/server.go
+++ b/hginner/server.go
@@ -99,13 +99,13 @@
 	return s.guard(func() { s.node.Suspect(q) })
 }
 
-// EnterTurn answers whether a copy of a request may run.
-func (s *service) EnterTurn(t Turn, reply *TurnReply) (err error) {
+// Enter answers whether a copy of a request may run.
+func (s *service) Enter(t Turn, reply *TurnReply) (err error) {
 	return s.guard(func() { reply.OK = s.node.EnterTurn(t) })
 }
 
-// LeaveTurn takes the end of a copy.
-func (s *service) LeaveTurn(t Turn, _ *Empty) (err error) {
+// Leave takes the end of a copy.
+func (s *service) Leave(t Turn, _ *Empty) (err error) {
 	return s.guard(func() { s.node.LeaveTurn(t) })
 }
 
--- a/hgnode/peer.go
+++ b/hgnode/peer.go
@@ -37,7 +37,7 @@
 // Suspect takes a suspect that an endpoint died under.
 func (p *peerSide) Suspect(s hgquarantine.Suspect) {
 	if !s.Cleared {
-		p.turns.refute(s.Digest)
+		p.turns.refute(hgquarantine.KeyOf(s.Digest))
 	}
 	p.owner.Merge([]hgquarantine.Suspect{s})
 }
@@ -82,7 +82,7 @@
 func (p *peerSide) Share(s hgquarantine.Suspect) {
 	n := (*Node)(p)
 	if !s.Cleared {
-		n.turns.refute(s.Digest)
+		n.turns.refute(hgquarantine.KeyOf(s.Digest))
 	}
 	n.mu.Lock()
 	live := n.view.Live(n.now())
--- a/hgnode/turn.go
+++ b/hgnode/turn.go
@@ -26,28 +26,28 @@
 	return &turns{timer: timer, state: hgquarantine.NewTurns()}
 }
 
-func (t *turns) enter(digest string, h hgquarantine.Holder) (ok bool) {
+func (t *turns) enter(k hgquarantine.Key, h hgquarantine.Holder) (ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state.Enter(digest, h, t.timer.Now())
+	return t.state.Enter(k, h, t.timer.Now())
 }
 
-func (t *turns) leave(digest string, h hgquarantine.Holder, proven bool) {
+func (t *turns) leave(k hgquarantine.Key, h hgquarantine.Holder, proven bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.Leave(digest, h, proven)
+	t.state.Leave(k, h, proven)
 }
 
-func (t *turns) proven(digest string) bool {
+func (t *turns) proven(k hgquarantine.Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state.Proven(digest)
+	return t.state.Proven(k)
 }
 
-func (t *turns) refute(digest string) {
+func (t *turns) refute(k hgquarantine.Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state.Refute(digest)
+	t.state.Refute(k)
 }
 
 func (t *turns) tick() {
@@ -67,16 +67,17 @@
 // Enter tells whether a copy of a request may run now. It may too if the node that gives its turns does not answer.
 func (p *peerSide) Enter(digest string, h hgquarantine.Holder) (ok bool) {
 	n := (*Node)(p)
-	if n.turns.proven(digest) {
+	k := hgquarantine.KeyOf(digest)
+	if n.turns.proven(k) {
 		return true
 	}
 	keeper := n.turnKeeper(digest)
 	if keeper.ID == n.cfg.Node.ID {
-		return n.turns.enter(digest, h)
+		return n.turns.enter(k, h)
 	}
 	answer := make(chan bool, 1)
 	n.wg.Go(func() {
-		ok, err := n.client.EnterTurn(keeper.Inner, hginner.Turn{Digest: digest, Holder: h})
+		ok, err := n.client.EnterTurn(keeper.Inner, hginner.Turn{Key: k, Holder: h})
 		if err != nil {
 			n.log.Warn("turn not answered", "digest", digest, "keeper", keeper.ID, "err", err)
 		}
@@ -93,17 +94,18 @@
 // Leave ends a copy's turn.
 func (p *peerSide) Leave(digest string, h hgquarantine.Holder, proven bool) {
 	n := (*Node)(p)
-	known := n.turns.proven(digest)
-	n.turns.leave(digest, h, proven)
+	k := hgquarantine.KeyOf(digest)
+	known := n.turns.proven(k)
+	n.turns.leave(k, h, proven)
 	keeper := n.turnKeeper(digest)
 	if known || keeper.ID == n.cfg.Node.ID {
 		return
 	}
-	n.wg.Go(func() { _ = n.client.LeaveTurn(keeper.Inner, hginner.Turn{Digest: digest, Holder: h, Proven: proven}) })
+	n.wg.Go(func() { _ = n.client.LeaveTurn(keeper.Inner, hginner.Turn{Key: k, Holder: h, Proven: proven}) })
 }
 
 // EnterTurn gives a peer's copy its turn.
-func (p *peerSide) EnterTurn(t hginner.Turn) (ok bool) { return p.turns.enter(t.Digest, t.Holder) }
+func (p *peerSide) EnterTurn(t hginner.Turn) (ok bool) { return p.turns.enter(t.Key, t.Holder) }
 
 // LeaveTurn takes the end of a peer's copy.
-func (p *peerSide) LeaveTurn(t hginner.Turn) { p.turns.leave(t.Digest, t.Holder, t.Proven) }
+func (p *peerSide) LeaveTurn(t hginner.Turn) { p.turns.leave(t.Key, t.Holder, t.Proven) }
--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -302,7 +302,7 @@
 }
 
 func (j *job) holder() hgquarantine.Holder {
-	return hgquarantine.Holder{Node: j.o.cfg.Node, Run: j.o.cfg.Run, Request: j.c.Program + " " + j.c.Request}
+	return hgquarantine.HolderOf(j.o.cfg.Run, j.c.Program, j.c.Request)
 }
 
 func (j *job) acquire(ctx context.Context, exclude string) (g hgsched.Grant, err error) {
--- a/hgquarantine/turns_test.go
+++ b/hgquarantine/turns_test.go
@@ -8,15 +8,16 @@
 )
 
 func TestTurns(t *testing.T) {
-	a, b := Holder{Node: "a"}, Holder{Node: "b"}
+	const a, b = Holder(1), Holder(2)
+	digest, another := KeyOf("digest"), KeyOf("other")
 	enter := func(h Holder, at time.Duration) func(*Turns) bool {
-		return func(t *Turns) bool { return t.Enter("digest", h, at) }
+		return func(t *Turns) bool { return t.Enter(digest, h, at) }
 	}
 	leave := func(h Holder, proven bool) func(*Turns) bool {
-		return func(t *Turns) bool { t.Leave("digest", h, proven); return true }
+		return func(t *Turns) bool { t.Leave(digest, h, proven); return true }
 	}
-	other := func(t *Turns) bool { return t.Enter("other", b, 0) }
-	refute := func(t *Turns) bool { t.Refute("digest"); return true }
+	other := func(t *Turns) bool { return t.Enter(another, b, 0) }
+	refute := func(t *Turns) bool { t.Refute(digest); return true }
 	tick := func(at time.Duration) func(*Turns) bool {
 		return func(t *Turns) bool { t.Tick(at); return len(t.running) > 0 }
 	}
@@ -51,14 +52,13 @@
 // TestProvenIsBounded proves more requests than are remembered: the last ones stay.
 func TestProvenIsBounded(t *testing.T) {
 	turns := NewTurns()
-	digest := func(i int) string { return time.Duration(i).String() }
 	for i := range 5 * maxProven {
-		turns.Leave(digest(i), Holder{}, true)
+		turns.Leave(Key(i), Holder(0), true)
 	}
 	if n := len(turns.proven) + len(turns.older); n > 2*maxProven {
 		t.Errorf("%d requests are remembered", n)
 	}
-	if !turns.Proven(digest(4*maxProven+1)) || turns.Proven(digest(0)) {
+	if !turns.Proven(Key(4*maxProven+1)) || turns.Proven(Key(0)) {
 		t.Error("the last requests are not remembered, or the first still is")
 	}
 }
