Ask for a key on the operators' routes

Cause: whoever reached a node's public port could put a preset in force, list all programs and read any program's history. Ruled out: a port of its own for operators (one more address in each registration, and the same question of who may reach it). Without a key the routes stay open, and the node says so when it starts. The comparison of keys is hgkey's, for the inner port too. TestOperatorsKey: each route without a key, with another and with the right one.

--- a/cmd/hyssopgrade/node.go
+++ b/cmd/hyssopgrade/node.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := cfg.Key()
+	keys, err := hgnode.ReadKeys(cfg)
 	if err != nil {
 		return err
 	}
@@ -44,7 +44,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	n, err := do.Invoke[*hgnode.Node](hgnode.Wire(cfg, hgnode.CellKey{Key: key}, log, hgnode.Release{Version: version}))
+	n, err := do.Invoke[*hgnode.Node](hgnode.Wire(cfg, keys, log, hgnode.Release{Version: version}))
 	if err != nil {
 		return err
 	}
--- a/cmd/hyssopgrade/operate.go
+++ b/cmd/hyssopgrade/operate.go
@@ -22,10 +22,13 @@
 func operatorFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "node", Usage: "public `ADDRESS` of a node, such as 127.0.0.1:7400", Required: true},
+		&cli.StringFlag{Name: "key-env", Value: "HYSSOPGRADE_OPERATOR_KEY", Usage: "environment `VARIABLE` with the operators' key"},
 		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 	}
 }
 
+func operatorClient(c *cli.Command) *hgcaller.Client { return hgcaller.NewOperator(os.Getenv(c.String("key-env"))) }
+
 func printJSON(v any) error {
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
@@ -58,7 +61,7 @@
 }
 
 func listPresets(ctx context.Context, c *cli.Command) (err error) {
-	s, err := getPresets(ctx, hgcaller.NewClient(), c.String("node"))
+	s, err := getPresets(ctx, operatorClient(c), c.String("node"))
 	if err != nil {
 		return err
 	}
@@ -72,7 +75,7 @@
 }
 
 func showPreset(ctx context.Context, c *cli.Command) (err error) {
-	s, err := getPresets(ctx, hgcaller.NewClient(), c.String("node"))
+	s, err := getPresets(ctx, operatorClient(c), c.String("node"))
 	if err != nil {
 		return err
 	}
@@ -98,7 +101,7 @@
 	if err != nil {
 		return trace.Wrap(err, "%s", c.Args().First())
 	}
-	if err := hgcaller.NewClient().Post(ctx, c.String("node"), "/v1/presets", p, &p); err != nil {
+	if err := operatorClient(c).Post(ctx, c.String("node"), "/v1/presets", p, &p); err != nil {
 		return err
 	}
 	if c.Bool("json") {
@@ -112,7 +115,7 @@
 	if c.Args().Len() != 1 {
 		return trace.BadParameter("want the name of one preset")
 	}
-	client := hgcaller.NewClient()
+	client := operatorClient(c)
 	var v hgpreset.Version
 	body := map[string]string{"name": c.Args().First(), "by": operator(c.String("by"))}
 	err = client.Post(ctx, c.String("node"), "/v1/presets/use", body, &v)
@@ -184,7 +187,7 @@
 
 func programStatus(ctx context.Context, c *cli.Command) (err error) {
 	var s hgowner.ProgramStatus
-	if err := hgcaller.NewClient().Get(ctx, c.String("node"), "/v1/programs/status?program="+c.String("program"), &s); err != nil {
+	if err := operatorClient(c).Get(ctx, c.String("node"), "/v1/programs/status?program="+c.String("program"), &s); err != nil {
 		return err
 	}
 	if c.Bool("json") {
@@ -199,7 +202,7 @@
 
 func nodeStatus(ctx context.Context, c *cli.Command) (err error) {
 	var o hgfront.Overview
-	if err := hgcaller.NewClient().Get(ctx, c.String("node"), "/v1/status", &o); err != nil {
+	if err := operatorClient(c).Get(ctx, c.String("node"), "/v1/status", &o); err != nil {
 		return err
 	}
 	if c.Bool("json") {
--- a/hgcaller/client.go
+++ b/hgcaller/client.go
@@ -16,12 +16,15 @@
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/hgfront"
+	"hyssopgrade/hgkey"
 )
 
 // Client calls a system; it is safe for concurrent use.
 type Client struct {
 	nodes []string
 	http  *http.Client
+	// key is the operators' key, if any.
+	key string
 
 	mu    sync.Mutex
 	known map[string]located
@@ -40,6 +43,13 @@
 	}
 }
 
+// NewOperator returns a client that presents the operators' key to some nodes.
+func NewOperator(key string, nodes ...string) *Client {
+	c := NewClient(nodes...)
+	c.key = key
+	return c
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -153,6 +163,9 @@
 		return err
 	}
 	r.Header.Set("Content-Type", "application/json")
+	if c.key != "" {
+		hgkey.Set(r.Header, c.key)
+	}
 	w, err := c.http.Do(r)
 	if err != nil {
 		return err
--- a/hgcell/cell.go
+++ b/hgcell/cell.go
@@ -145,7 +145,11 @@
 
 // StartNode starts one more node, or one again.
 func (c *Cell) StartNode(cfg hgconfig.Config) (n *hgnode.Node, err error) {
-	i := hgnode.Wire(cfg, hgnode.CellKey{Key: key}, c.opts.Log, hgnode.Release{Version: "cell"})
+	operator, err := cfg.OperatorKey()
+	if err != nil {
+		return nil, err
+	}
+	i := hgnode.Wire(cfg, hgnode.Keys{Cell: key, Operator: operator}, c.opts.Log, hgnode.Release{Version: "cell"})
 	if c.opts.Dial != nil {
 		do.ProvideValue(i, c.opts.Dial(cfg.Node.ID))
 	}
--- a/hgcell/front_test.go
+++ b/hgcell/front_test.go
@@ -14,6 +14,8 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgcaller"
+	"hyssopgrade/hgconfig"
 	"hyssopgrade/hgendpoint"
 	"hyssopgrade/hglog"
 	"hyssopgrade/hgshard"
@@ -21,9 +23,15 @@
 )
 
 func smallCell(t *testing.T) *Cell {
+	t.Helper()
+	return changedCell(t, nil)
+}
+
+// changedCell returns a cell of two nodes with changed settings.
+func changedCell(t *testing.T, change func(cfg *hgconfig.Config)) *Cell {
 	t.Helper()
 	opts := Demo(hglog.Discard())
-	opts.Nodes = 2
+	opts.Nodes, opts.Change = 2, change
 	c, err := NewCell(opts)
 	if err != nil {
 		t.Fatal(err)
@@ -191,3 +199,57 @@
 		t.Errorf("what endpoints got (-want +got):\n%s", diff)
 	}
 }
+
+// TestOperatorsKey asks each route with the operators' key, with another and with none.
+func TestOperatorsKey(t *testing.T) {
+	const key = "key-of-the-operators"
+	t.Setenv("HYSSOPGRADE_TEST_OPERATORS", key)
+	c := changedCell(t, func(cfg *hgconfig.Config) { cfg.Node.OperatorKeyEnv = "HYSSOPGRADE_TEST_OPERATORS" })
+	node := c.Addresses()[0]
+	if _, err := hgcaller.NewClient(node).Call(t.Context(), hgcall.Call{
+		Program: "p", Seq: 1, Request: "r", Kind: hgcall.Model, Target: "clerk-7b", MaxTokens: 4, Deadline: 10 * time.Second,
+		Messages: []hgcall.Message{{Role: "user", Content: "hi"}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	use := `{"name":"peak","by":"someone"}`
+	tests := map[string]struct {
+		method, path, body string
+		operators          bool
+	}{
+		"status":         {"GET", "/v1/status", "", true},
+		"presets":        {"GET", "/v1/presets", "", true},
+		"use preset":     {"POST", "/v1/presets/use", use, true},
+		"program status": {"GET", "/v1/programs/status?program=p", "", true},
+		"history":        {"GET", "/v1/programs/history?program=p", "", true},
+		"locate":         {"GET", "/v1/locate", "", false},
+		"end":            {"POST", "/v1/programs/end", `{"program":"p"}`, false},
+		"health":         {"GET", "/healthz", "", false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := map[string]int{}
+			for kind, authorization := range map[string]string{"none": "", "another": "Bearer another", "key": "Bearer " + key} {
+				r, err := http.NewRequestWithContext(t.Context(), tc.method, "http://"+node+tc.path, strings.NewReader(tc.body))
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Header.Set("Content-Type", "application/json")
+				r.Header.Set("Authorization", authorization)
+				w, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.Body.Close()
+				got[kind] = w.StatusCode
+			}
+			without := http.StatusOK
+			if tc.operators {
+				without = http.StatusUnauthorized
+			}
+			if diff := cmp.Diff(map[string]int{"none": without, "another": without, "key": http.StatusOK}, got); diff != "" {
+				t.Errorf("statuses (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/hgconfig/config.go
+++ b/hgconfig/config.go
@@ -46,6 +46,9 @@
 	// KeyFile names the file with the cell's key; KeyEnv names the environment variable with it.
 	KeyFile string `toml:"keyFile"`
 	KeyEnv  string `toml:"keyEnv"`
+	// OperatorKeyFile and OperatorKeyEnv name the operators' key in the same way; without one, operators' routes are open.
+	OperatorKeyFile string `toml:"operatorKeyFile"`
+	OperatorKeyEnv  string `toml:"operatorKeyEnv"`
 	// Shards is the number of shards of the cell; all its nodes must agree.
 	Shards int `toml:"shards"`
 	// Preset names the preset in force until operators choose one.
@@ -199,6 +202,9 @@
 	if (c.Node.KeyFile == "") == (c.Node.KeyEnv == "") {
 		return at(data, "node.keyFile", "want either keyFile or keyEnv")
 	}
+	if c.Node.OperatorKeyFile != "" && c.Node.OperatorKeyEnv != "" {
+		return at(data, "node.operatorKeyFile", "want operatorKeyFile, operatorKeyEnv or neither")
+	}
 	if _, ok := hgpreset.Shipped()[c.Node.Preset]; !ok {
 		return at(data, "node.preset", "%q: want one of %s", c.Node.Preset, strings.Join(hgpreset.Names(hgpreset.Shipped()), ", "))
 	}
@@ -243,16 +249,29 @@
 	return nil
 }
 
-// minKeyBytes is the least length of the cell's key.
+// minKeyBytes is the least length of a key.
 const minKeyBytes = 16
 
 // Key returns the cell's key from its file or environment variable.
 func (c Config) Key() (key string, err error) {
 	defer func() { err = trace.Wrap(err, "cell key") }()
-	if c.Node.KeyEnv != "" {
-		key = os.Getenv(c.Node.KeyEnv)
+	return readKey(c.Node.KeyFile, c.Node.KeyEnv)
+}
+
+// OperatorKey returns the operators' key, or an empty one if the settings name none.
+func (c Config) OperatorKey() (key string, err error) {
+	defer func() { err = trace.Wrap(err, "operators' key") }()
+	if c.Node.OperatorKeyFile == "" && c.Node.OperatorKeyEnv == "" {
+		return "", nil
+	}
+	return readKey(c.Node.OperatorKeyFile, c.Node.OperatorKeyEnv)
+}
+
+func readKey(file, env string) (key string, err error) {
+	if env != "" {
+		key = os.Getenv(env)
 	} else {
-		data, err := os.ReadFile(c.Node.KeyFile)
+		data, err := os.ReadFile(file)
 		if err != nil {
 			return "", trace.ConvertSystemError(err)
 		}
--- a/hgfront/front.go
+++ b/hgfront/front.go
@@ -10,6 +10,7 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgkey"
 	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgprogram"
@@ -103,6 +104,8 @@
 	Metrics http.Handler
 	// Version is the program's version.
 	Version string
+	// OperatorKey is the key that operators' routes ask for; with an empty one they are open.
+	OperatorKey string
 }
 
 // Front is the HTTP front of a node.
@@ -118,7 +121,12 @@
 	api := humago.New(f.mux, huma.DefaultConfig("hyssopgrade", opts.Version))
 	f.addCalls(api)
 	f.addPrograms(api)
-	f.addOperations(api)
+	operators := huma.NewGroup(api)
+	if opts.OperatorKey != "" {
+		operators.UseMiddleware(f.askForKey(hgkey.NewKey(opts.OperatorKey)))
+	}
+	f.addOperations(operators)
+	f.addProbes()
 	f.mux.Handle("GET /metrics", opts.Metrics)
 	return f
 }
--- a/hgfront/operation.go
+++ b/hgfront/operation.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 
 	"github.com/danielgtaylor/huma/v2"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgkey"
 	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
 )
@@ -74,14 +76,6 @@
 		}
 		return &body[Ended]{Body: Ended{Program: in.Body.Program, Ended: true}}, nil
 	})
-	huma.Get(api, "/v1/programs/status", func(ctx context.Context, in *programInput) (*body[hgowner.ProgramStatus], error) {
-		s, err := f.backend.Status(ctx, in.Program)
-		return &body[hgowner.ProgramStatus]{Body: s}, asStatus(err)
-	})
-	huma.Get(api, "/v1/programs/history", func(ctx context.Context, in *programInput) (*body[History], error) {
-		ms, err := f.backend.History(ctx, in.Program)
-		return &body[History]{Body: History{Program: in.Program, Messages: ms}}, asStatus(err)
-	})
 	huma.Get(api, "/v1/locate", func(_ context.Context, in *locateInput) (*body[Location], error) {
 		if in.Program != "" {
 			if err := hgcall.CheckProgram(in.Program); err != nil {
@@ -92,7 +86,32 @@
 	})
 }
 
+// askForKey refuses requests without the operators' key.
+func (f *Front) askForKey(key hgkey.Key) func(hctx huma.Context, next func(huma.Context)) {
+	return func(hctx huma.Context, next func(huma.Context)) {
+		if key.Allows(http.Header{"Authorization": {hctx.Header("Authorization")}}) {
+			next(hctx)
+			return
+		}
+		bad := hgcall.Invalid("Authorization", "want the operators' key")
+		f.backend.Refused(bad)
+		hctx.SetHeader("Content-Type", "application/json")
+		hctx.SetHeader("WWW-Authenticate", "Bearer")
+		hctx.SetStatus(http.StatusUnauthorized)
+		_ = json.NewEncoder(hctx.BodyWriter()).Encode(errorBody(bad))
+	}
+}
+
+// addOperations adds the operators' routes.
 func (f *Front) addOperations(api huma.API) {
+	huma.Get(api, "/v1/programs/status", func(ctx context.Context, in *programInput) (*body[hgowner.ProgramStatus], error) {
+		s, err := f.backend.Status(ctx, in.Program)
+		return &body[hgowner.ProgramStatus]{Body: s}, asStatus(err)
+	})
+	huma.Get(api, "/v1/programs/history", func(ctx context.Context, in *programInput) (*body[History], error) {
+		ms, err := f.backend.History(ctx, in.Program)
+		return &body[History]{Body: History{Program: in.Program, Messages: ms}}, asStatus(err)
+	})
 	huma.Get(api, "/v1/status", func(context.Context, *struct{}) (*body[Overview], error) {
 		return &body[Overview]{Body: f.backend.Overview()}, nil
 	})
@@ -110,6 +129,10 @@
 		}
 		return &body[hgpreset.Version]{Body: v}, asStatus(err)
 	})
+}
+
+// addProbes adds the routes that tell whether the node lives and takes new work.
+func (f *Front) addProbes() {
 	f.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	f.mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := f.backend.Ready(); err != nil {
--- a/hginner/client.go
+++ b/hginner/client.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgkey"
 	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgtimer"
@@ -207,7 +208,7 @@
 	if err != nil {
 		return r, false, err
 	}
-	req.Header.Set("Authorization", "Bearer "+c.key)
+	hgkey.Set(req.Header, c.key)
 	if out != nil {
 		req.Header.Set("X-Stream", "1")
 	}
--- a/hginner/server.go
+++ b/hginner/server.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"io"
@@ -11,13 +9,13 @@
 	"net"
 	"net/http"
 	"net/rpc"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgkey"
 	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
 )
@@ -117,7 +115,7 @@
 // Server serves a node's inner port.
 type Server struct {
 	node  Node
-	key   [sha256.Size]byte
+	key   hgkey.Key
 	rpc   *rpc.Server
 	log   *slog.Logger
 	slots chan struct{}
@@ -129,7 +127,7 @@
 // NewServer returns the handler of a node's inner port.
 func NewServer(node Node, key string, log *slog.Logger) (s *Server, err error) {
 	s = &Server{
-		node: node, key: sha256.Sum256([]byte(key)), rpc: rpc.NewServer(), log: log,
+		node: node, key: hgkey.NewKey(key), rpc: rpc.NewServer(), log: log,
 		slots: make(chan struct{}, maxRPCConns), conns: map[net.Conn]bool{},
 	}
 	err = s.rpc.RegisterName("Inner", &service{node: node, slots: make(chan struct{}, maxConcurrent)})
@@ -138,7 +136,7 @@
 
 // ServeHTTP serves the holders of the cell's key.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !s.allowed(r) {
+	if !s.key.Allows(r.Header) {
 		s.log.Warn("inner request without the key", "remote", r.RemoteAddr, "path", r.URL.Path)
 		http.Error(w, "want the cell's key", http.StatusUnauthorized)
 		return
@@ -157,12 +155,6 @@
 	}
 }
 
-// allowed compares digests in constant time.
-func (s *Server) allowed(r *http.Request) bool {
-	got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
-	return subtle.ConstantTimeCompare(got[:], s.key[:]) == 1
-}
-
 func (s *Server) serveRPC(w http.ResponseWriter) {
 	select {
 	case s.slots <- struct{}{}:
--- /dev/null
+++ b/hgkey/doc.go
@@ -0,0 +1,2 @@
+// Package hgkey compares keys that callers of a port present.
+package hgkey
--- a/hgnode/node.go
+++ b/hgnode/node.go
@@ -119,10 +119,14 @@
 		hgjournal.WithRate(float64(cfg.Platform.CommitsPerSecond)),
 		hgjournal.WithCompaction(l.CompactRecords, n.owner.Snapshot))
 	n.owner.SetJournal(n.committer)
+	keys := do.MustInvoke[Keys](i)
 	n.front = hgfront.NewFront(n, hgfront.Options{
-		MaxBody: int64(l.MaxBodyBytes), Metrics: n.metrics.Handler(), Version: do.MustInvoke[Release](i).Version,
+		MaxBody: int64(l.MaxBodyBytes), Metrics: n.metrics.Handler(), Version: do.MustInvoke[Release](i).Version, OperatorKey: keys.Operator,
 	})
-	n.inner, err = hginner.NewServer((*peerSide)(n), do.MustInvoke[CellKey](i).Key, n.log)
+	if keys.Operator == "" {
+		n.log.Warn("operators' routes are open to all callers: the settings name no operators' key")
+	}
+	n.inner, err = hginner.NewServer((*peerSide)(n), keys.Cell, n.log)
 	return n, err
 }
 
--- a/hgnode/wire.go
+++ b/hgnode/wire.go
@@ -17,18 +17,30 @@
 	"hyssopgrade/hgtimer"
 )
 
-// CellKey is the key that the nodes of a cell share.
-type CellKey struct{ Key string }
+// Keys are the key that the nodes of a cell share, and that of its operators, which may be empty.
+type Keys struct {
+	Cell     string
+	Operator string
+}
+
+// ReadKeys returns the keys that the settings name.
+func ReadKeys(cfg hgconfig.Config) (k Keys, err error) {
+	if k.Cell, err = cfg.Key(); err != nil {
+		return k, err
+	}
+	k.Operator, err = cfg.OperatorKey()
+	return k, err
+}
 
 // Release is the program's version.
 type Release struct{ Version string }
 
 // Wire returns the services of a node; later provisions may override them before the node is made,
 // or add a hginner.Dial, by which the node then connects to its peers.
-func Wire(cfg hgconfig.Config, key CellKey, log *slog.Logger, rel Release) *do.RootScope {
+func Wire(cfg hgconfig.Config, keys Keys, log *slog.Logger, rel Release) *do.RootScope {
 	i := do.New()
 	do.ProvideValue(i, cfg)
-	do.ProvideValue(i, key)
+	do.ProvideValue(i, keys)
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, rel)
 	do.ProvideValue(i, hgpreset.Version{Preset: hgpreset.Shipped()[cfg.Node.Preset], By: "settings"})
@@ -68,5 +80,5 @@
 	cfg := do.MustInvoke[hgconfig.Config](i)
 	timeout := hgconfig.MS(cfg.Limits.SilentMs) / 2
 	dial, _ := do.Invoke[hginner.Dial](i)
-	return hginner.NewClient(do.MustInvoke[CellKey](i).Key, do.MustInvoke[*hgtimer.Service](i), timeout, dial), nil
+	return hginner.NewClient(do.MustInvoke[Keys](i).Cell, do.MustInvoke[*hgtimer.Service](i), timeout, dial), nil
 }
