--- a/cmd/hyssopgrade/operate.go
+++ b/cmd/hyssopgrade/operate.go
@@ -27,7 +27,9 @@
 	}
 }
 
-func operatorClient(c *cli.Command) *hgcaller.Client { return hgcaller.NewOperator(os.Getenv(c.String("key-env"))) }
+func operatorClient(c *cli.Command) *hgcaller.Client {
+	return hgcaller.NewOperator(os.Getenv(c.String("key-env")))
+}
 
 func printJSON(v any) error {
 	e := json.NewEncoder(os.Stdout)
