--- /dev/null
+++ b/hgbound/doc.go
@@ -0,0 +1,2 @@
+// Package hgbound checks that values of settings are within their ranges.
+package hgbound
--- a/hgconfig/config.go
+++ b/hgconfig/config.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
 
+	"hyssopgrade/hgbound"
 	"hyssopgrade/hgpreset"
 )
 
@@ -120,33 +121,28 @@
 	}
 }
 
-type bound struct {
-	key       string
-	value     int
-	low, high int
-}
-
-func (c Config) bounds() []bound {
+func (c Config) bounds() []hgbound.Bound {
 	l := c.Limits
-	return []bound{
-		{"node.shards", c.Node.Shards, 1, 4096},
-		{"platform.timeoutMs", c.Platform.TimeoutMs, 10, 60_000},
-		{"platform.commitsPerSecond", c.Platform.CommitsPerSecond, 1, 100_000},
-		{"limits.heartbeatMs", l.HeartbeatMs, 50, 10_000},
-		{"limits.silentMs", l.SilentMs, 2 * l.HeartbeatMs, 60_000},
-		{"limits.staleMs", l.StaleMs, l.SilentMs, 600_000},
-		{"limits.pollMs", l.PollMs, 50, 10_000},
-		{"limits.presetBoundMs", l.PresetBoundMs, 2 * l.PollMs, 10_000},
-		{"limits.dispatchWindowMs", l.DispatchWindowMs, 100, 60_000},
-		{"limits.holdMs", l.HoldMs, 10, 60_000},
-		{"limits.commitWaitMs", l.CommitWaitMs, 10, 60_000},
-		{"limits.retainMs", l.RetainMs, 60_000, 604_800_000},
-		{"limits.sweepMs", l.SweepMs, 100, 600_000},
-		{"limits.locateTtlMs", l.LocateTTLMs, 100, 600_000},
-		{"limits.drainMs", l.DrainMs, 1000, 3_600_000},
-		{"limits.maxBodyBytes", l.MaxBodyBytes, 1 << 10, 64 << 20},
-		{"limits.compactRecords", l.CompactRecords, 10, 1 << 30},
-		{"limits.subset", l.Subset, 1, 1000},
+	bound := hgbound.NewBound
+	return []hgbound.Bound{
+		bound("node.shards", c.Node.Shards, 1, 4096),
+		bound("platform.timeoutMs", c.Platform.TimeoutMs, 10, 60_000),
+		bound("platform.commitsPerSecond", c.Platform.CommitsPerSecond, 1, 100_000),
+		bound("limits.heartbeatMs", l.HeartbeatMs, 50, 10_000),
+		bound("limits.silentMs", l.SilentMs, 2*l.HeartbeatMs, 60_000),
+		bound("limits.staleMs", l.StaleMs, l.SilentMs, 600_000),
+		bound("limits.pollMs", l.PollMs, 50, 10_000),
+		bound("limits.presetBoundMs", l.PresetBoundMs, 2*l.PollMs, 10_000),
+		bound("limits.dispatchWindowMs", l.DispatchWindowMs, 100, 60_000),
+		bound("limits.holdMs", l.HoldMs, 10, 60_000),
+		bound("limits.commitWaitMs", l.CommitWaitMs, 10, 60_000),
+		bound("limits.retainMs", l.RetainMs, 60_000, 604_800_000),
+		bound("limits.sweepMs", l.SweepMs, 100, 600_000),
+		bound("limits.locateTtlMs", l.LocateTTLMs, 100, 600_000),
+		bound("limits.drainMs", l.DrainMs, 1000, 3_600_000),
+		bound("limits.maxBodyBytes", l.MaxBodyBytes, 1<<10, 64<<20),
+		bound("limits.compactRecords", l.CompactRecords, 10, 1<<30),
+		bound("limits.subset", l.Subset, 1, 1000),
 	}
 }
 
@@ -188,10 +184,8 @@
 }
 
 func (c Config) check(data string) (err error) {
-	for _, b := range c.bounds() {
-		if b.value < b.low || b.value > b.high {
-			return at(data, b.key, "%d is outside %d to %d", b.value, b.low, b.high)
-		}
+	if b, ok := hgbound.Broken(c.bounds()); ok {
+		return at(data, b.Key, "%d is outside %d to %d", b.Value, b.Low, b.High)
 	}
 	if c.Node.ID == "" || strings.ContainsAny(c.Node.ID, "/ ") {
 		return at(data, "node.id", "%q: want a word without '/'", c.Node.ID)
--- a/hgpreset/preset.go
+++ b/hgpreset/preset.go
@@ -9,6 +9,8 @@
 	"github.com/BurntSushi/toml"
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
+
+	"hyssopgrade/hgbound"
 )
 
 //go:embed presets/*.toml
@@ -55,12 +57,6 @@
 	DefaultMaxTokens int `toml:"defaultMaxTokens" json:"defaultMaxTokens"`
 }
 
-type bound struct {
-	key       string
-	value     int
-	low, high int
-}
-
 // Check returns a BadParameter error that names the first key out of range.
 func (p Preset) Check() (err error) {
 	if p.Name == "" || strings.ContainsAny(p.Name, "/ \t\n") {
@@ -72,10 +68,8 @@
 	if !lo.Contains(QueuePolicies(), p.QueuePolicy) {
 		return trace.BadParameter("queuePolicy %q: want one of %s", p.QueuePolicy, strings.Join(QueuePolicies(), ", "))
 	}
-	for _, b := range p.bounds() {
-		if b.value < b.low || b.value > b.high {
-			return trace.BadParameter("%s %d: want %d to %d", b.key, b.value, b.low, b.high)
-		}
+	if b, ok := hgbound.Broken(p.bounds()); ok {
+		return trace.BadParameter("%s %d: want %d to %d", b.Key, b.Value, b.Low, b.High)
 	}
 	if p.RemoteDomainMs < 0 || p.RecomputeWeight < 0 {
 		return trace.BadParameter("remoteDomainMs %v, recomputeWeight %v: want at least 0", p.RemoteDomainMs, p.RecomputeWeight)
@@ -83,21 +77,22 @@
 	return nil
 }
 
-func (p Preset) bounds() []bound {
-	return []bound{
-		{"minWindow", p.MinWindow, 1, 4096},
-		{"window", p.Window, p.MinWindow, p.MaxWindow},
-		{"maxWindow", p.MaxWindow, p.MinWindow, 4096},
-		{"tokenTargetMs", p.TokenTargetMs, 1, 10_000},
-		{"ageingTokensPerSecond", p.AgeingTokensPerSecond, 0, 1_000_000},
-		{"maxQueue", p.MaxQueue, 1, 1_000_000},
-		{"maxNewWaitMs", p.MaxNewWaitMs, 0, 3_600_000},
-		{"memoryFillPercent", p.MemoryFillPercent, 0, 1000},
-		{"holdMs", p.HoldMs, 0, 3_600_000},
-		{"silenceMs", p.SilenceMs, 1_000, 86_400_000},
-		{"retryPercent", p.RetryPercent, 0, 100},
-		{"defaultBudgetTokens", p.DefaultBudgetTokens, 1, 1 << 40},
-		{"defaultMaxTokens", p.DefaultMaxTokens, 1, 1 << 20},
+func (p Preset) bounds() []hgbound.Bound {
+	bound := hgbound.NewBound
+	return []hgbound.Bound{
+		bound("minWindow", p.MinWindow, 1, 4096),
+		bound("window", p.Window, p.MinWindow, p.MaxWindow),
+		bound("maxWindow", p.MaxWindow, p.MinWindow, 4096),
+		bound("tokenTargetMs", p.TokenTargetMs, 1, 10_000),
+		bound("ageingTokensPerSecond", p.AgeingTokensPerSecond, 0, 1_000_000),
+		bound("maxQueue", p.MaxQueue, 1, 1_000_000),
+		bound("maxNewWaitMs", p.MaxNewWaitMs, 0, 3_600_000),
+		bound("memoryFillPercent", p.MemoryFillPercent, 0, 1000),
+		bound("holdMs", p.HoldMs, 0, 3_600_000),
+		bound("silenceMs", p.SilenceMs, 1_000, 86_400_000),
+		bound("retryPercent", p.RetryPercent, 0, 100),
+		bound("defaultBudgetTokens", p.DefaultBudgetTokens, 1, 1<<40),
+		bound("defaultMaxTokens", p.DefaultMaxTokens, 1, 1<<20),
 	}
 }
 
