Name the parts of a task for a shard's owner

Cause: onOwner took five parameters, three of them functions, that a reader had to count at each call. Change: ownerTask has them by name; a task without again may be done again. No change in behaviour: TestOfficialClient, TestBadInput, TestAnothersIdentifiers and TestOperatorsKey green.

--- a/hgnode/serve.go
+++ b/hgnode/serve.go
@@ -27,31 +27,40 @@
 var errPreset = hgcall.NewRefusal(hgcall.KindUnavailable, hgcall.ReasonPreset, 2*time.Second,
 	"this node can't confirm the preset in force; ask another node")
 
-// onOwner runs local if this node owns the program's shard and remote with the owner's address if another does,
-// again with the next owner when the shard moves. retry tells whether remote may run again after a failure.
-func (n *Node) onOwner(ctx context.Context, program string, local func() error, remote func(ctx context.Context, address string) error, retry func() bool) (err error) {
-	if err := hgcall.CheckProgram(program); err != nil {
+// ownerTask is work for the owner of a program's shard.
+type ownerTask struct {
+	program string
+	// local does it on this node, remote on the node at address; both return a *hgowner.NotOwner where the shard is not owned.
+	local  func() error
+	remote func(ctx context.Context, address string) error
+	// again tells whether it may be done again after a failure; without it, it may.
+	again func() bool
+}
+
+// onOwner does a task on this node or another, again with the next owner when the shard moves.
+func (n *Node) onOwner(ctx context.Context, t ownerTask) (err error) {
+	if err := hgcall.CheckProgram(t.program); err != nil {
 		return err
 	}
-	shard := hgshard.Of(program, uint32(n.cfg.Node.Shards))
+	shard := hgshard.Of(t.program, uint32(n.cfg.Node.Shards))
 	end := n.now() + routeTimeout
 	var other *hgowner.NotOwner
 	var refusal *hgcall.Refusal
 	for {
-		err = local()
+		err = t.local()
 		if !errors.As(err, &other) {
 			return err
 		}
 		if m, ok := n.ownerOf(shard); ok {
-			err = n.forward(ctx, m, remote)
+			err = n.forward(ctx, m, t.remote)
 			if err == nil || errors.As(err, &refusal) {
 				return err
 			}
 			if !errors.As(err, &other) {
-				n.log.Warn("forward failed", "program", program, "to", m.ID, "err", err)
+				n.log.Warn("forward failed", "program", t.program, "to", m.ID, "err", err)
 			}
 		}
-		if !retry() || n.now() >= end {
+		if t.again != nil && !t.again() || n.now() >= end {
 			return errNoOwner
 		}
 		select {
@@ -105,16 +114,22 @@
 		return r, err
 	}
 	began := n.now()
+	left := func() hgcall.Call { return c.WithDeadline(c.Deadline - (n.now() - began)) }
 	passed := false
-	err = n.onOwner(ctx, c.Program, func() (err error) {
-		r, err = n.serveOwn(ctx, c.WithDeadline(c.Deadline-(n.now()-began)), out)
-		return err
-	}, func(ctx context.Context, address string) (err error) {
-		var sent bool
-		r, sent, err = n.client.Call(ctx, address, c.WithDeadline(c.Deadline-(n.now()-began)), out)
-		passed = passed || sent
-		return err
-	}, func() bool { return !passed && n.now()-began < c.Deadline })
+	err = n.onOwner(ctx, ownerTask{
+		program: c.Program,
+		local: func() (err error) {
+			r, err = n.serveOwn(ctx, left(), out)
+			return err
+		},
+		remote: func(ctx context.Context, address string) (err error) {
+			var sent bool
+			r, sent, err = n.client.Call(ctx, address, left(), out)
+			passed = passed || sent
+			return err
+		},
+		again: func() bool { return !passed && n.now()-began < c.Deadline },
+	})
 	return r, err
 }
 
@@ -131,11 +146,11 @@
 
 // End ends a program.
 func (n *Node) End(ctx context.Context, program string) (err error) {
-	return n.onOwner(ctx, program, func() error {
-		return n.owner.End(ctx, program)
-	}, func(ctx context.Context, address string) error {
-		return n.client.End(ctx, address, program)
-	}, func() bool { return true })
+	return n.onOwner(ctx, ownerTask{
+		program: program,
+		local:   func() error { return n.owner.End(ctx, program) },
+		remote:  func(ctx context.Context, address string) error { return n.client.End(ctx, address, program) },
+	})
 }
 
 // Status returns a program's status.
@@ -154,13 +169,17 @@
 }
 
 func (n *Node) query(ctx context.Context, q hginner.Query) (a hginner.Answer, err error) {
-	err = n.onOwner(ctx, q.Program, func() (err error) {
-		a, err = (*peerSide)(n).Query(q)
-		return err
-	}, func(ctx context.Context, address string) (err error) {
-		a, err = n.client.Query(ctx, address, q)
-		return err
-	}, func() bool { return true })
+	err = n.onOwner(ctx, ownerTask{
+		program: q.Program,
+		local: func() (err error) {
+			a, err = (*peerSide)(n).Query(q)
+			return err
+		},
+		remote: func(ctx context.Context, address string) (err error) {
+			a, err = n.client.Query(ctx, address, q)
+			return err
+		},
+	})
 	return a, err
 }
 
