Measure the calls' first tokens and the time between tokens

Cause: the target speaks of 1.4 s to the first token and 30 ms between tokens for 95 in 100; the table only had programs. Change: two columns, from the same runs.

--- a/hgbench/run.go
+++ b/hgbench/run.go
@@ -261,9 +261,13 @@
 
 // turn runs one model call; a refused one comes back when it was told to, until its caller's patience ends.
 func (b *bench) turn(n *entry, p Program, i, tokens int, began time.Time) (ok bool) {
+	asked := time.Now()
 	for time.Since(began) < patience {
-		err := b.call(n, p, i, tokens)
+		o, err := b.call(n, p, i, tokens)
 		if err == nil {
+			decoding := o.total - o.firstToken
+			gap := decoding / time.Duration(max(p.Turns[i].Output-1, 1))
+			b.count(func(res *Result) { res.answered(time.Since(asked)-decoding, gap) })
 			return true
 		}
 		var r *hgcall.Refusal
@@ -278,7 +282,7 @@
 }
 
 // call dispatches a call until an engine finished it, within the retry budget.
-func (b *bench) call(n *entry, p Program, i, tokens int) (err error) {
+func (b *bench) call(n *entry, p Program, i, tokens int) (o outcome, err error) {
 	t := p.Turns[i]
 	exclude := ""
 	root := hgcall.Root(p.ID)
@@ -297,13 +301,13 @@
 			Tokens: tokens + t.New, Output: t.Output, Exclude: exclude, Left: callDeadline,
 		})
 		if err != nil {
-			return err
+			return o, err
 		}
 		b.count(func(res *Result) { res.Dispatches++ })
-		o := b.engines[g.Endpoint].submit(p.ID, tokens+t.New, t.Output)
+		o = b.engines[g.Endpoint].submit(p.ID, tokens+t.New, t.Output)
 		if o.err == nil {
 			b.ran(n, p.ID, root, g, t, tokens, o)
-			return nil
+			return o, nil
 		}
 		n.sched.Done(g, hgsched.Result{Failed: true, Refused: true})
 		n.mu.Lock()
@@ -311,7 +315,7 @@
 		allowed := n.retry.Allow(b.now())
 		n.mu.Unlock()
 		if !allowed || try+1 == maxDispatches {
-			return o.err
+			return o, o.err
 		}
 		b.count(func(res *Result) { res.Retries++ })
 		exclude = g.Endpoint
