--- a/hgbench/slope_test.go
+++ b/hgbench/slope_test.go
@@ -24,6 +24,7 @@
 	"hyssopgrade/hginner"
 	"hyssopgrade/hgjournal"
 	"hyssopgrade/hglog"
+	"hyssopgrade/hgnode"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgstore"
@@ -52,6 +53,7 @@
 		t.Run(fmt.Sprintf("path, nodes %d", nodes), func(t *testing.T) { pathSlope(t, nodes) })
 	}
 	t.Run("turns", turnSlope)
+	t.Run("preset", presetSlope)
 	t.Run("handover", handoverSlope)
 	t.Run("idle", idleSlope)
 }
@@ -328,6 +330,36 @@
 	}
 }
 
+// presetSlope measures the time from the acceptance of a preset by one node until all nodes of a cell apply it.
+func presetSlope(t *testing.T) {
+	t.Log("nodes, changes, ms until in force everywhere p50, most")
+	for _, n := range []int{3, 6, 9} {
+		opts := hgcell.Demo(hglog.Discard())
+		opts.Nodes = n
+		c, err := hgcell.NewCell(opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.WaitReady(); err != nil {
+			t.Fatal(err)
+		}
+		h := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+		for i := range 12 {
+			v, err := c.Nodes[i%n].UsePreset(t.Context(), []string{"peak", "ordinary"}[i%2], "slope")
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			for !lo.EveryBy(c.Nodes, func(node *hgnode.Node) bool { return node.Overview().Members[0].PresetVersion >= v.Number }) {
+				time.Sleep(time.Millisecond)
+			}
+			_ = h.RecordValue(max(time.Since(start).Milliseconds(), 1))
+		}
+		t.Logf("%d, %d, %d, %d", n, h.TotalCount(), h.ValueAtQuantile(50), h.Max())
+		c.Close()
+	}
+}
+
 // handoverTime is how long calls are measured around a change of the members.
 const handoverTime = 4 * time.Second
 
