--- a/hgproof/bench_test.go
+++ b/hgproof/bench_test.go
@@ -198,6 +198,16 @@
 	b.nodes[i].stopped <- err
 }
 
+// drain stops node i as planned and waits for its end, which must be in order.
+func (b *bench) drain(i int) {
+	b.signal(i, syscall.SIGTERM)
+	err := <-b.nodes[i].stopped
+	b.nodes[i].stopped <- err
+	if err != nil {
+		b.t.Errorf("planned stop of %s: %v", b.nodes[i].id, err)
+	}
+}
+
 func (b *bench) freeze(i int) { b.signal(i, syscall.SIGSTOP) }
 
 func (b *bench) thaw(i int) { b.signal(i, syscall.SIGCONT) }
--- a/hgproof/storm_test.go
+++ b/hgproof/storm_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	s := os.Getenv("HGPROOF_SEED")
 	if s == "" {
-		return []uint64{1, 2, 44}
+		return []uint64{1, 2, 44, 101}
 	}
 	seed, err := strconv.ParseUint(s, 10, 64)
 	if err != nil {
@@ -28,17 +28,29 @@
 	return []uint64{seed}
 }
 
-// storm brings about faults in turn until ctx ends: kills with restarts, freezes past the takeover, outages and lost replies.
-func (b *bench) storm(ctx context.Context, rnd *rand.Rand) {
+// drainSeed is the first seed whose storms also hold planned stops.
+const drainSeed = 100
+
+// storm brings about faults in turn until ctx ends: kills with restarts, freezes past the takeover, outages, lost replies,
+// and, with drains, planned stops.
+func (b *bench) storm(ctx context.Context, rnd *rand.Rand, drains bool) {
+	kinds := 4
+	if drains {
+		kinds++
+	}
 	pause := func(d time.Duration) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(d):
 		}
 	}
+	counts := make([]int, kinds)
+	defer func() { b.t.Logf("kills, freezes, lost replies, outages, planned stops: %v", counts) }()
 	for ctx.Err() == nil {
 		i := rnd.IntN(len(b.nodes))
-		switch rnd.IntN(4) {
+		kind := rnd.IntN(kinds)
+		counts[kind]++
+		switch kind {
 		case 0:
 			b.kill(i)
 			pause(time.Duration(rnd.IntN(2500)) * time.Millisecond)
@@ -53,6 +65,9 @@
 			b.platform.Store.SetFault(hgstore.Fault{Down: true})
 			pause(time.Duration(200+rnd.IntN(1000)) * time.Millisecond)
 			b.platform.Store.SetFault(hgstore.Fault{})
+		case 4:
+			b.drain(i)
+			b.start(i)
 		}
 		pause(time.Duration(200+rnd.IntN(1200)) * time.Millisecond)
 	}
@@ -102,7 +117,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		b.storm(ctx, rand.New(rand.NewPCG(seed, 0)))
+		b.storm(ctx, rand.New(rand.NewPCG(seed, 0)), seed >= drainSeed)
 	}()
 	r := b.replay(t.Context(), []string{"derwent", "fjordbom"}[seed%2], "", 0.6)
 	<-done
