Bound asks and dispatches after an outage with real processes

Change: TestNoRetryStormAfterOutage: 90 callers through a store outage of 3 s are all answered, with at most 10 % more dispatches than calls (the preset's share) and 5 asks each (one a second and two). A first version took a notRun refusal for a failure; it is the answer to an intent that waited through the outage, and its caller comes back under a new identifier.

--- a/hgproof/fault_test.go
+++ b/hgproof/fault_test.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
+	"hyssopgrade/hgcaller"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstandin"
 	"hyssopgrade/hgstore"
@@ -96,6 +97,46 @@
 	}
 }
 
+// callUntilRun sends a call, under a new identifier when it was not run, and counts how often it was sent.
+func (b *bench) callUntilRun(ctx context.Context, c hgcall.Call) (a hgcaller.Answer, asks int, err error) {
+	request := c.Request
+	for try := 0; ; try++ {
+		c.Request = fmt.Sprintf("%s-%d", request, try)
+		a, err = b.client.Call(ctx, c)
+		asks += a.Tries
+		r := refusalOf(err)
+		if r.Kind != hgcall.KindNotRun || r.RetryAfter == 0 {
+			return a, asks, err
+		}
+		time.Sleep(r.RetryAfter)
+	}
+}
+
+// TestNoRetryStormAfterOutage sends calls while the store is away: when it is back each is answered, dispatches stay within the
+// preset's share of retries, and no caller asks more often than once a second, and twice more.
+func TestNoRetryStormAfterOutage(t *testing.T) {
+	const calls, retryPercent = 90, 10
+	const outage, maxAsks = 3 * time.Second, 3 + 2
+	b := newBench(t, benchOptions{nodes: 3, engines: 3, tools: 1, engine: quickEngine})
+	b.platform.Store.SetFault(hgstore.Fault{Down: true})
+	time.AfterFunc(outage, func() { b.platform.Store.SetFault(hgstore.Fault{}) })
+	var wg sync.WaitGroup
+	for i := range calls {
+		c := model(fmt.Sprintf("outage-%d", i), 1, fmt.Sprintf("question %d", i))
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			a, asks, err := b.callUntilRun(t.Context(), c)
+			if err != nil || a.State != hgcall.Done || asks > maxAsks {
+				t.Errorf("%s: %v %v after %d asks", c.Request, a.State, err, asks)
+			}
+		})
+	}
+	wg.Wait()
+	if n := len(b.record()); n > calls*(100+retryPercent)/100 {
+		t.Errorf("%d dispatches of %d calls", n, calls)
+	}
+}
+
 // TestStoreOutage takes the store away: new calls are refused within 3 s with a time to come back, and when the store is
 // back everything that was answered is there.
 func TestStoreOutage(t *testing.T) {
