--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -76,7 +76,7 @@
 red lostReply TestTakeoverKeepsWhatWasCommitted hgjournal \
   hgjournal/committer.go 's/conflict = !applied/_ = applied/'
 red hung TestHungTool hgproof \
-  hgowner/job.go 's/context\.WithTimeout\(j\.o\.ctx, [^\n]*/context.WithCancel(j.o.ctx)/'
+  hgowner/job.go 's/context\.WithTimeout\(j\.o\.ctx, [^\n]*/context.WithTimeout(j.o.ctx, time.Hour)/'
 red outage TestStoreOutage hgproof \
   hgowner/call.go 's/context\.WithTimeout\(ctx, o\.cfg\.Limits\.CommitWait\)/context.WithTimeout(ctx, time.Minute)/'
 exit "$status"
