--- /dev/null
+++ b/hgbench/cell_slope_test.go
@@ -0,0 +1,187 @@
+package hgbench
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/hgcaller"
+	"hyssopgrade/hgcell"
+	"hyssopgrade/hgendpoint"
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgnode"
+)
+
+// demoEngines is the number of engines of a cell where it does not matter.
+const demoEngines = 3
+
+// newCell returns a ready cell.
+func newCell(t *testing.T, nodes, engines int) *hgcell.Cell {
+	t.Helper()
+	opts := hgcell.Demo(hglog.Discard())
+	opts.Nodes, opts.Engines = nodes, engines
+	c, err := hgcell.NewCell(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.WaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// pathSlope measures model calls to a cell of so many nodes, one after the other, against direct ones.
+func pathSlope(t *testing.T, nodes int) {
+	c := newCell(t, nodes, 1)
+	defer c.Close()
+	client := hgcaller.NewClient(c.Addresses()...)
+	defer client.Close()
+	direct := hgendpoint.NewHTTP("engine-0", c.Endpoints["engine-0"].Address())
+	t.Log("calls, direct ms per call, ms through the cell, of it commits, µs of processor time per call through the cell, stand-ins included")
+	for _, n := range []int{50, 100, 200} {
+		start := time.Now()
+		for i := range n {
+			id := fmt.Sprintf("direct-%d-%d", n, i)
+			_, err := direct.Chat(t.Context(), hgendpoint.ChatRequest{
+				Program: id, Request: id, Model: "clerk-7b", MaxTokens: 8, Fence: hgendpoint.Fence{Epoch: 1 << 40},
+				Messages: []hgcall.Message{{Role: "user", Content: id}},
+			}, func(string) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		plain := time.Since(start)
+		start, used := time.Now(), cpu()
+		var commits time.Duration
+		for i := range n {
+			id := fmt.Sprintf("path-%d-%d", n, i)
+			call := hgcall.Call{
+				Program: id, Seq: 1, Request: id, Kind: hgcall.Model, Target: "clerk-7b", MaxTokens: 8, Deadline: time.Minute,
+				Messages: []hgcall.Message{{Role: "user", Content: id}},
+			}
+			if _, err := client.Call(t.Context(), call); err != nil {
+				t.Fatal(err)
+			}
+			s, err := c.Nodes[0].Status(t.Context(), id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			commits += s.Time.Commit
+		}
+		through, spent := time.Since(start), cpu()-used
+		each := func(d time.Duration) float64 { return d.Seconds() * 1e3 / float64(n) }
+		t.Logf("%d, %.2f, %.2f, %.2f, %.0f", n, each(plain), each(through), each(commits), 1e3*each(spent))
+	}
+}
+
+// idleTime is how long an idle cell is watched.
+const idleTime = 6 * time.Second
+
+// settleTime is the time in which the shards of a new cell find their places.
+const settleTime = 10 * time.Second
+
+// idleSlope measures what an idle cell of so many nodes, in one process, costs each node and the platform.
+func idleSlope(t *testing.T) {
+	t.Log("nodes, platform reads/s per node, commits/s per node, bytes/s read per node, % of a core per node, heap KB per node, stand-ins included")
+	for _, n := range []int{3, 6, 10} {
+		before := int64(heap())
+		c := newCell(t, n, demoEngines)
+		time.Sleep(settleTime)
+		was, start := c.Platform.Store.Usage(), cpu()
+		time.Sleep(idleTime)
+		used, is := cpu()-start, c.Platform.Store.Usage()
+		per := idleTime.Seconds() * float64(n)
+		t.Logf("%d, %.2f, %.2f, %.0f, %.2f, %d", n, float64(is.Reads-was.Reads)/per, float64(is.Commits-was.Commits)/per,
+			float64(is.ReadBytes-was.ReadBytes)/per, 100*used.Seconds()/per, (int64(heap())-before)/int64(n)/1024)
+		c.Close()
+	}
+}
+
+// presetSlope measures the time from the acceptance of a preset by one node until all nodes of a cell apply it.
+func presetSlope(t *testing.T) {
+	t.Log("nodes, changes, ms until in force everywhere p50, most")
+	for _, n := range []int{3, 6, 9} {
+		c := newCell(t, n, demoEngines)
+		h := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+		for i := range 12 {
+			v, err := c.Nodes[i%n].UsePreset(t.Context(), []string{"peak", "ordinary"}[i%2], "slope")
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			for !lo.EveryBy(c.Nodes, func(node *hgnode.Node) bool { return node.Overview().Members[0].PresetVersion >= v.Number }) {
+				time.Sleep(time.Millisecond)
+			}
+			_ = h.RecordValue(max(time.Since(start).Milliseconds(), 1))
+		}
+		t.Logf("%d, %d, %d, %d", n, h.TotalCount(), h.ValueAtQuantile(50), h.Max())
+		c.Close()
+	}
+}
+
+// handoverTime is how long calls are measured around a change of the members.
+const handoverTime = 4 * time.Second
+
+// handoverSlope measures model calls while a node joins a cell, and while one is drained.
+func handoverSlope(t *testing.T) {
+	t.Log("nodes, event, calls, ms per call p50, p99, most, calls over 100 ms")
+	for _, n := range []int{3, 6, 9} {
+		c := newCell(t, n, demoEngines)
+		time.Sleep(settleTime)
+		timeCalls(t, c, n, "none", func() {})
+		timeCalls(t, c, n, "drain", func() {
+			if err := c.Nodes[n-1].Drain(t.Context()); err != nil {
+				t.Error(err)
+			}
+			c.Nodes[n-1].Close()
+		})
+		timeCalls(t, c, n, "join", func() {
+			node, err := c.StartNode(c.Configs[n-1])
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			c.Nodes[n-1] = node
+		})
+		c.Close()
+	}
+}
+
+// timeCalls sends calls of new programs while change happens and prints how long they took.
+func timeCalls(t *testing.T, c *hgcell.Cell, n int, event string, change func()) {
+	t.Helper()
+	client := hgcaller.NewClient(c.Addresses()...)
+	defer client.Close()
+	end := time.Now().Add(handoverTime)
+	var mu sync.Mutex
+	h := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+	var wg sync.WaitGroup
+	for w := range 16 {
+		wg.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				id := fmt.Sprintf("%s-%d-%d", event, w, i)
+				start := time.Now()
+				_, err := client.Call(t.Context(), hgcall.Call{
+					Program: id, Seq: 1, Request: id, Kind: hgcall.Model, Target: "clerk-7b", MaxTokens: 8, Deadline: time.Minute,
+					Messages: []hgcall.Message{{Role: "user", Content: id}},
+				})
+				if err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				_ = h.RecordValue(max(time.Since(start).Milliseconds(), 1))
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(handoverTime / 4)
+	change()
+	wg.Wait()
+	over := lo.SumBy(h.Distribution(), func(b hdrhistogram.Bar) int64 { return lo.Ternary(b.From > 100, b.Count, 0) })
+	t.Logf("%d, %s, %d, %d, %d, %d, %d", n, event, h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max(), over)
+}
