--- a/hgnode/turn.go
+++ b/hgnode/turn.go
@@ -14,7 +14,7 @@
 // turnTimeout bounds the question for a turn; without an answer the copy runs.
 const turnTimeout = 200 * time.Millisecond
 
-// turns are the turns that this node gives, and the requests that it knows to be proven.
+// turns are the turns that this node gives, and the requests that it knows to be proven, under a lock.
 type turns struct {
 	timer hgtimer.Timer
 
--- a/hgquarantine/doc.go
+++ b/hgquarantine/doc.go
@@ -1,2 +1,3 @@
-// Package hgquarantine finds requests that crash the endpoints that run them.
+// Package hgquarantine finds requests that crash the endpoints that run them, and keeps copies of unproven requests
+// from running at once.
 package hgquarantine
--- a/hgquarantine/turns.go
+++ b/hgquarantine/turns.go
@@ -6,11 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Key is a hash of a request's digest, and Holder one that names a copy of the request.
-type (
-	Key    uint64
-	Holder uint64
-)
+// Key is a hash of a request's digest.
+type Key uint64
+
+// Holder is a hash that names one copy of a request.
+type Holder uint64
 
 // KeyOf returns the key of a digest.
 func KeyOf(digest string) Key { return Key(xxhash.Sum64String(digest)) }
