Name each entry of a turn, so that a late end does not end the next one

The end of a turn is told to its keeper in the background. A call that enters again has the same holder, so that the late end of its first turn took the second one away while it ran, and another copy entered. Ruled out: the suspect's sharing (it precedes the end), the keeper's choice (no member changed). Change: the holder's name holds the number of the entry.

--- a/hgowner/job.go
+++ b/hgowner/job.go
@@ -31,7 +31,9 @@
 	alone bool
 	// proven says that an endpoint has begun to answer the dispatch.
 	proven bool
-	times  Times
+	// entries counts the turns asked for.
+	entries int
+	times   Times
 
 	mu      sync.Mutex
 	pieces  []string
--- a/hgowner/place.go
+++ b/hgowner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"hyssopgrade/hgcall"
@@ -38,6 +39,7 @@
 
 // enter takes the request's turn, and a suspect's row; it fails if the verdict has changed meanwhile.
 func (j *job) enter(ctx context.Context, g hgsched.Grant, verdict hgquarantine.Verdict) (leave func(), ok bool) {
+	j.entries++
 	if !j.o.cfg.Turns.Enter(j.plan.Content, j.holder()) {
 		return nil, false
 	}
@@ -76,8 +78,9 @@
 	j.o.cfg.Turns.Leave(j.plan.Content, j.holder(), proven)
 }
 
+// holder names the copy in its present entry, so that the end of an earlier one, told late, does not end this one's turn.
 func (j *job) holder() hgquarantine.Holder {
-	return hgquarantine.HolderOf(j.o.cfg.Run, j.c.Program, j.c.Request)
+	return hgquarantine.HolderOf(j.o.cfg.Run, j.c.Program, fmt.Sprintf("%s %d", j.c.Request, j.entries))
 }
 
 func (j *job) acquire(ctx context.Context, exclude string) (g hgsched.Grant, err error) {
