Split the time of late programs from the logs

Change: request lines carry the line of turns, the time left to the program's aim and what opening, first token and keeping took; 'hyssopgrade loss' sums them by route and end.

--- a/cmd/hyssopgrade/explain.go
+++ b/cmd/hyssopgrade/explain.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hyssopgrade/internal/operate/hgexplain"
+	"hyssopgrade/internal/operate/hgloss"
 )
 
 func explainCommand() *cli.Command {
@@ -24,7 +25,40 @@
 	}
 }
 
+func lossCommand() *cli.Command {
+	return &cli.Command{
+		Name: "loss", Usage: "split the time of programs by route and end, from the logs of all VMs",
+		ArgsUsage: "[LOG…] (standard input without one)",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return withLogs(c.Args().Slice(), func(logs io.Reader) error {
+				lines, err := hgexplain.Read(logs)
+				if err != nil {
+					return err
+				}
+				return hgloss.Write(os.Stdout, hgloss.Groups(hgloss.Programs(lines)))
+			})
+		},
+	}
+}
+
 func explain(paths []string, id string) (err error) {
+	return withLogs(paths, func(logs io.Reader) error {
+		lines, err := hgexplain.Find(logs, id)
+		if err != nil {
+			return err
+		}
+		if len(lines) == 0 {
+			return trace.NotFound("no line about %q", id)
+		}
+		for _, l := range lines {
+			fmt.Println(l)
+		}
+		return nil
+	})
+}
+
+// withLogs reads all files as one, or standard input if there is none.
+func withLogs(paths []string, do func(logs io.Reader) error) (err error) {
 	var logs []io.Reader
 	for _, path := range paths {
 		f, err := os.Open(path)
@@ -34,15 +68,5 @@
 		defer f.Close()
 		logs = append(logs, f)
 	}
-	lines, err := hgexplain.Find(lo.Ternary[io.Reader](len(logs) == 0, os.Stdin, io.MultiReader(logs...)), id)
-	if err != nil {
-		return err
-	}
-	if len(lines) == 0 {
-		return trace.NotFound("no line about %q", id)
-	}
-	for _, l := range lines {
-		fmt.Println(l)
-	}
-	return nil
+	return do(lo.Ternary[io.Reader](len(logs) == 0, os.Stdin, io.MultiReader(logs...)))
 }
--- a/internal/operate/hgexplain/explain.go
+++ b/internal/operate/hgexplain/explain.go
@@ -25,20 +25,28 @@
 	Fields map[string]any
 }
 
-// Find returns the lines of logs about an attempt or a program, and those about its program if it is an attempt, in
-// the order of time.
-func Find(logs io.Reader, id string) (lines []Line, err error) {
+// Read returns the lines of logs that hold an object.
+func Read(logs io.Reader) (lines []Line, err error) {
 	defer func() { err = trace.Wrap(err, "logs") }()
-	var all []Line
-	ids := map[string]bool{id: true}
 	scan := bufio.NewScanner(logs)
 	scan.Buffer(nil, maxLineBytes)
 	for scan.Scan() {
-		l, ok := parse(scan.Text())
-		if !ok {
-			continue
+		if l, ok := parse(scan.Text()); ok {
+			lines = append(lines, l)
 		}
-		all = append(all, l)
+	}
+	return lines, scan.Err()
+}
+
+// Find returns the lines of logs about an attempt or a program, and those about its program if it is an attempt, in
+// the order of time.
+func Find(logs io.Reader, id string) (lines []Line, err error) {
+	all, err := Read(logs)
+	if err != nil {
+		return nil, err
+	}
+	ids := map[string]bool{id: true}
+	for _, l := range all {
 		if program, _ := l.Fields["program"].(string); l.Fields["attempt"] == id && program != "" {
 			ids[program] = true
 		}
@@ -49,7 +57,7 @@
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return lines, scan.Err()
+	return lines, nil
 }
 
 func (l Line) concerns(ids map[string]bool) bool {
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -20,6 +20,8 @@
 	LastEvent string
 	// Program is the program and Session the line of its turns.
 	Program, Session string
+	// ProgramLeft is the time until the program should be finished; 0 if the caller does not say.
+	ProgramLeft time.Duration
 	// Budget is the number of tokens that all turns of the program may generate; HasBudget says whether there is one.
 	Budget    int
 	HasBudget bool
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -136,6 +136,9 @@
 	status int
 	// why is what decided for the replica.
 	why hgreplica.Why
+	// openTook, headTook and keepTook are what the opening of the turn, the head of the last answer and the writing of
+	// the turn took.
+	openTook, headTook, keepTook time.Duration
 }
 
 func (x *exchange) serve() {
@@ -267,6 +270,10 @@
 		args = append(args, "replica", x.replica, "of", w.Of, "miss", w.Miss, "own", w.Own, "all", w.All,
 			"loadAgeMs", w.ReportAge.Milliseconds(), "costMs", w.Cost.Milliseconds())
 	}
+	if x.attempt.Program != "" {
+		args = append(args, "session", x.attempt.Session, "aimLeftMs", x.attempt.ProgramLeft.Milliseconds(), "prompt", x.attempt.TokensIn,
+			"openMs", x.openTook.Milliseconds(), "headMs", x.headTook.Milliseconds(), "keepMs", x.keepTook.Milliseconds())
+	}
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
 	}
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -113,9 +113,9 @@
 		return errors.Join(errNotSent, err)
 	}
 	t.answer = x.entry.dialect.DecodeAnswer(t.resp.StatusCode, t.resp.Header)
-	took := x.entry.timer.Now() - t.began
-	x.entry.figures.Observe(string(x.route.Kind)+"Head", took)
-	t.lease.Answered(t.answer, took)
+	x.headTook = x.entry.timer.Now() - t.began
+	x.entry.figures.Observe(string(x.route.Kind)+"Head", x.headTook)
+	t.lease.Answered(t.answer, x.headTook)
 	return x.check(t)
 }
 
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -51,7 +51,8 @@
 	}
 	began := x.entry.timer.Now()
 	reply, owner := x.entry.programs.Open(x.ctx, q)
-	x.entry.figures.Observe("turnOpen", x.entry.timer.Now()-began)
+	x.openTook = x.entry.timer.Now() - began
+	x.entry.figures.Observe("turnOpen", x.openTook)
 	switch reply.Verdict {
 	case hgledger.Granted:
 		x.turn = &turn{open: reply, owner: owner, kept: x.route.Retain}
@@ -89,7 +90,8 @@
 	defer cancel()
 	began := x.entry.timer.Now()
 	err := x.entry.programs.Close(ctx, x.turn.owner, q)
-	x.entry.figures.Observe("turnKeep", x.entry.timer.Now()-began)
+	x.keepTook = x.entry.timer.Now() - began
+	x.entry.figures.Observe("turnKeep", x.keepTook)
 	if err != nil {
 		x.abort("turn could not be kept: " + err.Error())
 	}
