--- a/internal/serve/hgreplica/score.go
+++ b/internal/serve/hgreplica/score.go
@@ -5,6 +5,9 @@
 const (
 	// prefillPerToken is the time in which an engine reads one token of a prompt; engines read about 59 in a millisecond.
 	prefillPerToken = 17 * time.Microsecond
+	// movePerToken is what a token counts that one replica fetches from another, beside the time that takes: moved memory
+	// is charged, 0.4 of a program's worth a GB, while a busy engine earns about ten of that a second.
+	movePerToken = 7 * time.Microsecond
 	// crowdCost is what each other request of a batch costs a new one: a longer step for each of its tokens.
 	crowdCost = 500 * time.Microsecond
 	// failureCost is what a recent failure counts; it halves each failureHalfLife.
@@ -26,6 +29,9 @@
 	inFlight int
 	// miss is the number of prompt tokens that the replica has to read anew.
 	miss int
+	// fetch is the number of tokens that it fetches from another replica, and fetchTook what that costs.
+	fetch     int
+	fetchTook time.Duration
 	// delay is the average time to the first byte, and usual the least of the service's replicas.
 	delay, usual time.Duration
 	// hold is how long a request of the service takes a slot after its first byte.
@@ -38,8 +44,7 @@
 
 // cost returns the expected time that a request loses on a replica.
 func (v view) cost() time.Duration {
-	// Reading a prompt stops all other requests of the batch as well.
-	c := time.Duration(v.miss) * prefillPerToken * time.Duration(1+min(v.inFlight, v.slots))
+	c := v.readTime(v.miss) + v.fetchTook
 	c += time.Duration(v.inFlight) * crowdCost
 	if over := v.inFlight + 1 - v.slots; over > 0 {
 		c += (v.usual + v.hold) * time.Duration(over) / time.Duration(max(v.slots, 1))
@@ -48,3 +53,8 @@
 	c += time.Duration(v.failures * float64(failureCost))
 	return c + v.far + v.coldLeft/100
 }
+
+// readTime returns what it costs to read some tokens, which stops all other requests of the batch as well.
+func (v view) readTime(tokens int) time.Duration {
+	return time.Duration(tokens) * prefillPerToken * time.Duration(1+min(v.inFlight, v.slots))
+}
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -130,6 +130,15 @@
 	Kept   map[string]int
 	// Far is what it costs to use another failure domain.
 	Far time.Duration
+	// Fetch says what it takes to fetch kept parts of the prompt from another replica.
+	Fetch Fetch
+	// Window bounds the requests on a replica, as a multiple of its slots; 0 is no bound.
+	Window float64
+}
+
+// Fetch is what it takes to fetch kept tokens from another replica; without a PerToken none can be fetched.
+type Fetch struct {
+	Setup, PerToken time.Duration
 }
 
 // Lease is a place of a request on a replica; Release ends it.
@@ -137,6 +146,8 @@
 	ID      string
 	Address string
 	Client  *http.Client
+	// FetchFrom is the address of the replica from which kept parts of the prompt are to be fetched; empty if from none.
+	FetchFrom string
 	// Why says what decided for the replica.
 	Why     Why
 	set     *Set
@@ -146,13 +157,13 @@
 	answered time.Duration
 }
 
-// Why is what decided for a replica: the tokens to read, the requests in flight of this node and of all, the age of
-// the replica's report of its load, the expected loss, and the number of replicas it was chosen from.
+// Why is what decided for a replica: the tokens to read and to fetch, the requests in flight of this node and of all, the
+// age of the replica's report of its load, the expected loss, and the number of replicas it was chosen from.
 type Why struct {
-	Miss, Own, All int
-	ReportAge      time.Duration
-	Cost           time.Duration
-	Of             int
+	Miss, Fetch, Own, All int
+	ReportAge             time.Duration
+	Cost                  time.Duration
+	Of                    int
 }
 
 // Pick chooses the replica on which the request loses the least time; ok is false if none is left.
@@ -161,24 +172,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	usual := s.usual(w.Service)
+	sources := s.sources(w, now)
 	var best *replica
 	var why Why
+	var from *replica
 	of := 0
 	least := time.Duration(math.MaxInt64)
 	for id, r := range s.replicas {
-		if r.Service != w.Service || r.Leaving || r.misdirected || w.Exclude[id] || r.lapsed > 0 && now >= r.lapsed {
+		if !r.isUsable(w, now) {
 			continue
 		}
 		v := r.view(now, usual)
+		if w.Window > 0 && float64(v.inFlight) >= w.Window*float64(v.slots) {
+			continue
+		}
 		v.hold = max(time.Duration(s.holds[w.Service]), minHold)
 		if r.Domain != s.domain {
 			v.far = w.Far
 		}
-		v.miss = max(w.Prompt-w.Kept[id], 0)
+		source := sources.apply(&v, w, id)
 		// A small random part spreads choices that nodes make at the same time on the same reports.
 		if c := v.cost() + time.Duration(rand.Int64N(int64(2*time.Millisecond))); c < least {
-			best, least = r, c
-			why = Why{Miss: v.miss, Own: r.inFlight, All: v.inFlight, ReportAge: now - r.othersAt, Cost: c}
+			best, from, least = r, source, c
+			why = Why{Miss: v.miss, Fetch: v.fetch, Own: r.inFlight, All: v.inFlight, ReportAge: now - r.othersAt, Cost: c}
 		}
 		of++
 	}
@@ -187,7 +203,55 @@
 	}
 	best.inFlight++
 	why.Of = of
-	return &Lease{ID: best.ID, Address: best.Address, Client: best.client, Why: why, set: s, replica: best}, true
+	l = &Lease{ID: best.ID, Address: best.Address, Client: best.client, Why: why, set: s, replica: best}
+	if from != nil {
+		l.FetchFrom = from.Address
+	}
+	return l, true
+}
+
+// isUsable says whether a replica may get a request.
+func (r *replica) isUsable(w Want, now time.Duration) bool {
+	return r.Service == w.Service && !r.Leaving && !r.misdirected && !w.Exclude[r.ID] && (r.lapsed == 0 || now < r.lapsed)
+}
+
+// sources are the two replicas that keep the most of a prompt, so that each replica has one that is not itself.
+type sources [2]*replica
+
+func (s *Set) sources(w Want, now time.Duration) (best sources) {
+	if w.Fetch.PerToken <= 0 {
+		return best
+	}
+	for id, n := range w.Kept {
+		r, ok := s.replicas[id]
+		switch {
+		case !ok || !r.isUsable(w, now) || n <= 0:
+		case best[0] == nil || n > w.Kept[best[0].ID]:
+			best[0], best[1] = r, best[0]
+		case best[1] == nil || n > w.Kept[best[1].ID]:
+			best[1] = r
+		}
+	}
+	return best
+}
+
+// apply notes in a replica's view what it reads and what it fetches, and returns from where; nil if it fetches nothing.
+func (s sources) apply(v *view, w Want, id string) (from *replica) {
+	v.miss = max(w.Prompt-w.Kept[id], 0)
+	from = s[0]
+	if from != nil && from.ID == id {
+		from = s[1]
+	}
+	if from == nil {
+		return nil
+	}
+	fetch := min(w.Kept[from.ID]-w.Kept[id], v.miss)
+	if took := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+movePerToken); fetch <= 0 || took >= v.readTime(fetch) {
+		return nil
+	}
+	v.fetch, v.fetchTook = fetch, w.Fetch.Setup+time.Duration(fetch)*(w.Fetch.PerToken+movePerToken)
+	v.miss -= fetch
+	return from
 }
 
 func (s *Set) usual(service string) time.Duration {
