Let one VM of a failure domain place requests on engines

Cause: each of 62 VMs knows of the others' requests half a second late, so that engines queue while others idle. Change: hgplacer grants places up to the slots of each replica and queues the rest: late programs last, programs under way before new ones, urgent routes first; a new program comes back when too many wait. The VM with the most processor of a domain places, others ask it and choose themselves when it does not answer.

--- a/hgconfig/entry.go
+++ b/hgconfig/entry.go
@@ -25,6 +25,9 @@
 	Domain string `toml:"domain"`
 	// MemoryMB is the memory of a process, in MB.
 	MemoryMB float64 `toml:"memoryMb"`
+	// CPUShare is the share of a core that the process gets, and Cores how many such cores there are.
+	CPUShare float64 `toml:"cpuShare"`
+	Cores    float64 `toml:"cores"`
 	// FirstStart says that the whole site starts for the first time, so that nothing was served before.
 	FirstStart bool `toml:"firstStart"`
 }
@@ -58,6 +61,7 @@
 // DefaultEntry returns the settings before a file is read.
 func DefaultEntry() Entry {
 	return Entry{
+		VM:     EntryVM{CPUShare: 1, Cores: 1},
 		Store:  EntryStore{WritesPerSecond: 800, ReadsPerSecond: 2000},
 		Bounds: EntryBounds{GraceSeconds: 8, AddressTTLSeconds: 5},
 		Log:    Log{Format: "json", Level: "info"},
@@ -90,6 +94,8 @@
 func (e Entry) check(data string) (err error) {
 	for key, v := range map[string]struct{ value, low, high float64 }{
 		"vm.memoryMb":              {e.VM.MemoryMB, 32, 1 << 20},
+		"vm.cpuShare":              {e.VM.CPUShare, 0.001, 1},
+		"vm.cores":                 {e.VM.Cores, 0.001, 1024},
 		"store.writesPerSecond":    {e.Store.WritesPerSecond, 1, 1e6},
 		"store.readsPerSecond":     {e.Store.ReadsPerSecond, 1, 1e6},
 		"bounds.graceSeconds":      {e.Bounds.GraceSeconds, 0.5, 3600},
--- a/hgconfig/entry_test.go
+++ b/hgconfig/entry_test.go
@@ -17,7 +17,7 @@
 		t.Fatal(err)
 	}
 	values := map[string]string{
-		"node|json": `"vm-1"`, "zone|json": `"north"`, "limits.memory_mb": "154", "bootstrap|json": "true",
+		"node|json": `"vm-1"`, "zone|json": `"north"`, "limits.memory_mb": "154", "limits.cpu_share": "0.4", "limits.cores": "1", "bootstrap|json": "true",
 		"listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`, "listen.directory|json": `"10.0.0.1:82"`,
 		"ip": "10.0.0.1", "port_range.0": "7380", "port_range.1": "7381", "platform.address|json": `"10.0.0.9:90"`,
 		"platform.writes_per_s": "800", "platform.reads_per_s": "2000.0", "bounds.grace_s": "8", "bounds.ttl_max_s": "4.5",
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -17,6 +17,7 @@
 	"hyssopgrade/internal/operate/hgfigure"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgentry"
+	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgfeed"
@@ -50,6 +51,7 @@
 	members *hgpeer.Members
 	client  *hgpeer.Client
 	ledger  *hgledger.Ledger
+	places  *hgpeer.Places
 	set     *hgreplica.Set
 	entry   *hgentry.Entry
 	watches map[string]*hgfeed.Watch
@@ -75,6 +77,7 @@
 	n.figures = hgfigure.NewFigures(log)
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
+		Power: cfg.VM.CPUShare * cfg.VM.Cores,
 	})
 	n.client = hgpeer.NewClient()
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
@@ -82,7 +85,8 @@
 	n.set = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
 	n.suspects = hgsuspect.NewList(n.timer)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
-	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.set, n.timer, log, n.figures, suspects{n.suspects, n})
+	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.set, n.timer), n.set, n.members, n.client, log)
+	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, suspects{n.suspects, n})
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired),
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas),
--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -10,6 +10,7 @@
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
 )
@@ -47,6 +48,12 @@
 	return h.ledger.Part(ctx, q)
 }
 
+// Place gives a place to a peer's request.
+func (h *peerHandler) Place(a hgplacer.Ask) hgpeer.PlaceReply { return h.places.Serve(h.ctx, a) }
+
+// Leave ends a peer's request for a place.
+func (h *peerHandler) Leave(q hgpeer.LeaveRequest) { h.places.Left(q) }
+
 // Seen returns the programs that this node knows of.
 func (h *peerHandler) Seen() hgpeer.SeenReply {
 	programs, complete := h.ledger.AllSeen()
@@ -108,11 +115,12 @@
 	b := n.beat()
 	near := b
 	near.Programs = n.ledger.Seen()
+	placers := n.members.Placers()
 	for _, p := range n.members.All() {
 		switch {
 		case p.Domain == n.cfg.VM.Domain:
 			go n.beatOne(p, near)
-		case far:
+		case far, placers[p.Name] && placers[n.cfg.VM.Name]:
 			go n.beatOne(p, b)
 		}
 	}
--- a/internal/operate/hgloss/loss.go
+++ b/internal/operate/hgloss/loss.go
@@ -35,11 +35,13 @@
 type Times struct {
 	// Away is the time between a refusal and the next request of the same line of turns.
 	Away time.Duration
+	// Place is the time for which requests waited for a place on a replica.
+	Place time.Duration
 	// Open and Keep are the time for the state of the program before and after its turns.
 	Open, Keep time.Duration
 	// Read is what the parts of prompts take that no replica was believed to keep, read by an idle engine.
 	Read time.Duration
-	// Queue is the rest of the time to the first token.
+	// Queue is the rest of the time from the send to the first token.
 	Queue time.Duration
 	// Decode is the time from the first token to the last.
 	Decode time.Duration
@@ -50,7 +52,7 @@
 func (t Times) plus(u Times) Times {
 	return Times{
 		Away: t.Away + u.Away, Open: t.Open + u.Open, Keep: t.Keep + u.Keep, Read: t.Read + u.Read,
-		Queue: t.Queue + u.Queue, Decode: t.Decode + u.Decode, Tools: t.Tools + u.Tools,
+		Queue: t.Queue + u.Queue, Place: t.Place + u.Place, Decode: t.Decode + u.Decode, Tools: t.Tools + u.Tools,
 	}
 }
 
@@ -137,13 +139,13 @@
 func Write(w io.Writer, groups []Group) (err error) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer func() { err = t.Flush() }()
-	fmt.Fprintln(t, "route\tend\tprograms\tturns\trefusals\taway\topen\tqueue\tread\tdecode\tkeep\ttools\t")
+	fmt.Fprintln(t, "route\tend\tprograms\tturns\trefusals\taway\topen\tplace\tqueue\tread\tdecode\tkeep\ttools\t")
 	for _, g := range groups {
 		n := max(g.Turns, 1)
 		ms := func(d time.Duration) float64 { return d.Seconds() * 1000 / float64(n) }
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", g.Route, g.End, g.Programs,
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", g.Route, g.End, g.Programs,
 			float64(g.Turns)/float64(g.Programs), float64(g.Refused)/float64(g.Programs), ms(g.Times.Away), ms(g.Times.Open),
-			ms(g.Times.Queue), ms(g.Times.Read), ms(g.Times.Decode), ms(g.Times.Keep), ms(g.Times.Tools))
+			ms(g.Times.Place), ms(g.Times.Queue), ms(g.Times.Read), ms(g.Times.Decode), ms(g.Times.Keep), ms(g.Times.Tools))
 	}
 	return nil
 }
--- a/internal/operate/hgloss/request.go
+++ b/internal/operate/hgloss/request.go
@@ -13,7 +13,7 @@
 	status                  int
 	end                     time.Time
 	took, aimLeft           time.Duration
-	open, head, keep        time.Duration
+	open, place, head, keep time.Duration
 	// miss is the number of prompt tokens that the replica had to read.
 	miss   int
 	isTurn bool
@@ -29,7 +29,7 @@
 	r.status = int(number(l, "status"))
 	r.end = l.Time
 	r.took, r.aimLeft = millis(l, "ms"), millis(l, "aimLeftMs")
-	r.open, r.head, r.keep = millis(l, "openMs"), millis(l, "headMs"), millis(l, "keepMs")
+	r.open, r.place, r.head, r.keep = millis(l, "openMs"), millis(l, "placeMs"), millis(l, "headMs"), millis(l, "keepMs")
 	r.miss = int(number(l, "miss"))
 	r.isTurn = number(l, "prompt") > 0
 	return r, true
@@ -52,7 +52,9 @@
 		return Times{Tools: r.took}
 	}
 	read := min(time.Duration(r.miss)*readPerToken, r.head)
-	return Times{Open: r.open, Keep: r.keep, Read: read, Queue: r.head - read, Decode: max(r.took-r.open-r.head-r.keep, 0)}
+	return Times{
+		Open: r.open, Place: r.place, Keep: r.keep, Read: read, Queue: r.head - read, Decode: max(r.took-r.open-r.place-r.head-r.keep, 0),
+	}
 }
 
 // ending says how a program ended whose last request this is.
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -259,3 +259,38 @@
 	p, ok := m.members[name]
 	return ok && p.answered && m.timer.Now()-p.heard < d
 }
+
+// Placer returns the node that places the requests of this failure domain: the one with the most processor among those
+// that answer. Nodes may differ for a moment; then replicas get more than they run at once.
+func (m *Members) Placer() (placer Info, self bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	placer = m.placer(m.self.Domain)
+	return placer, placer.Name == m.self.Name || placer.Name == ""
+}
+
+// placer returns the placer of a failure domain, or none; m.mu is held.
+func (m *Members) placer(domain string) (best Info) {
+	for _, i := range append(m.live(), m.self) {
+		if i.Domain != domain || i.Stopping || !i.Ready {
+			continue
+		}
+		if best.Name == "" || i.Power > best.Power || i.Power == best.Power && i.Name < best.Name {
+			best = i
+		}
+	}
+	return best
+}
+
+// Placers returns the names of the placers of all failure domains.
+func (m *Members) Placers() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := map[string]bool{}
+	for _, i := range append(m.live(), m.self) {
+		if p := m.placer(i.Domain); p.Name != "" {
+			names[p.Name] = true
+		}
+	}
+	return names
+}
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -1,6 +1,8 @@
 package hgpeer
 
 import (
+	"hyssopgrade/internal/serve/hgplacer"
+	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
 )
@@ -12,6 +14,8 @@
 	// Peer is the address for other nodes, and Public the one for callers.
 	Peer, Public string
 	Domain       string
+	// Power is the processor of the node, in cores.
+	Power float64
 	// Ready says that the node serves callers; Stopping that it will end soon.
 	Ready, Stopping bool
 	// StoreOK says that the node reaches the store.
@@ -62,6 +66,22 @@
 	Broke(q BrokeRequest)
 	// Seen returns the programs that this node knows of.
 	Seen() SeenReply
+	// Place gives a place to a peer's request, and Leave ends it.
+	Place(a hgplacer.Ask) PlaceReply
+	Leave(q LeaveRequest)
+}
+
+// PlaceReply is a place on a replica, or says why there is none.
+type PlaceReply struct {
+	Verdict            hgplacer.Verdict
+	Replica, FetchFrom string
+	Why                hgreplica.Why
+}
+
+// LeaveRequest ends a request for a place, or the use of one.
+type LeaveRequest struct {
+	ID      string
+	Outcome hgreplica.Outcome
 }
 
 // BrokeRequest tells that a replica broke off under a request, by its digest.
--- /dev/null
+++ b/internal/peer/hgpeer/places.go
@@ -0,0 +1,89 @@
+package hgpeer
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"hyssopgrade/internal/serve/hgplacer"
+	"hyssopgrade/internal/serve/hgreplica"
+)
+
+// Places asks the node that places the requests of this failure domain, and chooses itself if that one does not answer.
+type Places struct {
+	placer  *hgplacer.Placer
+	set     *hgreplica.Set
+	members *Members
+	client  *Client
+	log     *slog.Logger
+}
+
+// NewPlaces returns the places of a site as one of its nodes gives and asks for them.
+func NewPlaces(p *hgplacer.Placer, s *hgreplica.Set, m *Members, c *Client, log *slog.Logger) *Places {
+	return &Places{placer: p, set: s, members: m, client: c, log: log}
+}
+
+// spareWait is what a message may take beyond the wait in the placer's queue.
+const spareWait = 300 * time.Millisecond
+
+// Take waits for a place; the lease is nil if there is none.
+func (p *Places) Take(ctx context.Context, a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict) {
+	placer, self := p.members.Placer()
+	if self {
+		return p.placer.Place(ctx, a)
+	}
+	reply, err := ask(ctx, p.members, placer, a.Wait+spareWait, func(ctx context.Context) (PlaceReply, error) {
+		return p.client.Place(ctx, placer.Peer, a)
+	})
+	left := func(o hgreplica.Outcome) { go p.leave(placer, a.ID, o) }
+	switch {
+	case err != nil && ctx.Err() != nil:
+		left(hgreplica.Outcome{})
+		return nil, hgplacer.Expired
+	case err != nil:
+		p.log.Warn("placer did not answer", "peer", placer.Name, "ask", a.ID, "error", err)
+		left(hgreplica.Outcome{})
+		return p.pick(a)
+	case reply.Verdict != hgplacer.Granted:
+		return nil, reply.Verdict
+	}
+	l, ok := p.set.Adopt(reply.Replica, reply.FetchFrom, reply.Why, left)
+	if !ok {
+		// The placer does not know yet that the replica leaves.
+		left(hgreplica.Outcome{})
+		return p.pick(a)
+	}
+	return l, hgplacer.Granted
+}
+
+// pick chooses a replica by what this node knows.
+func (p *Places) pick(a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict) {
+	if l, ok := p.set.Pick(a.Want); ok {
+		return l, hgplacer.Granted
+	}
+	return nil, hgplacer.NoReplica
+}
+
+// leaveTime bounds the message that a place is free; one that is lost is overdue later.
+const leaveTime = time.Second
+
+func (p *Places) leave(placer Info, id string, o hgreplica.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	if err := p.client.Leave(ctx, placer.Peer, LeaveRequest{ID: id, Outcome: o}); err != nil {
+		p.log.Debug("place not given back", "peer", placer.Name, "ask", id, "error", err)
+	}
+}
+
+// Serve gives a place to a peer's request.
+func (p *Places) Serve(ctx context.Context, a hgplacer.Ask) PlaceReply {
+	l, v := p.placer.Place(ctx, a)
+	if v != hgplacer.Granted {
+		return PlaceReply{Verdict: v}
+	}
+	p.placer.Hold(a, l)
+	return PlaceReply{Verdict: v, Replica: l.ID, FetchFrom: l.FetchFrom, Why: l.Why}
+}
+
+// Left ends a peer's request.
+func (p *Places) Left(q LeaveRequest) { p.placer.Leave(q.ID, q.Outcome) }
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -38,7 +38,7 @@
 	if self {
 		return p.ledger.Open(ctx, q), owner
 	}
-	reply, err := ask(ctx, p, owner, openTime, func(ctx context.Context) (hgledger.OpenReply, error) {
+	reply, err := ask(ctx, p.members, owner, openTime, func(ctx context.Context) (hgledger.OpenReply, error) {
 		return p.client.Open(ctx, owner.Peer, q)
 	})
 	if err == nil {
@@ -64,7 +64,7 @@
 	if owner.Name == p.members.Self().Name {
 		return p.ledger.Close(ctx, q)
 	}
-	_, err = ask(ctx, p, owner, closeTime, func(ctx context.Context) (Empty, error) {
+	_, err = ask(ctx, p.members, owner, closeTime, func(ctx context.Context) (Empty, error) {
 		return Empty{}, p.client.Close(ctx, owner.Peer, q)
 	})
 	if err == nil {
@@ -75,7 +75,7 @@
 }
 
 // ask runs a call to a peer and gives up after answerTime without a sign of it, or after the limit.
-func ask[R any](ctx context.Context, p *Programs, peer Info, limit time.Duration, run func(ctx context.Context) (R, error)) (reply R, err error) {
+func ask[R any](ctx context.Context, m *Members, peer Info, limit time.Duration, run func(ctx context.Context) (R, error)) (reply R, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	type result struct {
@@ -91,12 +91,12 @@
 		select {
 		case r := <-done:
 			if r.err != nil {
-				p.members.Suspect(peer.Name)
+				m.Suspect(peer.Name)
 			}
 			return r.reply, r.err
 		case <-time.After(answerTime):
-			period, _ := p.members.Pace()
-			if !p.members.HeardWithin(peer.Name, signBeats*period) {
+			period, _ := m.Pace()
+			if !m.HeardWithin(peer.Name, signBeats*period) {
 				cancel()
 			}
 		}
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
 )
@@ -68,6 +69,18 @@
 	return nil
 }
 
+// Place gives a place.
+func (s service) Place(a hgplacer.Ask, reply *PlaceReply) error {
+	*reply = s.h.Place(a)
+	return nil
+}
+
+// Leave ends a request for a place.
+func (s service) Leave(q LeaveRequest, _ *Empty) error {
+	s.h.Leave(q)
+	return nil
+}
+
 // Serve answers peers on a listener until it is closed, and then closes their connections.
 func Serve(l net.Listener, h Handler) (err error) {
 	srv := rpc.NewServer()
@@ -213,3 +226,14 @@
 	_, err := call[BrokeRequest, Empty](ctx, c, address, "Broke", q)
 	return err
 }
+
+// Place asks a peer for a place.
+func (c *Client) Place(ctx context.Context, address string, a hgplacer.Ask) (PlaceReply, error) {
+	return call[hgplacer.Ask, PlaceReply](ctx, c, address, "Place", a)
+}
+
+// Leave tells a peer that a place is free.
+func (c *Client) Leave(ctx context.Context, address string, q LeaveRequest) error {
+	_, err := call[LeaveRequest, Empty](ctx, c, address, "Leave", q)
+	return err
+}
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -139,7 +139,7 @@
 		addresses[k] = l.Addr().String()
 	}
 	cfg = hgconfig.DefaultEntry()
-	cfg.VM = hgconfig.EntryVM{Name: fmt.Sprintf("vm-%d", i), Domain: Domains[i%len(Domains)], MemoryMB: 256, FirstStart: true}
+	cfg.VM = hgconfig.EntryVM{Name: fmt.Sprintf("vm-%d", i), Domain: Domains[i%len(Domains)], MemoryMB: 256, CPUShare: 1, Cores: 1, FirstStart: true}
 	cfg.Listen = hgconfig.EntryListen{
 		Public: addresses[0], Ready: addresses[1], Directory: addresses[2], Peer: addresses[3], Metrics: addresses[4],
 	}
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -20,8 +20,9 @@
 	LastEvent string
 	// Program is the program and Session the line of its turns.
 	Program, Session string
-	// ProgramLeft is the time until the program should be finished; 0 if the caller does not say.
-	ProgramLeft time.Duration
+	// ProgramLeft is the time until the program should be finished; HasProgramLeft says whether the caller tells it.
+	ProgramLeft    time.Duration
+	HasProgramLeft bool
 	// Budget is the number of tokens that all turns of the program may generate; HasBudget says whether there is one.
 	Budget    int
 	HasBudget bool
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgattempt"
 	"hyssopgrade/internal/serve/hgdesired"
+	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgledger"
@@ -38,6 +39,12 @@
 	Close(ctx context.Context, owner hgpeer.Info, q hgledger.CloseRequest) (err error)
 }
 
+// Places finds places on replicas.
+type Places interface {
+	// Take waits for a place; the lease is nil if there is none.
+	Take(ctx context.Context, a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict)
+}
+
 // Suspects knows the requests that break off the replicas that run them, over all entry VMs.
 type Suspects interface {
 	// Broke tells that a replica broke off while it ran a request.
@@ -58,6 +65,7 @@
 type Entry struct {
 	dialect  Dialect
 	programs Programs
+	places   Places
 	replicas *hgreplica.Set
 	timer    hgtimer.Timer
 	log      *slog.Logger
@@ -69,8 +77,8 @@
 }
 
 // NewEntry returns a handler that refuses everything until it has a desired state.
-func NewEntry(d Dialect, p Programs, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Figures, s Suspects) *Entry {
-	return &Entry{dialect: d, programs: p, replicas: r, timer: timer, log: log, figures: f, suspects: s}
+func NewEntry(d Dialect, p Programs, places Places, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Figures, s Suspects) *Entry {
+	return &Entry{dialect: d, programs: p, places: places, replicas: r, timer: timer, log: log, figures: f, suspects: s}
 }
 
 // SetDesired puts a desired state in force unless a newer one is.
@@ -139,6 +147,8 @@
 	// openTook, headTook and keepTook are what the opening of the turn, the head of the last answer and the writing of
 	// the turn took.
 	openTook, headTook, keepTook time.Duration
+	// placeTook is the time in which places were waited for.
+	placeTook time.Duration
 }
 
 func (x *exchange) serve() {
@@ -272,7 +282,7 @@
 	}
 	if x.attempt.Program != "" {
 		args = append(args, "session", x.attempt.Session, "aimLeftMs", x.attempt.ProgramLeft.Milliseconds(), "prompt", x.attempt.TokensIn,
-			"openMs", x.openTook.Milliseconds(), "headMs", x.headTook.Milliseconds(), "keepMs", x.keepTook.Milliseconds())
+			"openMs", x.openTook.Milliseconds(), "placeMs", x.placeTook.Milliseconds(), "headMs", x.headTook.Milliseconds(), "keepMs", x.keepTook.Milliseconds())
 	}
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -49,6 +49,10 @@
 	errBroken = errors.New("answer was lost")
 	// errNoReplica means that no replica is left.
 	errNoReplica = errors.New("no replica is left")
+	// errFull means that a new program has to wait for those under way.
+	errFull = errors.New("replicas are busy with programs under way")
+	// errNoPlace means that no replica had room in time.
+	errNoPlace = errors.New("no replica had room in time")
 )
 
 // try is one send of a request to a replica.
@@ -74,9 +78,9 @@
 
 // send sends the request to a replica and returns with the head of its answer. On an error the try has ended.
 func (x *exchange) send(w hgreplica.Want, body []byte, lastEvent string) (t *try, err error) {
-	lease, ok := x.entry.replicas.Pick(w)
-	if !ok {
-		return nil, errNoReplica
+	lease, err := x.take(w)
+	if err != nil {
+		return nil, err
 	}
 	x.tries++
 	x.replica, x.why = lease.ID, lease.Why
@@ -161,7 +165,7 @@
 // again says whether the request may go to another replica after an error.
 func (x *exchange) again(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errCaller), errors.Is(err, errLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errFull), errors.Is(err, errNoPlace), errors.Is(err, errCaller), errors.Is(err, errLimit):
 		return false
 	case errors.Is(err, errBroken):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -174,6 +178,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
+	case errors.Is(err, errFull):
+		x.answer(http.StatusServiceUnavailable, err.Error(), comeBackFull*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil:
 		x.answer(http.StatusServiceUnavailable, err.Error(), comeBackBusy*(0.5+rand.Float64()))
 	case x.sent == 0 && !errors.Is(err, errBroken):
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -23,29 +23,12 @@
 	closed bool
 }
 
-// Loads of the replicas, as a multiple of their slots, from which new programs wait: those of the most urgent routes, and
-// others. Beyond its slots an engine queues, and more live programs than its memory holds read their prompts again.
-const (
-	fullForUrgent = 1.6
-	fullForOthers = 1.2
-)
-
-// isFull says whether the replicas of a service are too busy for a new program of a rank.
-func (e *Entry) isFull(service string, priority int) bool {
-	limit := fullForOthers
-	if priority == 0 {
-		limit = fullForUrgent
-	}
-	return e.replicas.Load(service) > limit
-}
-
 // openTurn asks whether a turn may run, and answers the caller if not.
 func (x *exchange) openTurn() bool {
 	a := x.attempt
 	q := hgledger.OpenRequest{
 		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MostOut, Estimate: a.Estimate,
 	}
-	q.NoNew = x.entry.isFull(x.service(), x.route.Priority)
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
--- /dev/null
+++ b/internal/serve/hgplacer/placer.go
@@ -0,0 +1,213 @@
+package hgplacer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/serve/hgreplica"
+)
+
+// Verdict is the answer to a question for a place.
+type Verdict string
+
+// The verdicts.
+const (
+	// Granted requests have a place.
+	Granted Verdict = "granted"
+	// Full is the answer to the first request of a program while too many wait.
+	Full Verdict = "full"
+	// Expired requests had no place while their caller waited.
+	Expired Verdict = "expired"
+	// NoReplica says that no replica can be used at all.
+	NoReplica Verdict = "noReplica"
+)
+
+// Ask asks for a place.
+type Ask struct {
+	// ID names the question among all that the placer gets.
+	ID   string
+	Want hgreplica.Want
+	Rank Rank
+	// Wait is how long to wait for a place, and Left how long a granted one may be held.
+	Wait, Left time.Duration
+}
+
+const (
+	// window is the number of requests that a replica gets, as a multiple of its slots: one beyond them only delays others.
+	window = 1
+	// waitingForUrgent and waitingForOthers are the requests waiting, as a multiple of the slots, from which new programs
+	// have to come back; by the model of the engines (hgmodel) 0.3 to 0.6 serve the most.
+	waitingForUrgent = 0.6
+	waitingForOthers = 0.4
+	// overdue is how long a place is held beyond the time of its request, if nothing is heard of its end.
+	overdue = time.Second
+	// sweepEvery is the time between two looks for what is overdue, and for room that nobody told of.
+	sweepEvery = 100 * time.Millisecond
+)
+
+// Placer gives places to the requests of a failure domain; it is safe for concurrent use.
+type Placer struct {
+	set   *hgreplica.Set
+	timer hgtimer.Timer
+
+	mu     sync.Mutex
+	queues map[string]*Queue
+	// waiting holds where the places of requests go, and held the places of other nodes' requests.
+	waiting map[string]chan *hgreplica.Lease
+	held    map[string]held
+}
+
+type held struct {
+	lease *hgreplica.Lease
+	until time.Duration
+}
+
+// NewPlacer returns a placer over the replicas that a node knows.
+func NewPlacer(set *hgreplica.Set, timer hgtimer.Timer) *Placer {
+	p := &Placer{set: set, timer: timer, queues: map[string]*Queue{}, waiting: map[string]chan *hgreplica.Lease{}, held: map[string]held{}}
+	timer.Every(sweepEvery, p.sweep)
+	return p
+}
+
+// Place waits for a place.
+func (p *Placer) Place(ctx context.Context, a Ask) (l *hgreplica.Lease, v Verdict) {
+	if !p.set.HasAny(a.Want) {
+		return nil, NoReplica
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Wait)
+	defer cancel()
+	granted, ok := p.push(a)
+	if !ok {
+		return nil, Full
+	}
+	p.serve(a.Want.Service)
+	select {
+	case l = <-granted:
+	case <-ctx.Done():
+		if l = p.withdraw(a); l == nil {
+			return nil, Expired
+		}
+	}
+	l.OnRelease(func(hgreplica.Outcome) { p.serve(a.Want.Service) })
+	return l, Granted
+}
+
+// push adds a request to its queue, unless it begins a program and too many wait.
+func (p *Placer) push(a Ask) (granted chan *hgreplica.Lease, ok bool) {
+	slots := p.set.Slots(a.Want.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.queue(a.Want.Service)
+	if a.Rank.New && isFull(q.Len(), slots, a.Rank.Priority) {
+		return nil, false
+	}
+	now := p.timer.Now()
+	a.Want.Window, a.Rank.Arrived = window, now
+	granted = make(chan *hgreplica.Lease, 1)
+	p.waiting[a.ID] = granted
+	q.Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank, Until: now + a.Wait})
+	return granted, true
+}
+
+func isFull(waiting, slots, priority int) bool {
+	limit := waitingForOthers
+	if priority == 0 {
+		limit = waitingForUrgent
+	}
+	return float64(waiting) >= limit*float64(slots)
+}
+
+func (p *Placer) queue(service string) *Queue {
+	q, ok := p.queues[service]
+	if !ok {
+		q = NewQueue()
+		p.queues[service] = q
+	}
+	return q
+}
+
+// withdraw takes a request back; it returns the place if one was granted meanwhile.
+func (p *Placer) withdraw(a Ask) (l *hgreplica.Lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	granted := p.waiting[a.ID]
+	delete(p.waiting, a.ID)
+	if p.queue(a.Want.Service).Remove(a.ID) {
+		return nil
+	}
+	select {
+	case l = <-granted:
+	default:
+	}
+	return l
+}
+
+// serve grants places to the first requests of a service for which there is room.
+func (p *Placer) serve(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		r, l, ok := p.queue(service).Next(p.set.Pick)
+		if !ok {
+			return
+		}
+		p.waiting[r.ID] <- l
+		delete(p.waiting, r.ID)
+	}
+}
+
+// Hold keeps a place for another node's request, until it is left or overdue.
+func (p *Placer) Hold(a Ask, l *hgreplica.Lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[a.ID] = held{lease: l, until: p.timer.Now() + a.Left + overdue}
+}
+
+// Leave ends another node's request, with or without a place.
+func (p *Placer) Leave(id string, o hgreplica.Outcome) {
+	p.mu.Lock()
+	h, ok := p.held[id]
+	delete(p.held, id)
+	p.mu.Unlock()
+	if ok {
+		h.lease.Apply(o)
+	}
+}
+
+// sweep frees places that are overdue and grants those that became free without word, as when replicas come.
+func (p *Placer) sweep(now time.Duration) {
+	for _, l := range p.overdue(now) {
+		l.Release()
+	}
+	for _, service := range p.services() {
+		p.serve(service)
+	}
+}
+
+func (p *Placer) overdue(now time.Duration) (leases []*hgreplica.Lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, h := range p.held {
+		if now >= h.until {
+			leases = append(leases, h.lease)
+			delete(p.held, id)
+		}
+	}
+	return leases
+}
+
+func (p *Placer) services() (names []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, q := range p.queues {
+		if q.Len() > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// String describes the placer.
+func (p *Placer) String() string { return "placer" }
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"hyssopgrade/hgtimer"
-	"hyssopgrade/internal/serve/hgattempt"
 )
 
 // Entry is a replica's registration.
@@ -114,7 +113,7 @@
 // keepIdle takes over how long the replica keeps connections; those that are open end by the old time. s.mu is held.
 func (s *Set) keepIdle(r *replica, keeps time.Duration) {
 	idle := max(keeps-idleMargin, minIdle)
-	if keeps <= 0 || idle == r.idle {
+	if idle == r.idle {
 		return
 	}
 	r.idle, r.client = idle, s.newClient(idle)
@@ -136,27 +135,6 @@
 	Window float64
 }
 
-// Fetch is what it takes to fetch kept tokens from another replica; without a PerToken none can be fetched.
-type Fetch struct {
-	Setup, PerToken time.Duration
-}
-
-// Lease is a place of a request on a replica; Release ends it.
-type Lease struct {
-	ID      string
-	Address string
-	Client  *http.Client
-	// FetchFrom is the address of the replica from which kept parts of the prompt are to be fetched; empty if from none.
-	FetchFrom string
-	// Why says what decided for the replica.
-	Why     Why
-	set     *Set
-	replica *replica
-	once    sync.Once
-	// answered is when the first byte came; 0 if none did.
-	answered time.Duration
-}
-
 // Why is what decided for a replica: the tokens to read and to fetch, the requests in flight of this node and of all, the
 // age of the replica's report of its load, the expected loss, and the number of replicas it was chosen from.
 type Why struct {
@@ -215,45 +193,6 @@
 	return r.Service == w.Service && !r.Leaving && !r.misdirected && !w.Exclude[r.ID] && (r.lapsed == 0 || now < r.lapsed)
 }
 
-// sources are the two replicas that keep the most of a prompt, so that each replica has one that is not itself.
-type sources [2]*replica
-
-func (s *Set) sources(w Want, now time.Duration) (best sources) {
-	if w.Fetch.PerToken <= 0 {
-		return best
-	}
-	for id, n := range w.Kept {
-		r, ok := s.replicas[id]
-		switch {
-		case !ok || !r.isUsable(w, now) || n <= 0:
-		case best[0] == nil || n > w.Kept[best[0].ID]:
-			best[0], best[1] = r, best[0]
-		case best[1] == nil || n > w.Kept[best[1].ID]:
-			best[1] = r
-		}
-	}
-	return best
-}
-
-// apply notes in a replica's view what it reads and what it fetches, and returns from where; nil if it fetches nothing.
-func (s sources) apply(v *view, w Want, id string) (from *replica) {
-	v.miss = max(w.Prompt-w.Kept[id], 0)
-	from = s[0]
-	if from != nil && from.ID == id {
-		from = s[1]
-	}
-	if from == nil {
-		return nil
-	}
-	fetch := min(w.Kept[from.ID]-w.Kept[id], v.miss)
-	if took := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+movePerToken); fetch <= 0 || took >= v.readTime(fetch) {
-		return nil
-	}
-	v.fetch, v.fetchTook = fetch, w.Fetch.Setup+time.Duration(fetch)*(w.Fetch.PerToken+movePerToken)
-	v.miss -= fetch
-	return from
-}
-
 func (s *Set) usual(service string) time.Duration {
 	least := math.MaxFloat64
 	for _, r := range s.replicas {
@@ -290,61 +229,11 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// Release ends the lease.
-func (l *Lease) Release() {
-	l.once.Do(func() {
-		l.set.mu.Lock()
-		defer l.set.mu.Unlock()
-		l.replica.inFlight--
-		if l.answered > 0 {
-			l.set.observeHold(l.replica.Service, l.set.timer.Now()-l.answered)
-		}
-	})
-}
-
 // observeHold takes how long a request held a slot after its first byte; s.mu is held.
 func (s *Set) observeHold(service string, held time.Duration) {
 	s.holds[service] += observedWeight * (float64(held) - s.holds[service])
 }
 
-// Answered tells of the head of an answer that took some time.
-func (l *Lease) Answered(a hgattempt.Answer, took time.Duration) {
-	now := l.set.timer.Now()
-	l.set.mu.Lock()
-	defer l.set.mu.Unlock()
-	r := l.replica
-	l.set.keepIdle(r, a.KeepsIdle)
-	if a.HasLoad {
-		r.others, r.othersAt = max(a.Running+a.Waiting-r.inFlight, 0), now
-	}
-	if a.NotRun {
-		return
-	}
-	l.answered = now
-	if r.delay == 0 {
-		r.delay = float64(took)
-	}
-	r.delay += observedWeight * (float64(took) - r.delay)
-	r.delayAt = now
-}
-
-// Failed tells that the replica broke off or could not be reached.
-func (l *Lease) Failed() {
-	now := l.set.timer.Now()
-	l.set.mu.Lock()
-	defer l.set.mu.Unlock()
-	r := l.replica
-	r.failures = r.failures*halved(now-r.failedAt, failureHalfLife) + 1
-	r.failedAt = now
-}
-
-// Misdirected tells that another replica has the address; this one is not used again.
-func (l *Lease) Misdirected() {
-	l.set.mu.Lock()
-	defer l.set.mu.Unlock()
-	l.replica.misdirected = true
-}
-
 // InFlight returns the number of this node's requests on each replica that runs one.
 func (s *Set) InFlight() map[string]int {
 	s.mu.Lock()
@@ -367,6 +256,39 @@
 	}
 }
 
+// Slots returns the slots of the replicas of a service in this failure domain, or in all if there are none here.
+func (s *Set) Slots(service string) (slots int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := 0
+	for _, r := range s.replicas {
+		if r.Service != service || r.Leaving {
+			continue
+		}
+		all += r.Slots
+		if r.Domain == s.domain {
+			slots += r.Slots
+		}
+	}
+	if slots == 0 {
+		return all
+	}
+	return slots
+}
+
+// HasAny says whether a replica may get a request, now or when it has room.
+func (s *Set) HasAny(w Want) bool {
+	now := s.timer.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replicas {
+		if r.isUsable(w, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Load returns the requests on the replicas of a service as a multiple of their slots.
 func (s *Set) Load(service string) float64 {
 	now := s.timer.Now()
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -65,6 +65,8 @@
 	// out no more than that.
 	Holder string
 	Most   int
+	// New says that the ledger has served no turn of the program before.
+	New bool
 }
 
 // CloseRequest settles a turn.
@@ -144,7 +146,7 @@
 		l.report("turn not found", q, verdict, err)
 		return OpenReply{Verdict: verdict}
 	}
-	reply = OpenReply{Verdict: Granted, Text: text, Kept: p.cached.kept(q.Prompt), Holder: l.id}
+	reply = OpenReply{Verdict: Granted, Text: text, Kept: p.cached.kept(q.Prompt), Holder: l.id, New: q.Previous == "" && p.isUnserved()}
 	if !q.HasBudget {
 		return reply
 	}
