Let turns wait at the replica that keeps their history

Change: a replica may get three times its slots, which the choice weighs as expected wait; moved memory counts 50 us a token; new programs come back from a load of 1.1 (1.25 for urgent routes), which entry VMs hear with each place.

--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -76,6 +76,8 @@
 	Verdict            hgplacer.Verdict
 	Replica, FetchFrom string
 	Why                hgreplica.Why
+	// Load is the placer's load of the service, as a multiple of its slots.
+	Load float64
 }
 
 // LeaveRequest ends a request for a place, or the use of one.
--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"hyssopgrade/internal/serve/hgplacer"
@@ -16,11 +17,20 @@
 	members *Members
 	client  *Client
 	log     *slog.Logger
+
+	mu sync.Mutex
+	// loads is what the placer said of each service.
+	loads map[string]heardLoad
+}
+
+type heardLoad struct {
+	load float64
+	at   time.Duration
 }
 
 // NewPlaces returns the places of a site as one of its nodes gives and asks for them.
 func NewPlaces(p *hgplacer.Placer, s *hgreplica.Set, m *Members, c *Client, log *slog.Logger) *Places {
-	return &Places{placer: p, set: s, members: m, client: c, log: log}
+	return &Places{placer: p, set: s, members: m, client: c, log: log, loads: map[string]heardLoad{}}
 }
 
 // spareWait is what a message may take beyond the wait in the placer's queue.
@@ -45,8 +55,10 @@
 		left(hgreplica.Outcome{})
 		return p.pick(a)
 	case reply.Verdict != hgplacer.Granted:
+		p.heard(a.Want.Service, reply.Load)
 		return nil, reply.Verdict
 	}
+	p.heard(a.Want.Service, reply.Load)
 	l, ok := p.set.Adopt(reply.Replica, reply.FetchFrom, reply.Why, left)
 	if !ok {
 		// The placer does not know yet that the replica leaves.
@@ -64,6 +76,26 @@
 	return nil, hgplacer.NoReplica
 }
 
+// loadFor is how long the load that the placer said is taken for the present one.
+const loadFor = 200 * time.Millisecond
+
+func (p *Places) heard(service string, load float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[service] = heardLoad{load: load, at: p.members.Age()}
+}
+
+// IsFull says whether replicas are known to be too full for a new program of a rank, without asking.
+func (p *Places) IsFull(service string, priority int) bool {
+	if _, self := p.members.Placer(); self {
+		return hgplacer.IsFull(p.placer.Load(service), priority)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.loads[service]
+	return ok && p.members.Age()-h.at < loadFor && hgplacer.IsFull(h.load, priority)
+}
+
 // leaveTime bounds the message that a place is free; one that is lost is overdue later.
 const leaveTime = time.Second
 
@@ -79,10 +111,10 @@
 func (p *Places) Serve(ctx context.Context, a hgplacer.Ask) PlaceReply {
 	l, v := p.placer.Place(ctx, a)
 	if v != hgplacer.Granted {
-		return PlaceReply{Verdict: v}
+		return PlaceReply{Verdict: v, Load: p.placer.Load(a.Want.Service)}
 	}
 	p.placer.Hold(a, l)
-	return PlaceReply{Verdict: v, Replica: l.ID, FetchFrom: l.FetchFrom, Why: l.Why}
+	return PlaceReply{Verdict: v, Replica: l.ID, FetchFrom: l.FetchFrom, Why: l.Why, Load: p.placer.Load(a.Want.Service)}
 }
 
 // Left ends a peer's request.
--- a/internal/proof/hgmodel/placer.go
+++ b/internal/proof/hgmodel/placer.go
@@ -17,12 +17,12 @@
 	Window float64
 	// Fetch lets engines fetch what others keep.
 	Fetch bool
-	// MostWaiting bounds the turns of new programs that wait, as a multiple of the domain's slots.
-	MostWaiting float64
+	// Charge is what a moved token counts.
+	Charge time.Duration
 	// Rank orders turns.
 	Rank func(t *Turn, now time.Duration) hgplacer.Rank
 	// Admit says whether a new program may begin.
-	Admit func(t *Turn, waiting, slots int) bool
+	Admit func(t *Turn, waiting, slots int, load float64) bool
 }
 
 // placers is the product's placer of each failure domain.
@@ -78,7 +78,7 @@
 
 func (p *placers) Place(t *Turn) {
 	d := p.domains[t.Domain]
-	if !t.Program.served && t.First && p.cfg.Admit != nil && !p.cfg.Admit(t, d.queue.Len(), p.r.load.Engine.Slots*len(p.r.engines)/len(p.domains)) {
+	if !t.Program.served && t.First && p.cfg.Admit != nil && !p.cfg.Admit(t, d.queue.Len(), p.r.load.Engine.Slots*len(p.r.engines)/len(p.domains), d.set.Load(service)) {
 		p.r.Refuse(t)
 		return
 	}
@@ -87,7 +87,7 @@
 	w := want(t, true)
 	w.Window = p.cfg.Window
 	if p.cfg.Fetch {
-		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken}
+		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken, Charge: p.cfg.Charge}
 	}
 	now := p.r.clock.now
 	rank := p.cfg.Rank(t, now)
--- a/internal/proof/hgmodel/policy.go
+++ b/internal/proof/hgmodel/policy.go
@@ -174,7 +174,7 @@
 	p.tried[t]++
 	w := want(t, p.locality)
 	if p.fetches {
-		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken}
+		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken, Charge: 7 * time.Microsecond}
 	}
 	l, ok := p.sets[t.Node].Pick(w)
 	if !ok || p.tried[t] > mostTries {
--- a/internal/proof/hgmodel/run.go
+++ b/internal/proof/hgmodel/run.go
@@ -28,6 +28,8 @@
 	// Worth is the share of what the programs were worth that they earned, and ByKind that of each kind.
 	Worth  float64
 	ByKind map[string]Share
+	// Charged is what moved memory costs of it.
+	Charged float64
 	// Read and Moved are the prompt tokens that engines read and that they fetched from each other.
 	Read, Moved int
 	// Refused counts turns given back by the system, and Shed those that engines refused.
@@ -48,7 +50,7 @@
 	}
 	r.policy = policy(r)
 	for i := range w.Kinds {
-		r.arrive(&w.Kinds[i])
+		r.arrive(i, seed)
 	}
 	r.clock.Run(w.Length + finishTime)
 	return r.result(seed)
@@ -57,24 +59,26 @@
 // finishTime is how long programs may go on after the last arrivals.
 const finishTime = 10 * time.Second
 
-// arrive lets programs of a kind begin until the end of the traffic.
-func (r *Run) arrive(k *Kind) {
-	wait := time.Duration(r.rand.ExpFloat64() / r.load.rate(*k, r.clock.now) * float64(time.Second))
-	at := r.clock.now + wait
-	if at > r.load.Length {
-		return
+// arrive lets programs of a kind begin until the end of the traffic. The programs follow from the seed alone, so that all
+// policies get the same ones.
+func (r *Run) arrive(kind int, seed uint64) {
+	k := &r.load.Kinds[kind]
+	draws := rand.New(rand.NewPCG(seed, uint64(kind)))
+	at := time.Duration(0)
+	for {
+		at += time.Duration(draws.ExpFloat64() / r.load.rate(*k, at) * float64(time.Second))
+		if at > r.load.Length {
+			return
+		}
+		l, domain := k.draw(draws), draws.IntN(r.load.Domains)
+		r.clock.At(at, func() { r.begin(k, l, domain) })
 	}
-	r.clock.At(at, func() {
-		r.begin(k)
-		r.arrive(k)
-	})
 }
 
-func (r *Run) begin(k *Kind) {
-	l := k.draw(r.rand)
+func (r *Run) begin(k *Kind, l *line, domain int) {
 	idle := k.idle(r.load.Engine, l, k.Shared)
 	p := &Program{
-		Kind: k, Began: r.clock.now, Domain: r.rand.IntN(r.load.Domains), idle: idle, kept: map[int]map[int]int{},
+		Kind: k, Began: r.clock.now, Domain: domain, idle: idle, kept: map[int]map[int]int{},
 		Aim: time.Duration(float64(idle)*k.AimFactor) + k.AimPlus,
 	}
 	r.programs = append(r.programs, p)
@@ -118,6 +122,9 @@
 	return 100*time.Millisecond + time.Duration(r.rand.Int64N(int64(300*time.Millisecond)))
 }
 
+// movedWorth is the worth that a moved token is charged: 0.4 a GB for 163,840 bytes.
+const movedWorth = 0.4 * 163840 / 1e9
+
 func (r *Run) result(seed uint64) Result {
 	res := Result{Policy: r.policy.String(), Workload: r.load.Name, Seed: seed, Refused: r.refused, ByKind: map[string]Share{}}
 	for _, e := range r.engines {
@@ -151,5 +158,12 @@
 		earned, owed = earned+kindEarned, owed+kindOwed
 	}
 	res.Worth = earned / owed
+	res.Charged = float64(res.Moved) * movedWorth / owed
 	return res
 }
+
+// spread returns the standard deviation of some values.
+func spread(values []float64) float64 {
+	mean := lo.Mean(values)
+	return math.Sqrt(lo.Mean(lo.Map(values, func(v float64, _ int) float64 { return (v - mean) * (v - mean) })))
+}
--- a/internal/proof/hgmodel/sites.go
+++ b/internal/proof/hgmodel/sites.go
@@ -1,6 +1,9 @@
 package hgmodel
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // The engines of the users' sheets; slots and memory differ by site.
 func sheetEngine(slots, queue, memory int) EngineConfig {
@@ -17,7 +20,7 @@
 func Manifold(rate float64) Workload {
 	second := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	return Workload{
-		Name: "48 engines", Length: second(34), Engines: 48, Domains: 3, Nodes: 62, Engine: sheetEngine(6, 18, 38332),
+		Name: fmt.Sprintf("48 engines x%.2f", rate), Length: second(34), Engines: 48, Domains: 3, Nodes: 62, Engine: sheetEngine(6, 18, 38332),
 		Bursts: []Burst{{From: second(2), To: second(8), Factor: 1.5}, {Kind: "chat", From: second(3.5), To: second(6.8), Factor: 1.9}},
 		Kinds: []Kind{
 			{
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -43,6 +43,8 @@
 type Places interface {
 	// Take waits for a place; the lease is nil if there is none.
 	Take(ctx context.Context, a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict)
+	// IsFull says whether the replicas of a service are known to be too full for a new program of a rank.
+	IsFull(service string, priority int) bool
 }
 
 // Suspects knows the requests that break off the replicas that run them, over all entry VMs.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -18,6 +18,9 @@
 	maxEventBytes = 1 << 20
 	// fetchSetup is what each fetch of kept parts takes besides its tokens, by the users' sheets 0.6 ms.
 	fetchSetup = time.Millisecond
+	// moveCharge is what a token of moved memory counts besides: it is charged 0.4 a GB, 6.6e-5 a token of 164 kB, while
+	// programs on busy engines earn 1.2 to 1.6 in each second of a request.
+	moveCharge = 50 * time.Microsecond
 	// streamFar is what another failure domain costs a turn: a program's later turns follow the first one, and all of
 	// their history and events cross the domains, which is paid by the byte.
 	streamFar = 25 * time.Millisecond
@@ -41,7 +44,7 @@
 	s := &stream{lastEvent: x.attempt.LastEvent}
 	want := hgreplica.Want{Service: x.service(), Exclude: map[string]bool{}, Prompt: x.attempt.TokensIn, Far: streamFar}
 	if engine := x.state.Services[want.Service].Engine; engine != nil {
-		want.Fetch = hgreplica.Fetch{Setup: fetchSetup, PerToken: engine.FetchPerToken}
+		want.Fetch = hgreplica.Fetch{Setup: fetchSetup, PerToken: engine.FetchPerToken, Charge: moveCharge}
 	}
 	body := x.body
 	if x.turn != nil {
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -29,6 +29,7 @@
 	q := hgledger.OpenRequest{
 		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MostOut, Estimate: a.Estimate,
 	}
+	q.NoNew = x.entry.places.IsFull(x.service(), x.route.Priority)
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -16,7 +16,7 @@
 const (
 	// Granted requests have a place.
 	Granted Verdict = "granted"
-	// Full is the answer to the first request of a program while too many wait.
+	// Full is the answer to the first request of a program while replicas are full.
 	Full Verdict = "full"
 	// Expired requests had no place while their caller waited.
 	Expired Verdict = "expired"
@@ -35,12 +35,14 @@
 }
 
 const (
-	// window is the number of requests that a replica gets, as a multiple of its slots: one beyond them only delays others.
-	window = 1
-	// waitingForUrgent and waitingForOthers are the requests waiting, as a multiple of the slots, from which new programs
-	// have to come back; by the model of the engines (hgmodel) 0.3 to 0.6 serve the most.
-	waitingForUrgent = 0.6
-	waitingForOthers = 0.4
+	// window is the number of requests that a replica gets, as a multiple of its slots. In the model of the engines
+	// (hgmodel) turns that wait at the replica that keeps their history do better than turns that move to a free one.
+	window = 3
+	// FullForOthers and FullForUrgent are the requests on all replicas, as a multiple of their slots, from which new
+	// programs have to come back, and those of the most urgent routes. By the model 1.0 to 1.2 serve the most; beyond
+	// that programs under way miss their aims.
+	FullForOthers = 1.1
+	FullForUrgent = 1.25
 	// overdue is how long a place is held beyond the time of its request, if nothing is heard of its end.
 	overdue = time.Second
 	// sweepEvery is the time between two looks for what is overdue, and for room that nobody told of.
@@ -94,31 +96,32 @@
 	return l, Granted
 }
 
-// push adds a request to its queue, unless it begins a program and too many wait.
+// push adds a request to its queue, unless it begins a program and replicas are full.
 func (p *Placer) push(a Ask) (granted chan *hgreplica.Lease, ok bool) {
-	slots := p.set.Slots(a.Want.Service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q := p.queue(a.Want.Service)
-	if a.Rank.New && isFull(q.Len(), slots, a.Rank.Priority) {
+	if a.Rank.New && IsFull(p.set.Load(a.Want.Service), a.Rank.Priority) {
 		return nil, false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.timer.Now()
 	a.Want.Window, a.Rank.Arrived = window, now
 	granted = make(chan *hgreplica.Lease, 1)
 	p.waiting[a.ID] = granted
-	q.Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank, Until: now + a.Wait})
+	p.queue(a.Want.Service).Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank, Until: now + a.Wait})
 	return granted, true
 }
 
-func isFull(waiting, slots, priority int) bool {
-	limit := waitingForOthers
+// IsFull says whether a load is too much for a new program of a rank.
+func IsFull(load float64, priority int) bool {
 	if priority == 0 {
-		limit = waitingForUrgent
+		return load >= FullForUrgent
 	}
-	return float64(waiting) >= limit*float64(slots)
+	return load >= FullForOthers
 }
 
+// Load returns the requests on the replicas of a service as a multiple of their slots.
+func (p *Placer) Load(service string) float64 { return p.set.Load(service) }
+
 func (p *Placer) queue(service string) *Queue {
 	q, ok := p.queues[service]
 	if !ok {
@@ -170,6 +173,9 @@
 	p.mu.Lock()
 	h, ok := p.held[id]
 	delete(p.held, id)
+	for _, q := range p.queues {
+		q.Remove(id)
+	}
 	p.mu.Unlock()
 	if ok {
 		h.lease.Apply(o)
--- a/internal/serve/hgreplica/fetch.go
+++ b/internal/serve/hgreplica/fetch.go
@@ -5,6 +5,8 @@
 // Fetch is what it takes to fetch kept tokens from another replica; without a PerToken none can be fetched.
 type Fetch struct {
 	Setup, PerToken time.Duration
+	// Charge is what a moved token counts besides, in the time of a request.
+	Charge time.Duration
 }
 
 // sources are the two replicas that keep the most of a prompt, so that each replica has one that is not itself.
@@ -38,10 +40,10 @@
 		return nil
 	}
 	fetch := min(w.Kept[from.ID]-w.Kept[id], v.miss)
-	if took := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+movePerToken); fetch <= 0 || took >= v.readTime(fetch) {
+	if took := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+w.Fetch.Charge); fetch <= 0 || took >= v.readTime(fetch) {
 		return nil
 	}
-	v.fetch, v.fetchTook = fetch, w.Fetch.Setup+time.Duration(fetch)*(w.Fetch.PerToken+movePerToken)
+	v.fetch, v.fetchTook = fetch, w.Fetch.Setup+time.Duration(fetch)*(w.Fetch.PerToken+w.Fetch.Charge)
 	v.miss -= fetch
 	return from
 }
--- a/internal/serve/hgreplica/score.go
+++ b/internal/serve/hgreplica/score.go
@@ -5,9 +5,6 @@
 const (
 	// prefillPerToken is the time in which an engine reads one token of a prompt; engines read about 59 in a millisecond.
 	prefillPerToken = 17 * time.Microsecond
-	// movePerToken is what a token counts that one replica fetches from another, beside the time that takes: moved memory
-	// is charged, 0.4 of a program's worth a GB, while a busy engine earns about ten of that a second.
-	movePerToken = 7 * time.Microsecond
 	// crowdCost is what each other request of a batch costs a new one: a longer step for each of its tokens.
 	crowdCost = 500 * time.Microsecond
 	// failureCost is what a recent failure counts; it halves each failureHalfLife.
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -256,26 +256,6 @@
 	}
 }
 
-// Slots returns the slots of the replicas of a service in this failure domain, or in all if there are none here.
-func (s *Set) Slots(service string) (slots int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := 0
-	for _, r := range s.replicas {
-		if r.Service != service || r.Leaving {
-			continue
-		}
-		all += r.Slots
-		if r.Domain == s.domain {
-			slots += r.Slots
-		}
-	}
-	if slots == 0 {
-		return all
-	}
-	return slots
-}
-
 // HasAny says whether a replica may get a request, now or when it has room.
 func (s *Set) HasAny(w Want) bool {
 	now := s.timer.Now()
