Tell failure domains of each other through their placers on large sites

Change: beyond 16 peers only placers speak across domains; they relay members and requests in flight, both from a peer's answer to a heartbeat of one's own. A domain of which nothing is heard counts as one peer that does not answer in an outage.

--- a/hgconfig/entry.go
+++ b/hgconfig/entry.go
@@ -23,6 +23,8 @@
 	Name string `toml:"name"`
 	// Domain is the failure domain.
 	Domain string `toml:"domain"`
+	// Domains are all failure domains of the site.
+	Domains []string `toml:"domains"`
 	// MemoryMB is the memory of a process, in MB.
 	MemoryMB float64 `toml:"memoryMb"`
 	// CPUShare is the share of a core that the process gets, and Cores how many such cores there are.
--- a/hgconfig/entry_test.go
+++ b/hgconfig/entry_test.go
@@ -22,7 +22,9 @@
 		"ip": "10.0.0.1", "port_range.0": "7380", "port_range.1": "7381", "platform.address|json": `"10.0.0.9:90"`,
 		"platform.writes_per_s": "800", "platform.reads_per_s": "2000.0", "bounds.grace_s": "8", "bounds.ttl_max_s": "4.5",
 	}
-	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(data), func(m string) string {
+	// The section for each failure domain.
+	text := regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`).ReplaceAllStringFunc(string(data), func(string) string { return `"north","south"` })
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string {
 		v, ok := values[strings.Trim(m, "{}")]
 		if !ok {
 			t.Errorf("no value for %s", m)
@@ -36,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if e.VM.Name != "vm-1" || !e.VM.FirstStart || e.Listen.Peer != "10.0.0.1:7380" || e.Bounds.AddressTTLSeconds != 4.5 {
+	if e.VM.Name != "vm-1" || len(e.VM.Domains) != 2 || !e.VM.FirstStart || e.Listen.Peer != "10.0.0.1:7380" || e.Bounds.AddressTTLSeconds != 4.5 {
 		t.Errorf("read as %+v", e)
 	}
 }
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -78,7 +78,7 @@
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
 		Power: cfg.VM.CPUShare * cfg.VM.Cores,
-	})
+	}, cfg.VM.Domains...)
 	n.client = hgpeer.NewClient()
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
 		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithComplete(cfg.VM.FirstStart), hgledger.WithMarkers())
@@ -160,7 +160,7 @@
 		i.Stopping, i.Ready = true, false
 		return i
 	})
-	n.beatAll(true)
+	n.beatAll()
 	leave := min(leaveTime, grace/2)
 	n.returnBudgets(leave)
 	time.Sleep(leave - (n.timer.Now() - began))
--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/hgcodec"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
@@ -64,7 +66,9 @@
 func (h *peerHandler) Beat(b hgpeer.Beat) hgpeer.Beat {
 	h.members.Introduce(b.Info)
 	h.ledger.Learn(b.Programs, false)
-	return (*Node)(h).beat()
+	reply := (*Node)(h).beat()
+	reply.Relays = h.members.RelaysFor(b.Info)
+	return reply
 }
 
 // Table returns the copy of a watched table.
@@ -99,30 +103,32 @@
 // beats sends heartbeats until the node ends.
 func (n *Node) beats() {
 	for round := 0; n.ctx.Err() == nil; round++ {
-		period, far := n.members.Pace()
-		n.beatAll(round%far == 0)
+		n.members.SetInFlight(n.set.InFlight())
+		n.beatTo(n.members.Targets(round))
 		select {
 		case <-n.ctx.Done():
-		case <-time.After(period):
+		case <-time.After(n.members.Pace()):
 		}
 		n.set.SetGossip(n.members.InFlight())
 	}
 }
 
-// beatAll sends a heartbeat to each peer, or each in this failure domain, and does not wait for answers.
-func (n *Node) beatAll(far bool) {
+// beatAll sends a heartbeat to all peers, as what this node says of itself has changed.
+func (n *Node) beatAll() {
+	near, far := lo.FilterReject(n.members.All(), func(i hgpeer.Info, _ int) bool { return i.Domain == n.cfg.VM.Domain })
+	n.beatTo(near, far)
+}
+
+// beatTo sends a heartbeat to some peers, and does not wait for answers.
+func (n *Node) beatTo(near, far []hgpeer.Info) {
 	n.updateReady()
 	b := n.beat()
-	near := b
-	near.Programs = n.ledger.Seen()
-	placers := n.members.Placers()
-	for _, p := range n.members.All() {
-		switch {
-		case p.Domain == n.cfg.VM.Domain:
-			go n.beatOne(p, near)
-		case far, placers[p.Name] && placers[n.cfg.VM.Name]:
-			go n.beatOne(p, b)
-		}
+	for _, p := range far {
+		go n.beatOne(p, b)
+	}
+	b.Programs = n.ledger.Seen()
+	for _, p := range near {
+		go n.beatOne(p, b)
 	}
 }
 
@@ -159,7 +165,7 @@
 // save writes what was taken while the store was out of reach, once it is back.
 func (n *Node) save(time.Duration) {
 	if unsaved := n.ledger.Unsaved(); unsaved != n.members.Self().Unsaved {
-		n.beatAll(true)
+		n.beatAll()
 	}
 	if !n.health.ok() {
 		return
--- a/internal/peer/hgpeer/backup.go
+++ b/internal/peer/hgpeer/backup.go
@@ -33,6 +33,7 @@
 	if b.members.Age() < knowsPeersAfter {
 		a.None++
 	}
+	a.None += b.members.Unheard()
 	answers := askAll(b.members.Concerned(), func(p Info) (hgledger.SoleReply, error) { return b.client.Part(ctx, p.Peer, q) })
 	for _, answer := range answers {
 		if answer.err != nil {
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -49,11 +49,26 @@
 	troubled time.Duration
 	self     Info
 	members  map[string]*member
+	// domains are the failure domains of the site, as far as the settings name them.
+	domains []string
+	// relayed is what was heard of other failure domains through placers.
+	relayed map[string]heardRelay
+	// ownInFlight is the number of this node's requests on each replica.
+	ownInFlight map[string]int
 }
 
-// NewMembers returns the members as seen by a node that knows only itself.
-func NewMembers(timer hgtimer.Timer, self Info) *Members {
-	return &Members{timer: timer, made: timer.Now(), self: self, members: map[string]*member{}}
+// NewMembers returns the members as seen by a node that knows only itself and the names of the failure domains.
+func NewMembers(timer hgtimer.Timer, self Info, domains ...string) *Members {
+	return &Members{
+		timer: timer, made: timer.Now(), self: self, members: map[string]*member{}, domains: domains, relayed: map[string]heardRelay{},
+	}
+}
+
+// SetInFlight sets the number of this node's requests on each replica.
+func (m *Members) SetInFlight(n map[string]int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ownInFlight = n
 }
 
 // Age returns the time since the members were made, at the start of the node.
@@ -121,6 +136,7 @@
 		since = have.since
 	}
 	m.members[b.Info.Name] = &member{info: b.Info, inFlight: b.InFlight, answered: true, heard: now, since: since, known: now, suspect: m.suspectOf(b.Info)}
+	m.takeRelays(b.Relays)
 }
 
 // suspectOf keeps a suspicion over heartbeats, unless the peer has started again; m.mu is held.
@@ -157,12 +173,11 @@
 	return m.live()
 }
 
-// Pace returns the time between two heartbeats to a peer of this failure domain, and the number of such periods between
-// two to a peer of another one.
-func (m *Members) Pace() (period time.Duration, far int) {
+// Pace returns the time between two heartbeats to a peer of this failure domain.
+func (m *Members) Pace() (period time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.period(), farBeats
+	return m.period()
 }
 
 func (m *Members) period() time.Duration {
@@ -214,8 +229,14 @@
 	defer m.mu.Unlock()
 	sum := map[string]int{}
 	now := m.timer.Now()
+	relayed := m.relaysLive(now)
+	for domain := range relayed {
+		for id, n := range m.relayed[domain].InFlight {
+			sum[id] += n
+		}
+	}
 	for _, p := range m.members {
-		if !m.answers(p, now) {
+		if relayed[p.info.Domain] || !m.answers(p, now) {
 			continue
 		}
 		for id, n := range p.inFlight {
@@ -282,13 +303,11 @@
 	return best
 }
 
-// Placers returns the names of the placers of all failure domains.
-func (m *Members) Placers() map[string]bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// placers returns the names of the placers of all failure domains; m.mu is held.
+func (m *Members) placers() map[string]bool {
 	names := map[string]bool{}
-	for _, i := range append(m.live(), m.self) {
-		if p := m.placer(i.Domain); p.Name != "" {
+	for _, domain := range lo.Uniq(lo.MapToSlice(m.members, func(_ string, p *member) string { return p.info.Domain })) {
+		if p := m.placer(domain); p.Name != "" {
 			names[p.Name] = true
 		}
 	}
--- a/internal/peer/hgpeer/members_test.go
+++ b/internal/peer/hgpeer/members_test.go
@@ -112,3 +112,65 @@
 		})
 	}
 }
+
+// On a large site nodes hear of other failure domains through placers alone, and know which domain nothing is heard of.
+func TestRelays(t *testing.T) {
+	c := &clock{now: time.Minute}
+	power := func(i hgpeer.Info, power float64) hgpeer.Info {
+		i.Power = power
+		return i
+	}
+	site := map[string]hgpeer.Info{}
+	for _, domain := range []string{"north", "south", "west"} {
+		for i := range 8 {
+			name := domain + string(rune('0'+i))
+			site[name] = power(info(name, domain), lo.Ternary(i == 3, 2.0, 1.0))
+		}
+	}
+	nodes := lo.MapValues(site, func(i hgpeer.Info, _ string) *hgpeer.Members {
+		return hgpeer.NewMembers(c, i, "north", "south", "west")
+	})
+	far := 0
+	round := func(round int, dead string) {
+		c.now += 300 * time.Millisecond
+		for name, m := range nodes {
+			m.SetInFlight(map[string]int{"replica": 1})
+			near, others := m.Targets(round)
+			far += len(others)
+			for _, p := range append(near, others...) {
+				if name != dead && p.Name != dead {
+					m.Heard(hgpeer.Beat{Info: site[p.Name], InFlight: map[string]int{"replica": 1}, Relays: nodes[p.Name].RelaysFor(site[name])})
+				}
+			}
+		}
+	}
+	for _, m := range nodes {
+		for _, i := range site {
+			m.Introduce(i)
+		}
+	}
+	for i := range 4 {
+		round(i, "")
+	}
+	for name, m := range nodes {
+		if live, sum := len(m.Live()), m.InFlight()["replica"]; live != 23 || sum != 23 || m.Unheard() != 0 {
+			t.Errorf("%s: %d live, %d in flight, %d unheard", name, live, sum, m.Unheard())
+		}
+	}
+	far = 0
+	for i := range 16 {
+		round(16+i, "")
+	}
+	// Three placers speak to two others each in every round, and to all sixteen far nodes in one.
+	if most := 3 * (2*16 + 14); far > most {
+		t.Errorf("%d heartbeats between domains, want at most %d", far, most)
+	}
+	for i := range 24 {
+		round(1+i, "south3")
+	}
+	for name, m := range nodes {
+		if live := names(m.Live()); name != "south3" && (len(live) != 22 || lo.Contains(live, "south3")) {
+			t.Errorf("%s after a placer's death: %v", name, live)
+		}
+	}
+}
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -35,6 +35,8 @@
 	InFlight map[string]int
 	// Programs are those that the node has begun to serve since the last heartbeat, by digest; only to its own domain.
 	Programs []uint64
+	// Relays tell of other failure domains; only in answers of placers on large sites.
+	Relays []Relay
 }
 
 // SeenReply lists the programs that a node knows of, by digest, and says whether that is all there are nearby.
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -95,7 +95,7 @@
 			}
 			return r.reply, r.err
 		case <-time.After(answerTime):
-			period, _ := m.Pace()
+			period := m.Pace()
 			if !m.HeardWithin(peer.Name, signBeats*period) {
 				cancel()
 			}
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -39,6 +39,8 @@
 	At                          time.Time
 	Forged                      []string
 	LastEvent                   string
+	// FetchFrom is the address from which to fetch what is kept of the prompt.
+	FetchFrom string
 	// Deadline is the time that the replica was given.
 	Deadline time.Duration
 }
@@ -154,6 +156,7 @@
 	r.runs = append(r.runs, Run{
 		Replica: r.Entry.ID, Attempt: a.ID, URI: q.RequestURI, Body: string(body), At: time.Now(),
 		Forged: hgplatform.Forged(q.Header), LastEvent: a.LastEvent, Deadline: a.Deadline,
+		FetchFrom: hgplatform.FetchFrom(q.Header),
 	})
 	r.mu.Unlock()
 	defer r.watch(q.Context())()
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -67,7 +67,7 @@
 			chat, thread, route("check", CheckPath, Tools, hgdesired.Idempotent), route("charge", ChargePath, Tools, hgdesired.Once),
 		},
 		Services: map[string]hgdesired.Service{
-			Engines: {Name: Engines, MaxConns: 100, Engine: &hgdesired.Engine{Slots: 8, CacheTokens: 100_000, TokensPerEvent: TokensPerEvent}},
+			Engines: {Name: Engines, MaxConns: 100, Engine: &hgdesired.Engine{Slots: 8, CacheTokens: 100_000, TokensPerEvent: TokensPerEvent, FetchPerToken: time.Microsecond / 2}},
 			Tools:   {Name: Tools, MaxConns: 100},
 		},
 		Limits: hgdesired.Limits{MaxBodyBytes: 1 << 20, Idle: 15 * time.Second},
--- /dev/null
+++ b/internal/serve/hgplacer/placer_test.go
@@ -0,0 +1,141 @@
+package hgplacer_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/serve/hgplacer"
+	"hyssopgrade/internal/serve/hgreplica"
+)
+
+// Late programs go last, programs under way before new ones, urgent routes before others, and then the first to come.
+func TestQueueOrder(t *testing.T) {
+	q := hgplacer.NewQueue()
+	for id, rank := range map[string]hgplacer.Rank{
+		"late":          {Late: true, Arrived: 1},
+		"new":           {New: true, Arrived: 2},
+		"under way":     {Priority: 1, Arrived: 4},
+		"urgent":        {Arrived: 6},
+		"urgent before": {Arrived: 5},
+		"urgent new":    {New: true, Arrived: 7},
+		"new, not":      {New: true, Priority: 1, Arrived: 1},
+		"withdrawn":     {},
+	} {
+		q.Push(hgplacer.Request{ID: id, Rank: rank})
+	}
+	if !q.Remove("withdrawn") || q.Remove("withdrawn") {
+		t.Error("a request is there once")
+	}
+	want := []string{"urgent before", "urgent", "under way", "new", "urgent new", "new, not", "late"}
+	var got []string
+	for q.Len() > 0 {
+		r, _, _ := q.Next(func(hgreplica.Want) (*hgreplica.Lease, bool) { return nil, true })
+		got = append(got, r.ID)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+const slots = 2
+
+func newPlacer(t *testing.T, replicas ...string) (*hgplacer.Placer, *hgreplica.Set) {
+	t.Helper()
+	timer := hgtimer.NewService()
+	t.Cleanup(timer.Close)
+	s := hgreplica.NewSet(timer, "north", func(time.Duration) *http.Client { return &http.Client{} })
+	entries := map[string]hgreplica.Entry{}
+	for _, id := range replicas {
+		entries[id] = hgreplica.Entry{ID: id, Service: "s", Address: id + ":1", Domain: "north", Slots: slots}
+	}
+	s.Apply(entries, 0)
+	return hgplacer.NewPlacer(s, timer), s
+}
+
+func ask(id string, wait time.Duration) hgplacer.Ask {
+	return hgplacer.Ask{ID: id, Want: hgreplica.Want{Service: "s"}, Wait: wait, Left: wait}
+}
+
+// fill takes places until the next request would wait, and returns them.
+func fill(t *testing.T, p *hgplacer.Placer) (leases []*hgreplica.Lease) {
+	t.Helper()
+	for {
+		l, v := p.Place(t.Context(), ask("fill", 20*time.Millisecond))
+		if v != hgplacer.Granted {
+			return leases
+		}
+		leases = append(leases, l)
+	}
+}
+
+// A request waits while replicas have all that they may get, and gets the place of the next one that ends.
+func TestPlaceWaits(t *testing.T) {
+	p, s := newPlacer(t, "a", "b")
+	leases := fill(t, p)
+	if n := s.InFlight(); n["a"] != n["b"] || n["a"] < slots {
+		t.Fatalf("in flight %v", n)
+	}
+	tests := map[string]struct {
+		end  func()
+		want hgplacer.Verdict
+	}{
+		"none ends":      {func() {}, hgplacer.Expired},
+		"one ends":       {leases[0].Release, hgplacer.Granted},
+		"another leaves": {func() { p.Leave("held", hgreplica.Outcome{Failed: true}) }, hgplacer.Granted},
+	}
+	p.Hold(ask("held", time.Minute), leases[1])
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			time.AfterFunc(30*time.Millisecond, tt.end)
+			if _, v := p.Place(t.Context(), ask(name, 200*time.Millisecond)); v != tt.want {
+				t.Errorf("verdict %s, want %s", v, tt.want)
+			}
+		})
+	}
+}
+
+func TestPlaceRefuses(t *testing.T) {
+	p, s := newPlacer(t, "a")
+	if _, v := p.Place(t.Context(), hgplacer.Ask{ID: "x", Want: hgreplica.Want{Service: "other"}, Wait: time.Second}); v != hgplacer.NoReplica {
+		t.Errorf("no replica: %s", v)
+	}
+	first := ask("first", 20*time.Millisecond)
+	first.Rank.New, first.Rank.Priority = true, 1
+	if _, v := p.Place(t.Context(), first); v != hgplacer.Granted {
+		t.Errorf("new program while replicas are idle: %s", v)
+	}
+	fill(t, p)
+	for _, priority := range []int{0, 1} {
+		first.Rank.Priority = priority
+		began := time.Now()
+		if _, v := p.Place(t.Context(), first); v != hgplacer.Full || time.Since(began) > 15*time.Millisecond {
+			t.Errorf("new program of priority %d while replicas are full: %s after %v", priority, v, time.Since(began))
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, v := p.Place(ctx, ask("left", time.Minute)); v != hgplacer.Expired {
+		t.Errorf("caller that left: %s", v)
+	}
+	s.Apply(map[string]hgreplica.Entry{"b": {ID: "b", Service: "s", Domain: "north", Slots: slots}}, 0)
+	if _, v := p.Place(t.Context(), ask("later", time.Minute)); v != hgplacer.Granted {
+		t.Errorf("a new replica: %s", v)
+	}
+}
+
+// A place whose holder is gone is free again once its request must have ended.
+func TestOverdue(t *testing.T) {
+	p, s := newPlacer(t, "a")
+	l, _ := p.Place(t.Context(), ask("gone", time.Second))
+	p.Hold(hgplacer.Ask{ID: "gone", Left: 10 * time.Millisecond}, l)
+	for deadline := time.Now().Add(3 * time.Second); len(s.InFlight()) > 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("still held: %v", s.InFlight())
+		}
+	}
+}
--- a/internal/serve/hgreplica/set_test.go
+++ b/internal/serve/hgreplica/set_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgtimer"
@@ -158,3 +159,58 @@
 		})
 	}
 }
+
+// Kept parts are fetched from the replica that keeps the most, unless waiting there costs less, or reading them does.
+func TestFetch(t *testing.T) {
+	fetch := hgreplica.Fetch{Setup: time.Millisecond, PerToken: time.Microsecond / 2, Charge: 10 * time.Microsecond}
+	dear := fetch
+	dear.Charge = time.Millisecond
+	leaving := entry("b", "north")
+	leaving.Leaving = true
+	tests := map[string]struct {
+		b        hgreplica.Entry
+		fetch    hgreplica.Fetch
+		kept     map[string]int
+		busy     int
+		id, from string
+		miss     int
+	}{
+		"free where it is kept":   {entry("b", "north"), fetch, map[string]int{"b": 9000}, 0, "b", "", 1000},
+		"busy where it is kept":   {entry("b", "north"), fetch, map[string]int{"b": 9000}, 40, "a", "b:1", 1000},
+		"part of it here as well": {entry("b", "north"), fetch, map[string]int{"b": 9000, "a": 4000}, 40, "a", "b:1", 1000},
+		"fetching is dear":        {entry("b", "north"), dear, map[string]int{"b": 9000}, 400, "a", "", 10000},
+		"no fetching":             {entry("b", "north"), hgreplica.Fetch{}, map[string]int{"b": 9000}, 400, "a", "", 10000},
+		"kept by one that leaves": {leaving, fetch, map[string]int{"b": 9000}, 0, "a", "", 10000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newSet(entry("a", "north"), tt.b)
+			s.SetGossip(map[string]int{"b": tt.busy})
+			l, ok := s.Pick(hgreplica.Want{Service: "s", Prompt: 10000, Kept: tt.kept, Fetch: tt.fetch})
+			if !ok || l.ID != tt.id || l.FetchFrom != tt.from || l.Why.Miss != tt.miss {
+				t.Errorf("placed on %s fetching from %q, %d to read", l.ID, l.FetchFrom, l.Why.Miss)
+			}
+		})
+	}
+}
+
+// A place that another node has given is not counted here, and its end is told with what was seen.
+func TestAdopt(t *testing.T) {
+	s, c := newSet(entry("a", "north"))
+	var got hgreplica.Outcome
+	l, ok := s.Adopt("a", "b:1", hgreplica.Why{}, func(o hgreplica.Outcome) { got = o })
+	if !ok || l.FetchFrom != "b:1" || len(s.InFlight()) != 0 {
+		t.Fatalf("adopted %v, in flight %v", ok, s.InFlight())
+	}
+	l.Answered(hgattempt.Answer{}, 30*time.Millisecond)
+	c.now += 200 * time.Millisecond
+	l.Failed()
+	l.Release()
+	want := hgreplica.Outcome{Answered: true, Took: 30 * time.Millisecond, Held: 200 * time.Millisecond, Failed: true}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	if _, ok := s.Adopt("gone", "", hgreplica.Why{}, nil); ok {
+		t.Error("adopted a place on a replica that is not there")
+	}
+}
