--- a/internal/proof/hgmodel/experiment.go
+++ b/internal/proof/hgmodel/experiment.go
@@ -44,6 +44,8 @@
 // Mean is a policy's mean over the seeds of a load.
 type Mean struct {
 	Load, Policy string
+	// Rate is the multiple of the load's rate.
+	Rate float64
 	// Net is the share of the worth that is left after the charge for moved memory, and Spread its standard deviation.
 	Net, Worth, Spread float64
 	// ByKind is the share of each kind's worth, and Unserved the share of programs that got no answer in twice their aim.
@@ -56,16 +58,20 @@
 
 // Means joins the results of all seeds.
 func Means(results []Result) (means []Mean) {
-	keys := lo.Uniq(lo.Map(results, func(r Result, _ int) [2]string { return [2]string{r.Workload, r.Policy} }))
-	for _, key := range keys {
-		means = append(means, mean(lo.Filter(results, func(r Result, _ int) bool { return r.Workload == key[0] && r.Policy == key[1] })))
+	type key struct {
+		load, policy string
+		rate         float64
+	}
+	keyOf := func(r Result, _ int) key { return key{r.Workload, r.Policy, r.Rate} }
+	for _, k := range lo.Uniq(lo.Map(results, keyOf)) {
+		means = append(means, mean(lo.Filter(results, func(r Result, _ int) bool { return keyOf(r, 0) == k })))
 	}
 	return means
 }
 
 func mean(results []Result) Mean {
 	n := float64(len(results))
-	m := Mean{Load: results[0].Workload, Policy: results[0].Policy, ByKind: map[string]float64{}}
+	m := Mean{Load: results[0].Workload, Rate: results[0].Rate, Policy: results[0].Policy, ByKind: map[string]float64{}}
 	for _, r := range results {
 		m.Net += (r.Worth - r.Charged) / n
 		m.Worth += r.Worth / n
@@ -88,12 +94,12 @@
 func Write(w io.Writer, means []Mean) (err error) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer func() { err = t.Flush() }()
-	fmt.Fprintln(t, "load\tpolicy\tnet\t±\tworth\tunserved\tread M\tmoved M\trefused\tby kind\t")
+	fmt.Fprintln(t, "load\trate\tpolicy\tnet\t±\tworth\tunserved\tread M\tmoved M\trefused\tby kind\t")
 	for _, m := range means {
 		kinds := lo.MapToSlice(m.ByKind, func(kind string, v float64) string { return fmt.Sprintf("%s %.2f", kind, v) })
 		slices.Sort(kinds)
-		fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.0f\t%s\t\n",
-			m.Load, m.Policy, m.Net, m.Spread, m.Worth, m.Unserved, m.Read, m.Moved, m.Refused, strings.Join(kinds, ", "))
+		fmt.Fprintf(t, "%s\t%.2f\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.0f\t%s\t\n",
+			m.Load, m.Rate, m.Policy, m.Net, m.Spread, m.Worth, m.Unserved, m.Read, m.Moved, m.Refused, strings.Join(kinds, ", "))
 	}
 	return nil
 }
--- a/internal/proof/hgmodel/model_test.go
+++ b/internal/proof/hgmodel/model_test.go
@@ -1,16 +1,55 @@
 package hgmodel_test
 
 import (
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/samber/lo"
 
 	"hyssopgrade/internal/proof/hgmodel"
 )
 
-func TestPolicies(t *testing.T) {
-	for _, rate := range []float64{0.3, 0.7, 1} {
-		for _, p := range []func(*hgmodel.Run) hgmodel.Policy{hgmodel.NewRoundRobin, hgmodel.NewLeastInFlight, hgmodel.NewEach, hgmodel.NewEachFetching} {
-			r := hgmodel.Play(hgmodel.Manifold(rate), p, 1)
-			t.Logf("%.1f %-16s worth %.3f read %.1fM moved %.1fM refused %d shed %d pre %d %+v", rate, r.Policy, r.Worth, float64(r.Read)/1e6, float64(r.Moved)/1e6, r.Refused, r.Shed, r.Preempted, r.ByKind)
+// Under a load that engines can carry if they are placed well, callers get much more by the placer than by each node's own
+// choice, and more than by the simple policies.
+func TestPlacerBeatsBaselines(t *testing.T) {
+	names := []string{"roundRobin", "leastInFlight", "each", "eachFetching", "placer"}
+	e := hgmodel.Experiment{
+		Policies: lo.Map(names, func(name string, _ int) func(*hgmodel.Run) hgmodel.Policy { return hgmodel.Policies[name] }),
+		Loads:    []hgmodel.Workload{shorter(hgmodel.DerwentGrown(0.75))}, Seeds: 2,
+	}
+	means := hgmodel.Means(e.Play())
+	best := means[len(means)-1]
+	if best.Net < 0.8 {
+		t.Errorf("placer: net worth %.3f, want 0.8", best.Net)
+	}
+	for _, m := range means[:len(means)-1] {
+		if m.Net > best.Net-0.1 {
+			t.Errorf("%s: net worth %.3f, the placer's is %.3f", m.Policy, m.Net, best.Net)
+		}
+	}
+	var table strings.Builder
+	if err := hgmodel.Write(&table, means); err != nil || strings.Count(table.String(), "\n") != len(names)+1 {
+		t.Errorf("table: %v\n%s", err, table.String())
+	}
+}
+
+func shorter(w hgmodel.Workload) hgmodel.Workload {
+	w.Length = 14 * time.Second
+	return w
+}
+
+// The same seed gives all policies the same programs.
+func TestSameProgramsForAll(t *testing.T) {
+	w := shorter(hgmodel.Derwent(0.5))
+	var want map[string]int
+	for name, policy := range hgmodel.Policies {
+		got := lo.MapValues(hgmodel.Play(w, policy, 7).ByKind, func(s hgmodel.Share, _ string) int { return s.Programs })
+		if want == nil {
+			want = got
+		}
+		if got["chat"] != want["chat"] || got["thread"] != want["thread"] {
+			t.Errorf("%s: programs %v, others had %v", name, got, want)
 		}
 	}
 }
--- a/internal/proof/hgmodel/placer.go
+++ b/internal/proof/hgmodel/placer.go
@@ -1,7 +1,6 @@
 package hgmodel
 
 import (
-	"fmt"
 	"strconv"
 	"time"
 
@@ -19,12 +18,23 @@
 	Fetch bool
 	// Charge is what a moved token counts.
 	Charge time.Duration
-	// Rank orders turns.
+	// Rank orders turns that wait.
 	Rank func(t *Turn, now time.Duration) hgplacer.Rank
-	// Admit says whether a new program may begin.
-	Admit func(t *Turn, waiting, slots int, load float64) bool
+	// Admit says whether a new program may begin at a load.
+	Admit func(t *Turn, load float64) bool
 }
 
+// Placer is the placer with the figures of the product.
+func Placer() PlacerConfig {
+	return PlacerConfig{
+		Name: "placer", Window: hgplacer.Window, Fetch: true, Charge: productCharge, Rank: UnderWayFirst,
+		Admit: func(t *Turn, load float64) bool { return !hgplacer.IsFull(load, t.priority()) },
+	}
+}
+
+// productCharge is what a moved token counts in the product.
+const productCharge = 50 * time.Microsecond
+
 // placers is the product's placer of each failure domain.
 type placers struct {
 	r       *Run
@@ -78,7 +88,7 @@
 
 func (p *placers) Place(t *Turn) {
 	d := p.domains[t.Domain]
-	if !t.Program.served && t.First && p.cfg.Admit != nil && !p.cfg.Admit(t, d.queue.Len(), p.r.load.Engine.Slots*len(p.r.engines)/len(p.domains), d.set.Load(service)) {
+	if !t.Program.served && t.First && p.cfg.Admit != nil && !p.cfg.Admit(t, d.set.Load(service)) {
 		p.r.Refuse(t)
 		return
 	}
@@ -138,18 +148,17 @@
 	delete(p.ids, t)
 }
 
-func (p *placers) String() string {
-	return fmt.Sprintf("placer %s", p.cfg.Name)
-}
+func (p *placers) String() string { return p.cfg.Name }
 
-// UnderWayFirst ranks programs under way before new ones, then the urgent kinds.
+// UnderWayFirst ranks turns as the product does.
 func UnderWayFirst(t *Turn, now time.Duration) hgplacer.Rank {
-	k := hgplacer.Rank{New: t.First, Late: t.Program.Left(now) < 0}
-	if !t.Program.Kind.Urgent {
-		k.Priority = 1
-	}
-	return k
+	return hgplacer.Rank{New: t.First, Late: t.Program.Left(now) < 0, Priority: t.priority()}
 }
 
-// Arrival ranks turns by their arrival.
-func Arrival(*Turn, time.Duration) hgplacer.Rank { return hgplacer.Rank{} }
+// priority is the rank of the turn's kind; 0 goes first.
+func (t *Turn) priority() int {
+	if t.Program.Kind.Urgent {
+		return 0
+	}
+	return 1
+}
--- a/internal/proof/hgmodel/policy.go
+++ b/internal/proof/hgmodel/policy.go
@@ -7,9 +7,20 @@
 	"time"
 
 	"hyssopgrade/internal/serve/hgattempt"
+	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 )
 
+// Policies are the policies by name.
+var Policies = map[string]func(*Run) Policy{
+	"roundRobin":    NewRoundRobin,
+	"leastInFlight": NewLeastInFlight,
+	"each":          NewEach,
+	"eachFetching":  NewEachFetching,
+	"placer":        NewPlacer(Placer()),
+	"placerStaying": NewPlacer(PlacerConfig{Name: "placer, no fetches", Window: hgplacer.Window, Rank: UnderWayFirst, Admit: Placer().Admit}),
+}
+
 // Policy places turns.
 type Policy interface {
 	// Place starts a turn now or later, or refuses it.
@@ -155,26 +166,18 @@
 
 func (p *each) Place(t *Turn) {
 	s := p.sets[t.Node]
-	if t.First && !t.Program.served && s.Load(service) > fullLoad(t) {
+	if t.First && !t.Program.served && hgplacer.IsFull(s.Load(service), t.priority()) {
 		p.r.Refuse(t)
 		return
 	}
 	p.try(t)
 }
 
-// fullLoad is the load from which the product lets new programs wait.
-func fullLoad(t *Turn) float64 {
-	if t.Program.Kind.Urgent {
-		return 1.6
-	}
-	return 1.2
-}
-
 func (p *each) try(t *Turn) {
 	p.tried[t]++
 	w := want(t, p.locality)
 	if p.fetches {
-		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken, Charge: 7 * time.Microsecond}
+		w.Fetch = hgreplica.Fetch{Setup: p.r.load.Engine.FetchSetup, PerToken: p.r.load.Engine.FetchPerToken, Charge: productCharge}
 	}
 	l, ok := p.sets[t.Node].Pick(w)
 	if !ok || p.tried[t] > mostTries {
--- a/internal/proof/hgmodel/run.go
+++ b/internal/proof/hgmodel/run.go
@@ -24,6 +24,7 @@
 // Result is what callers got.
 type Result struct {
 	Policy, Workload string
+	Rate             float64
 	Seed             uint64
 	// Worth is the share of what the programs were worth that they earned, and ByKind that of each kind.
 	Worth  float64
@@ -126,7 +127,7 @@
 const movedWorth = 0.4 * 163840 / 1e9
 
 func (r *Run) result(seed uint64) Result {
-	res := Result{Policy: r.policy.String(), Workload: r.load.Name, Seed: seed, Refused: r.refused, ByKind: map[string]Share{}}
+	res := Result{Policy: r.policy.String(), Workload: r.load.Name, Rate: r.load.Rate, Seed: seed, Refused: r.refused, ByKind: map[string]Share{}}
 	for _, e := range r.engines {
 		res.Read += e.read
 		res.Moved += e.moved
--- a/internal/proof/hgmodel/workload.go
+++ b/internal/proof/hgmodel/workload.go
@@ -46,7 +46,9 @@
 
 // Workload is the load of a site.
 type Workload struct {
-	Name    string
+	Name string
+	// Rate is the multiple at which the kinds arrive.
+	Rate    float64
 	Kinds   []Kind
 	Bursts  []Burst
 	Length  time.Duration
@@ -58,7 +60,7 @@
 
 // rate returns the arrivals of a kind a second.
 func (w Workload) rate(k Kind, at time.Duration) float64 {
-	rate := k.PerSecond
+	rate := k.PerSecond * w.Rate
 	for _, b := range w.Bursts {
 		if at >= b.From && at < b.To && (b.Kind == "" || b.Kind == k.Name) {
 			rate *= b.Factor
--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -35,9 +35,9 @@
 }
 
 const (
-	// window is the number of requests that a replica gets, as a multiple of its slots. In the model of the engines
+	// Window is the number of requests that a replica gets, as a multiple of its slots. In the model of the engines
 	// (hgmodel) turns that wait at the replica that keeps their history do better than turns that move to a free one.
-	window = 3
+	Window = 3
 	// FullForOthers and FullForUrgent are the requests on all replicas, as a multiple of their slots, from which new
 	// programs have to come back, and those of the most urgent routes. By the model 1.0 to 1.2 serve the most; beyond
 	// that programs under way miss their aims.
@@ -104,7 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timer.Now()
-	a.Want.Window, a.Rank.Arrived = window, now
+	a.Want.Window, a.Rank.Arrived = Window, now
 	granted = make(chan *hgreplica.Lease, 1)
 	p.waiting[a.ID] = granted
 	p.queue(a.Want.Service).Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank, Until: now + a.Wait})
