--- a/cmd/hyssopgrade/node.go
+++ b/cmd/hyssopgrade/node.go
@@ -68,8 +68,11 @@
 	return &cli.Command{
 		Name: "config", Usage: "work with settings",
 		Commands: []*cli.Command{{
-			Name: "check", Usage: "check a settings file without starting", Flags: []cli.Flag{settingsFlag()},
+			Name: "check", Usage: "check a settings file without starting", Flags: []cli.Flag{settingsFlag(), &cli.BoolFlag{Name: "entry", Usage: "the settings are those of an entry VM"}},
 			Action: func(_ context.Context, c *cli.Command) error {
+				if c.Bool("entry") {
+					return checkEntry(c.String("config"))
+				}
 				cfg, err := hgconfig.Read(c.String("config"))
 				if err != nil {
 					return err
@@ -80,3 +83,12 @@
 		}},
 	}
 }
+
+func checkEntry(path string) (err error) {
+	cfg, err := hgconfig.ReadEntry(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("settings of entry VM %s in %s are good: store at %s, callers at %s\n", cfg.VM.Name, cfg.VM.Domain, cfg.Store.Address, cfg.Listen.Public)
+	return nil
+}
--- a/cmd/hyssopgrade/operate.go
+++ b/cmd/hyssopgrade/operate.go
@@ -17,6 +17,7 @@
 	"hyssopgrade/hgfront"
 	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
+	"hyssopgrade/internal/operate/hgstatus"
 )
 
 func operatorFlags() []cli.Flag {
@@ -177,9 +178,14 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "describe a node and its cell, or one program",
-		Flags: append(operatorFlags(), &cli.StringFlag{Name: "program", Usage: "identifier of a program"}),
+		Flags: append(statusFlags(), &cli.StringFlag{Name: "program", Usage: "identifier of a program"}),
 		Action: func(ctx context.Context, c *cli.Command) (err error) {
-			if c.String("program") != "" {
+			switch {
+			case c.String("entry") != "":
+				return entryStatus(ctx, c)
+			case c.String("node") == "":
+				return trace.BadParameter("want --node or --entry")
+			case c.String("program") != "":
 				return programStatus(ctx, c)
 			}
 			return nodeStatus(ctx, c)
@@ -187,6 +193,26 @@
 	}
 }
 
+// statusFlags are the operators' flags, with an entry VM in the place of a node if one is named.
+func statusFlags() []cli.Flag {
+	flags := operatorFlags()
+	node := *flags[0].(*cli.StringFlag)
+	node.Required = false
+	flags[0] = &node
+	return append(flags, &cli.StringFlag{Name: "entry", Usage: "`ADDRESS` of an entry VM's metrics"})
+}
+
+func entryStatus(ctx context.Context, c *cli.Command) (err error) {
+	s, err := hgstatus.Get(ctx, c.String("entry"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s)
+	}
+	return s.Write(os.Stdout)
+}
+
 func programStatus(ctx context.Context, c *cli.Command) (err error) {
 	var s hgowner.ProgramStatus
 	if err := operatorClient(c).Get(ctx, c.String("node"), "/v1/programs/status?program="+c.String("program"), &s); err != nil {
--- a/internal/operate/hgedge/directory.go
+++ b/internal/operate/hgedge/directory.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgconfig"
+	"hyssopgrade/internal/operate/hgstatus"
 	"hyssopgrade/internal/peer/hgpeer"
 	hgplatform "hyssopgrade/platform"
 )
@@ -48,6 +49,7 @@
 
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc(hgstatus.Path, n.serveStatus)
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.figures.Set("running", float64(n.entry.Running()))
 		n.figures.Set("programs", float64(n.ledger.Programs()))
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -65,8 +65,13 @@
 	public    *http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
+	// desiredAt is when the desired state came into force, in nanoseconds of the timer.
+	desiredAt atomic.Int64
 }
 
+// inForce returns when the desired state came into force.
+func (n *Node) inForce() time.Duration { return time.Duration(n.desiredAt.Load()) }
+
 // NewNode returns a node that is not running.
 func NewNode(cfg hgconfig.Entry, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, timer: hgtimer.NewService()}
--- a/internal/operate/hgedge/replica.go
+++ b/internal/operate/hgedge/replica.go
@@ -70,6 +70,7 @@
 		return
 	}
 	if n.entry.SetDesired(s) {
+		n.desiredAt.Store(int64(n.timer.Now()))
 		n.log.Info("desired state in force", "version", s.Version, "routes", len(s.Routes), "services", len(s.Services))
 	}
 	n.updateReady()
--- /dev/null
+++ b/internal/operate/hgedge/status.go
@@ -0,0 +1,62 @@
+package hgedge
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"hyssopgrade/internal/operate/hgstatus"
+	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgreplica"
+)
+
+// Status describes the node for operators.
+func (n *Node) Status() hgstatus.Status {
+	self := n.members.Self()
+	placer, _ := n.members.Placer()
+	s := hgstatus.Status{
+		VM: self.Name, Domain: self.Domain, Ready: self.Ready, Stopping: self.Stopping, StoreOK: n.health.ok(),
+		Running: n.entry.Running(), Programs: n.ledger.Programs(), Placer: placer.Name,
+	}
+	if d := n.entry.Desired(); d != nil {
+		s.Version, s.InForce = d.Version, (n.timer.Now() - n.inForce()).Seconds()
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.watches)) {
+		w := n.watches[name]
+		s.Tables = append(s.Tables, hgstatus.Table{Name: name, Changed: w.Changed(), Failing: w.Failing().Seconds()})
+	}
+	s.Services = n.services()
+	live := lo.SliceToMap(n.members.Live(), func(i hgpeer.Info) (string, bool) { return i.Name, true })
+	s.Peers = lo.Map(n.members.All(), func(i hgpeer.Info, _ int) hgstatus.Peer {
+		return hgstatus.Peer{Name: i.Name, Domain: i.Domain, Live: live[i.Name], Ready: i.Ready, StoreOK: i.StoreOK}
+	})
+	slices.SortFunc(s.Peers, func(a, b hgstatus.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+// services describes the replicas by service.
+func (n *Node) services() (services []hgstatus.Service) {
+	byService := lo.GroupBy(n.set.Summaries(), func(r hgreplica.Summary) string { return r.Service })
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		service := hgstatus.Service{Name: name, Load: n.set.Load(name)}
+		for _, r := range byService[name] {
+			service.Replicas = append(service.Replicas, hgstatus.Replica{
+				ID: r.ID, Domain: r.Domain, Out: r.Out, InFlight: r.InFlight, Failures: r.Failures, DelayMs: r.Delay.Seconds() * 1000,
+			})
+		}
+		slices.SortFunc(service.Replicas, func(a, b hgstatus.Replica) int { return cmp.Compare(a.ID, b.ID) })
+		services = append(services, service)
+	}
+	return services
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
+		n.log.Debug("status not written", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/operate/hgstatus/status.go
@@ -0,0 +1,116 @@
+package hgstatus
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Path is where an entry VM serves its status, on the address of its metrics.
+const Path = "/status"
+
+// Status describes an entry VM at a moment.
+type Status struct {
+	VM       string `json:"vm"`
+	Domain   string `json:"domain"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	// Running is the number of requests in progress, and Programs of programs in memory.
+	Running  int `json:"running"`
+	Programs int `json:"programs"`
+	// StoreOK says that the store answers this VM.
+	StoreOK bool `json:"storeOk"`
+	// Version is that of the desired state in force, 0 if there is none, and InForce how long it has been so.
+	Version uint64  `json:"version"`
+	InForce float64 `json:"inForceSeconds"`
+	// Placer is the VM that places the requests of this failure domain.
+	Placer   string    `json:"placer"`
+	Tables   []Table   `json:"tables"`
+	Services []Service `json:"services"`
+	Peers    []Peer    `json:"peers"`
+}
+
+// Table is a watched table of the store.
+type Table struct {
+	Name string `json:"name"`
+	// Changed is the version of its newest change, and Failing for how long its watch has failed.
+	Changed uint64  `json:"changed"`
+	Failing float64 `json:"failingSeconds"`
+}
+
+// Service is a service with its replicas; Load is the requests on them as a multiple of their slots.
+type Service struct {
+	Name     string    `json:"name"`
+	Load     float64   `json:"load"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// Replica is a replica; Out says why it gets no requests, or nothing if it does.
+type Replica struct {
+	ID       string  `json:"id"`
+	Domain   string  `json:"domain"`
+	Out      string  `json:"out,omitempty"`
+	InFlight int     `json:"inFlight"`
+	Failures float64 `json:"failures"`
+	// DelayMs is the usual time to the first byte.
+	DelayMs float64 `json:"delayMs"`
+}
+
+// Peer is another entry VM.
+type Peer struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Live    bool   `json:"live"`
+	Ready   bool   `json:"ready"`
+	StoreOK bool   `json:"storeOk"`
+}
+
+// Get asks an entry VM, at the address of its metrics.
+func Get(ctx context.Context, address string) (s Status, err error) {
+	defer func() { err = trace.Wrap(err, "status of %s", address) }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, trace.BadParameter("answer %s", resp.Status)
+	}
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// Write prints the status for people.
+func (s Status) Write(w io.Writer) (err error) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer func() { err = t.Flush() }()
+	inForce := time.Duration(s.InForce * float64(time.Second)).Round(time.Millisecond)
+	fmt.Fprintf(t, "%s in %s: ready %t, stopping %t, store %t, %d requests, %d programs\n", s.VM, s.Domain, s.Ready, s.Stopping, s.StoreOK, s.Running, s.Programs)
+	fmt.Fprintf(t, "desired state %d, in force for %s; placer %s\n", s.Version, inForce, s.Placer)
+	for _, table := range s.Tables {
+		fmt.Fprintf(t, "table\t%s\tversion %d\tfailing for %.1f s\n", table.Name, table.Changed, table.Failing)
+	}
+	for _, service := range s.Services {
+		fmt.Fprintf(t, "service\t%s\tload %.2f\n", service.Name, service.Load)
+		for _, r := range service.Replicas {
+			state := "in"
+			if r.Out != "" {
+				state = "out: " + r.Out
+			}
+			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs)
+		}
+	}
+	for _, p := range s.Peers {
+		fmt.Fprintf(t, "peer\t%s\t%s\tlive %t\tready %t\tstore %t\n", p.Name, p.Domain, p.Live, p.Ready, p.StoreOK)
+	}
+	return nil
+}
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -190,7 +190,7 @@
 
 // isUsable says whether a replica may get a request.
 func (r *replica) isUsable(w Want, now time.Duration) bool {
-	return r.Service == w.Service && !r.Leaving && !r.misdirected && !w.Exclude[r.ID] && (r.lapsed == 0 || now < r.lapsed)
+	return r.Service == w.Service && !w.Exclude[r.ID] && r.out(now) == ""
 }
 
 func (s *Set) usual(service string) time.Duration {
@@ -287,13 +287,16 @@
 	return float64(requests) / float64(slots)
 }
 
-// Summary describes a replica for operators.
+// Summary describes a replica for operators; Out says why it gets no requests, or nothing if it does.
 type Summary struct {
 	ID       string
 	Service  string
-	Leaving  bool
+	Domain   string
+	Out      string
 	InFlight int
 	Failures float64
+	// Delay is the usual time to the first byte.
+	Delay time.Duration
 }
 
 // Summaries returns all replicas.
@@ -303,9 +306,22 @@
 	defer s.mu.Unlock()
 	for _, r := range s.replicas {
 		all = append(all, Summary{
-			ID: r.ID, Service: r.Service, Leaving: r.Leaving, InFlight: r.inFlight,
-			Failures: r.failures * halved(now-r.failedAt, failureHalfLife),
+			ID: r.ID, Service: r.Service, Domain: r.Domain, Out: r.out(now), InFlight: r.inFlight,
+			Failures: r.failures * halved(now-r.failedAt, failureHalfLife), Delay: time.Duration(r.delay),
 		})
 	}
 	return all
 }
+
+// out says why a replica gets no requests; nothing if it does.
+func (r *replica) out(now time.Duration) string {
+	switch {
+	case r.Leaving:
+		return "leaving"
+	case r.misdirected:
+		return "another replica has its address"
+	case r.lapsed > 0 && now >= r.lapsed:
+		return "not registered"
+	}
+	return ""
+}
