--- a/cmd/hyssopgrade/replay.go
+++ b/cmd/hyssopgrade/replay.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/hglog"
 	"hyssopgrade/internal/proof/hgcell"
 	"hyssopgrade/internal/proof/hgreplay"
+	"hyssopgrade/internal/proof/hgsite"
 	"hyssopgrade/internal/proof/hgstandin"
 )
 
@@ -115,13 +116,48 @@
 		Name: "demo", Usage: "run three nodes and stand-ins in one process and replay a shipped trace",
 		Flags: append(replayFlags(),
 			&cli.StringFlag{Name: "trace", Value: "derwent", Usage: "shipped trace, derwent or fjordbom"},
+			&cli.BoolFlag{Name: "platform", Usage: "run entry VMs over the platform's store instead, and stop one of them in the middle"},
 			&cli.StringFlag{Name: "log", Value: "error", Usage: "log level: debug, info, warn or error"},
 		),
 		Action: runDemo,
 	}
 }
 
+const (
+	// demoVMs and demoPrograms are the size of the demo on the platform.
+	demoVMs      = 6
+	demoPrograms = 60
+	// demoReady is the time in which its VMs must be up.
+	demoReady = 10 * time.Second
+)
+
+// runPlatformDemo plays programs over entry VMs, one of which stops in the middle.
+func runPlatformDemo(ctx context.Context, c *cli.Command) (err error) {
+	log, err := hglog.New(os.Stderr, "text", c.String("log"))
+	if err != nil {
+		return err
+	}
+	site, err := hgsite.NewSite(demoVMs, log)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	if err := site.WaitReady(demoReady); err != nil {
+		return err
+	}
+	time.AfterFunc(time.Second, site.Nodes[1].Stop)
+	played := site.Play(ctx, demoPrograms, 1)
+	fmt.Println(played)
+	if played.Done+played.Stopped < played.Programs {
+		return &exitError{exitViolation, trace.CompareFailed("programs failed")}
+	}
+	return nil
+}
+
 func runDemo(ctx context.Context, c *cli.Command) (err error) {
+	if c.Bool("platform") {
+		return runPlatformDemo(ctx, c)
+	}
 	opts, err := replayOptions(c)
 	if err != nil {
 		return err
--- a/internal/proof/hgsite/status_test.go
+++ b/internal/proof/hgsite/status_test.go
@@ -47,3 +47,13 @@
 		t.Errorf("%v\n%s", err, text.String())
 	}
 }
+
+// All programs of a play end, also while a VM stops in their middle.
+func TestPlay(t *testing.T) {
+	s := newSite(t, 4)
+	time.AfterFunc(700*time.Millisecond, s.Nodes[1].Stop)
+	p := s.Play(t.Context(), 30, 1)
+	if p.Done != 27 || p.Stopped != 3 {
+		t.Error(p)
+	}
+}
