--- a/hgnode/wire.go
+++ b/hgnode/wire.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/hgsched"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	hgplatform "hyssopgrade/platform"
 )
 
 // Keys are the key that the nodes of a cell share, and that of its operators, which may be empty.
@@ -54,9 +55,14 @@
 	return i
 }
 
+// storePrefix is where the nodes of the own interface keep their rows in the platform's store: a table, and one part of
+// it, as their transactions join rows of several shards.
+const storePrefix = "hgown//"
+
 func newStore(i do.Injector) (hgstore.Store, error) {
 	cfg := do.MustInvoke[hgconfig.Config](i)
-	return hgstore.NewHTTP("http://"+cfg.Platform.Address, hgstore.WithTimeout(hgconfig.MS(cfg.Platform.TimeoutMs))), nil
+	store := hgplatform.NewStore(cfg.Platform.Address, hgconfig.MS(cfg.Platform.TimeoutMs), nil)
+	return hgstore.Within(store, storePrefix), nil
 }
 
 func newEndpoints(i do.Injector) (map[string]hgendpoint.Endpoint, error) {
