--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -107,7 +107,19 @@
 red lapse TestWatchOutage internal/state/hgfeed \
   internal/state/hgfeed/feed.go 's/return max\(w\.regained\+lapseTime-w\.timer\.Now\(\), 0\)/return lapseTime/'
 red full TestNewProgramsWait internal/proof/hgsite \
-  internal/serve/hgentry/turn.go 's/return e\.replicas\.Load\(service\) > limit/return false \&\& limit > 0/'
+  internal/serve/hgplacer/placer.go 's/return load >= FullFor(Others|Urgent)/return load > 1000/g'
+red placerWindow TestPlaceWaits internal/serve/hgplacer \
+  internal/serve/hgplacer/placer.go 's/a\.Want\.Window, a\.Rank\.Arrived = Window, now/a.Rank.Arrived = now/'
+red placerLeave TestPlaceWaits internal/serve/hgplacer \
+  internal/serve/hgplacer/placer.go 's/h\.lease\.Apply\(o\)/_ = h/'
+red placerOverdue TestOverdue internal/serve/hgplacer \
+  internal/serve/hgplacer/placer.go 's/now >= h\.until/false/'
+red placerDies TestPlacerDies internal/proof/hgsite \
+  internal/peer/hgpeer/places.go 's/left\(hgreplica\.Outcome\{\}\)\n\t\treturn p\.pick\(a\)\n\tcase reply/return nil, hgplacer.Expired\n\tcase reply/'
+red fetch TestHelpersFetch internal/proof/hgsite \
+  platform/request.go 's/h\.Set\(headerFetch, s\.FetchFrom\)/_ = s/'
+red relayAge TestRelays internal/peer/hgpeer \
+  internal/peer/hgpeer/relay.go 's/at := now - r\.Age/at := now/'
 red callerTime TestTimeHandedOn internal/proof/hgsite \
   platform/request.go 's/left\.Milliseconds\(\)/(2 * left).Milliseconds()/'
 red callerLeaves TestCallerLeaves internal/proof/hgsite \
