--- a/cmd/hyssopgrade/entry.go
+++ b/cmd/hyssopgrade/entry.go
@@ -44,7 +44,10 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(cfg.VM.MemoryMB * (1 << 20) * memoryShare))
-	n := hgedge.NewNode(cfg, log)
+	n, err := hgedge.NewNode(cfg, log)
+	if err != nil {
+		return err
+	}
 	if err := n.Start(); err != nil {
 		return err
 	}
--- a/hgconfig/entry.go
+++ b/hgconfig/entry.go
@@ -16,6 +16,16 @@
 	Store  EntryStore  `toml:"store"`
 	Bounds EntryBounds `toml:"bounds"`
 	Log    Log         `toml:"log"`
+	Keys   EntryKeys   `toml:"keys"`
+}
+
+// EntryKeys name the files in PEM with which entry VMs secure the connections between them; without a certificate these
+// are plain.
+type EntryKeys struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	// Authority holds the certificate that signed those of all VMs.
+	Authority string `toml:"authority"`
 }
 
 // EntryVM names the VM and says what it has.
@@ -110,6 +120,9 @@
 	if e.VM.Name == "" || strings.ContainsAny(e.VM.Name, "/ ") {
 		return at(data, "vm.name", "%q: want a word without '/'", e.VM.Name)
 	}
+	if k := e.Keys; (k.Certificate == "") != (k.Key == "") || (k.Certificate == "") != (k.Authority == "") {
+		return at(data, "keys.certificate", "want certificate, key and authority, or none of them")
+	}
 	if e.VM.Domain == "" {
 		return at(data, "vm.domain", "want the failure domain")
 	}
--- a/hgconfig/entry_test.go
+++ b/hgconfig/entry_test.go
@@ -48,6 +48,7 @@
 		"unknown key":   {"[log]", "[lag]", "lag"},
 		"no name":       {`"vm-1"`, `""`, "vm.name"},
 		"no domain":     {`"north"`, `""`, "vm.domain"},
+		"key alone":     {"[log]", "[keys]\ncertificate = \"a.pem\"\n[log]", "keys.certificate"},
 		"bad address":   {`"10.0.0.1:80"`, `"here:80"`, "listen.public"},
 		"little memory": {"154", "3", "vm.memoryMb"},
 		"no grace":      {"graceSeconds = 8", "graceSeconds = 0", "bounds.graceSeconds"},
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -50,6 +51,8 @@
 	health  health
 	members *hgpeer.Members
 	client  *hgpeer.Client
+	// secure is how connections between nodes are secured, or nil.
+	secure  *tls.Config
 	ledger  *hgledger.Ledger
 	places  *hgpeer.Places
 	set     *hgreplica.Set
@@ -73,8 +76,13 @@
 func (n *Node) inForce() time.Duration { return time.Duration(n.desiredAt.Load()) }
 
 // NewNode returns a node that is not running.
-func NewNode(cfg hgconfig.Entry, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, log: log, timer: hgtimer.NewService()}
+func NewNode(cfg hgconfig.Entry, log *slog.Logger) (n *Node, err error) {
+	n = &Node{cfg: cfg, log: log, timer: hgtimer.NewService()}
+	if cfg.Keys.Certificate != "" {
+		if n.secure, err = hgpeer.Secure(cfg.Keys.Certificate, cfg.Keys.Key, cfg.Keys.Authority); err != nil {
+			return nil, err
+		}
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	boot := cfg.VM.Name + "/" + uuid.NewString()
 	n.health.timer = n.timer
@@ -84,7 +92,7 @@
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
 		Power: cfg.VM.CPUShare * cfg.VM.Cores,
 	}, cfg.VM.Domains...)
-	n.client = hgpeer.NewClient()
+	n.client = hgpeer.NewClient(n.secure)
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
 		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithComplete(cfg.VM.FirstStart), hgledger.WithMarkers())
 	n.set = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
@@ -97,13 +105,13 @@
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas),
 		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes),
 	}
-	return n
+	return n, nil
 }
 
 // Start listens and begins to follow the store and the peers.
 func (n *Node) Start() (err error) {
 	defer func() { err = trace.Wrap(err, "start") }()
-	if err := n.listen(n.cfg.Listen.Peer, func(l net.Listener) error { return hgpeer.Serve(l, (*peerHandler)(n)) }); err != nil {
+	if err := n.listen(n.cfg.Listen.Peer, n.servePeers); err != nil {
 		return err
 	}
 	n.public = &http.Server{
@@ -133,6 +141,14 @@
 	return nil
 }
 
+// servePeers answers peers, over secured connections if there are settings for that.
+func (n *Node) servePeers(l net.Listener) error {
+	if n.secure != nil {
+		l = tls.NewListener(l, n.secure)
+	}
+	return hgpeer.Serve(l, (*peerHandler)(n))
+}
+
 func (n *Node) listen(address string, serve func(l net.Listener) error) (err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -121,10 +122,14 @@
 	conns map[string]*rpc.Client
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
+// NewClient returns a client without connections, which are secured if there are settings for that.
+func NewClient(secure *tls.Config) *Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
-	return &Client{dial: d.DialContext, conns: map[string]*rpc.Client{}}
+	c := &Client{dial: d.DialContext, conns: map[string]*rpc.Client{}}
+	if secure != nil {
+		c.dial = (&tls.Dialer{NetDialer: d, Config: secure}).DialContext
+	}
+	return c
 }
 
 // conn returns the connection to a peer. It connects without the lock, so that one dead peer holds up no others.
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -149,7 +149,10 @@
 
 // StartNode starts an entry VM that is not running.
 func (s *Site) StartNode(i int) (err error) {
-	n := hgedge.NewNode(s.Configs[i], s.log.With("vm", s.Configs[i].VM.Name))
+	n, err := hgedge.NewNode(s.Configs[i], s.log.With("vm", s.Configs[i].VM.Name))
+	if err != nil {
+		return err
+	}
 	s.Nodes[i] = n
 	return n.Start()
 }
