--- a/internal/proof/hgmodel/engine.go
+++ b/internal/proof/hgmodel/engine.go
@@ -51,9 +51,6 @@
 	return &engine{id: id, cfg: cfg, clock: clock, memory: newMemory(cfg.MemoryTokens)}
 }
 
-// load returns the requests that run and wait.
-func (e *engine) load() int { return len(e.running) + len(e.waiting) }
-
 // submit takes a request, or refuses it.
 func (e *engine) submit(j *job) {
 	if len(e.waiting) >= e.cfg.Queue {
--- a/internal/proof/hgmodel/run.go
+++ b/internal/proof/hgmodel/run.go
@@ -18,7 +18,6 @@
 	programs []*Program
 	parts    int
 	refused  int
-	turns    int
 }
 
 // Result is what callers got.
--- a/internal/state/hgaccount/model_test.go
+++ b/internal/state/hgaccount/model_test.go
@@ -1,7 +1,6 @@
 package hgaccount_test
 
 import (
-	"fmt"
 	"testing"
 
 	"hyssopgrade/internal/state/hgaccount"
@@ -215,7 +214,7 @@
 				return
 			}
 			for i, w := range history {
-				t.Log(fmt.Sprintf("%d: %+v", i, w))
+				t.Logf("%d: %+v", i, w)
 			}
 			t.Errorf("holds: %v, want %v", history == nil, tt.holds)
 		})
