--- a/internal/serve/hgplacer/placer_test.go
+++ b/internal/serve/hgplacer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -139,3 +140,30 @@
 		}
 	}
 }
+
+func BenchmarkPlace(b *testing.B) {
+	for _, replicas := range []int{48, 200, 1700} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			timer := hgtimer.NewService()
+			defer timer.Close()
+			s := hgreplica.NewSet(timer, "north", func(time.Duration) *http.Client { return &http.Client{} })
+			entries := map[string]hgreplica.Entry{}
+			for i := range replicas {
+				id := fmt.Sprint(i)
+				entries[id] = hgreplica.Entry{ID: id, Service: "s", Address: id, Domain: "north", Slots: 8}
+			}
+			s.Apply(entries, 0)
+			p := hgplacer.NewPlacer(s, timer)
+			a := ask("a", time.Second)
+			a.Want.Prompt, a.Want.Kept = 2000, map[string]int{"1": 1500, "2": 800}
+			a.Want.Fetch = hgreplica.Fetch{Setup: time.Millisecond, PerToken: time.Microsecond}
+			for b.Loop() {
+				l, v := p.Place(b.Context(), a)
+				if v != hgplacer.Granted {
+					b.Fatal(v)
+				}
+				l.Release()
+			}
+		})
+	}
+}
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -123,7 +123,7 @@
 	defer l.set.mu.Unlock()
 	l.outcome.Failed = true
 	r := l.replica
-	r.failures = r.failures*halved(now-r.failedAt, failureHalfLife) + 1
+	r.failures = r.recentFailures(now) + 1
 	r.failedAt = now
 }
 
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/hgtimer"
 )
 
@@ -57,6 +59,8 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	// byService holds the same replicas by service.
+	byService map[string][]*replica
 	// holds is how long requests of each service held a slot lately, in nanoseconds.
 	holds map[string]float64
 }
@@ -86,6 +90,7 @@
 			delete(s.replicas, id)
 		}
 	}
+	s.byService = lo.GroupBy(lo.Values(s.replicas), func(r *replica) string { return r.Service })
 }
 
 func (s *Set) apply(id string, e Entry) {
@@ -156,7 +161,7 @@
 	var from *replica
 	of := 0
 	least := time.Duration(math.MaxInt64)
-	for id, r := range s.replicas {
+	for _, r := range s.byService[w.Service] {
 		if !r.isUsable(w, now) {
 			continue
 		}
@@ -168,7 +173,7 @@
 		if r.Domain != s.domain {
 			v.far = w.Far
 		}
-		source := sources.apply(&v, w, id)
+		source := sources.apply(&v, w, r.ID)
 		// A small random part spreads choices that nodes make at the same time on the same reports.
 		if c := v.cost() + time.Duration(rand.Int64N(int64(2*time.Millisecond))); c < least {
 			best, from, least = r, source, c
@@ -195,8 +200,8 @@
 
 func (s *Set) usual(service string) time.Duration {
 	least := math.MaxFloat64
-	for _, r := range s.replicas {
-		if r.Service == service && !r.Leaving && r.delay > 0 {
+	for _, r := range s.byService[service] {
+		if !r.Leaving && r.delay > 0 {
 			least = min(least, r.delay)
 		}
 	}
@@ -221,10 +226,19 @@
 	}
 	return view{
 		slots: r.Slots, inFlight: r.inFlight + r.elsewhere(now), delay: delay, usual: usual,
-		failures: r.failures * halved(now-r.failedAt, failureHalfLife), coldLeft: r.ColdLeft,
+		failures: r.recentFailures(now), coldLeft: r.ColdLeft,
 	}
 }
 
+// recentFailures returns the failures with their weight at a time.
+func (r *replica) recentFailures(now time.Duration) float64 {
+	if r.failures == 0 {
+		return 0
+	}
+	return r.failures * halved(now-r.failedAt, failureHalfLife)
+}
+
+// halved returns what is left of something after a time in which it halves again and again.
 func halved(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
@@ -261,7 +275,7 @@
 	now := s.timer.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.replicas {
+	for _, r := range s.byService[w.Service] {
 		if r.isUsable(w, now) {
 			return true
 		}
@@ -275,8 +289,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	requests, slots := 0, 0
-	for _, r := range s.replicas {
-		if r.Service == service && !r.Leaving {
+	for _, r := range s.byService[service] {
+		if !r.Leaving {
 			requests += r.inFlight + r.elsewhere(now)
 			slots += r.Slots
 		}
@@ -307,7 +321,7 @@
 	for _, r := range s.replicas {
 		all = append(all, Summary{
 			ID: r.ID, Service: r.Service, Domain: r.Domain, Out: r.out(now), InFlight: r.inFlight,
-			Failures: r.failures * halved(now-r.failedAt, failureHalfLife), Delay: time.Duration(r.delay),
+			Failures: r.recentFailures(now), Delay: time.Duration(r.delay),
 		})
 	}
 	return all
