Pass over a placer that falls silent within a tenth of a second

Cause: found by reading: a placer that freezes or is cut held up all requests of engines of its failure domain until its heartbeats were missed (0.6 to 1.4 s). A caller that left while it waited made its VM suspect the placer, or the VM that opened its turn, for 0.7 s. Change: a question is given up after 100 ms in which the placer answered none; only errors that are not the caller's cast suspicion. Ruled out: a longer list of places at hand at each VM: they would not be exact.

--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// loads is what the placer said of each service.
 	loads map[string]heardLoad
+	// answered is when each placer last answered a question.
+	answered map[string]time.Duration
 }
 
 type heardLoad struct {
@@ -30,7 +32,7 @@
 
 // NewPlaces returns the places of a site as one of its nodes gives and asks for them.
 func NewPlaces(p *hgplacer.Placer, s *hgreplica.Set, m *Members, c *Client, log *slog.Logger) *Places {
-	return &Places{placer: p, set: s, members: m, client: c, log: log, loads: map[string]heardLoad{}}
+	return &Places{placer: p, set: s, members: m, client: c, log: log, loads: map[string]heardLoad{}, answered: map[string]time.Duration{}}
 }
 
 // spareWait is what a message may take beyond the wait in the placer's queue.
@@ -42,9 +44,7 @@
 	if self {
 		return p.placer.Place(ctx, a)
 	}
-	reply, err := ask(ctx, p.members, placer, a.Wait+spareWait, func(ctx context.Context) (PlaceReply, error) {
-		return p.client.Place(ctx, placer.Peer, a)
-	})
+	reply, err := p.ask(ctx, placer, a)
 	left := func(o hgreplica.Outcome) { go p.leave(placer, a.ID, o) }
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -68,6 +68,57 @@
 	return l, hgplacer.Granted
 }
 
+// signTime is how long a placer may go without an answer to any question while one is open. Answers take a millisecond or
+// two, and places become free all the time even while all requests wait.
+const signTime = 100 * time.Millisecond
+
+// ask asks a placer, and gives up when there is no sign of it.
+func (p *Places) ask(caller context.Context, placer Info, a hgplacer.Ask) (reply PlaceReply, err error) {
+	ctx, cancel := context.WithTimeout(caller, a.Wait+spareWait)
+	defer cancel()
+	type result struct {
+		reply PlaceReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply, err := p.client.Place(ctx, placer.Peer, a)
+		done <- result{reply, err}
+	}()
+	began := p.members.Age()
+	for {
+		select {
+		case r := <-done:
+			if caller.Err() == nil {
+				p.signed(placer.Name, r.err)
+			}
+			return r.reply, r.err
+		case <-time.After(signTime):
+			if p.silentSince(placer.Name, began) >= signTime {
+				cancel()
+			}
+		}
+	}
+}
+
+// signed notes the end of a question.
+func (p *Places) signed(placer string, err error) {
+	if err != nil {
+		p.members.Suspect(placer)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered[placer] = p.members.Age()
+}
+
+// silentSince returns how long a placer has not answered, counted from a time at the earliest.
+func (p *Places) silentSince(placer string, from time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Age() - max(p.answered[placer], from)
+}
+
 // pick chooses a replica by what this node knows.
 func (p *Places) pick(a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict) {
 	if l, ok := p.set.Pick(a.Want); ok {
--- /dev/null
+++ b/internal/peer/hgpeer/places_test.go
@@ -0,0 +1,86 @@
+package hgpeer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"hyssopgrade/hglog"
+	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgplacer"
+	"hyssopgrade/internal/serve/hgreplica"
+	"hyssopgrade/internal/state/hgledger"
+)
+
+// A placer that has fallen silent holds up no request for long, although its last heartbeat is fresh.
+func TestSilentPlacer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	timer := hgtimer.NewService()
+	defer timer.Close()
+	set := hgreplica.NewSet(timer, "north", func(time.Duration) *http.Client { return &http.Client{} })
+	set.Apply(map[string]hgreplica.Entry{"r": {ID: "r", Service: "s", Address: "r:1", Domain: "north", Slots: 4}}, 0)
+	self, placer := info("b", "north"), info("a", "north")
+	placer.Peer = l.Addr().String()
+	m := hgpeer.NewMembers(timer, self)
+	m.Heard(hgpeer.Beat{Info: placer})
+	if got, isSelf := m.Placer(); isSelf || got.Name != "a" {
+		t.Fatalf("placer %q", got.Name)
+	}
+	places := hgpeer.NewPlaces(hgplacer.NewPlacer(set, timer), set, m, hgpeer.NewClient(nil), hglog.Discard())
+	began := time.Now()
+	lease, v := places.Take(t.Context(), hgplacer.Ask{ID: "x", Want: hgreplica.Want{Service: "s"}, Wait: 2 * time.Second, Left: 2 * time.Second})
+	if v != hgplacer.Granted || lease.ID != "r" {
+		t.Fatalf("verdict %s", v)
+	}
+	if took := time.Since(began); took > 250*time.Millisecond {
+		t.Errorf("took %v, want 250 ms at most", took)
+	}
+	if _, isSelf := m.Placer(); !isSelf {
+		t.Error("the silent placer is asked again at once")
+	}
+}
+
+// A caller that leaves while its request waits casts no suspicion on the placer, nor on the node that opens its turn.
+func TestCallerLeavesPlacer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	timer := hgtimer.NewService()
+	defer timer.Close()
+	set := hgreplica.NewSet(timer, "north", func(time.Duration) *http.Client { return &http.Client{} })
+	placer := info("a", "north")
+	placer.Peer = l.Addr().String()
+	m := hgpeer.NewMembers(timer, info("b", "north"))
+	m.Heard(hgpeer.Beat{Info: placer})
+	client := hgpeer.NewClient(nil)
+	tests := map[string]func(ctx context.Context){
+		"place": func(ctx context.Context) {
+			hgpeer.NewPlaces(hgplacer.NewPlacer(set, timer), set, m, client, hglog.Discard()).Take(ctx, hgplacer.Ask{ID: "x", Wait: time.Second})
+		},
+		"turn": func(ctx context.Context) {
+			hgpeer.NewPrograms(hgledger.NewLedger("b", hgstore.NewMemory(), timer, hglog.Discard()), m, client, hglog.Discard()).
+				Close(ctx, placer, hgledger.CloseRequest{Program: "p", Attempt: "x"})
+		},
+	}
+	for name, do := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+			defer cancel()
+			do(ctx)
+			time.Sleep(20 * time.Millisecond)
+			if _, isSelf := m.Placer(); isSelf {
+				t.Error("suspected")
+			}
+		})
+	}
+}
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -75,8 +75,8 @@
 }
 
 // ask runs a call to a peer and gives up after answerTime without a sign of it, or after the limit.
-func ask[R any](ctx context.Context, m *Members, peer Info, limit time.Duration, run func(ctx context.Context) (R, error)) (reply R, err error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func ask[R any](caller context.Context, m *Members, peer Info, limit time.Duration, run func(ctx context.Context) (R, error)) (reply R, err error) {
+	ctx, cancel := context.WithTimeout(caller, limit)
 	defer cancel()
 	type result struct {
 		reply R
@@ -90,7 +90,7 @@
 	for {
 		select {
 		case r := <-done:
-			if r.err != nil {
+			if r.err != nil && caller.Err() == nil {
 				m.Suspect(peer.Name)
 			}
 			return r.reply, r.err
