--- a/cmd/hyssopgrade/main.go
+++ b/cmd/hyssopgrade/main.go
@@ -47,7 +47,7 @@
 	defer stop()
 	cmd := &cli.Command{
 		Name: "hyssopgrade", Usage: "scheduler for agent programs", Description: description, Version: version,
-		Commands: []*cli.Command{nodeCommand(), entryCommand(), explainCommand(), lossCommand(), experimentCommand(), demoCommand(), replayCommand(), presetCommand(), statusCommand(), configCommand(), versionCommand()},
+		Commands: []*cli.Command{nodeCommand(), entryCommand(), explainCommand(), lossCommand(), experimentCommand(), demoCommand(), replayCommand(), presetCommand(), statusCommand(), configCommand(), timesCommand(), versionCommand()},
 	}
 	err := cmd.Run(ctx, os.Args)
 	if err == nil {
