--- a/cmd/hyssopgrade/entry.go
+++ b/cmd/hyssopgrade/entry.go
@@ -7,9 +7,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hglog"
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgedge"
+	"hyssopgrade/internal/operate/hglog"
 )
 
 // settingsEnv names the settings file on the users' platform.
--- a/cmd/hyssopgrade/node.go
+++ b/cmd/hyssopgrade/node.go
@@ -10,9 +10,9 @@
 	"github.com/samber/do/v2"
 	"github.com/urfave/cli/v3"
 
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hglog"
-	"hyssopgrade/hgnode"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/peer/hgnode"
 )
 
 func settingsFlag() cli.Flag {
--- a/cmd/hyssopgrade/operate.go
+++ b/cmd/hyssopgrade/operate.go
@@ -13,11 +13,11 @@
 	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgfront"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/internal/operate/hgstatus"
+	"hyssopgrade/internal/serve/hgcaller"
+	"hyssopgrade/internal/serve/hgfront"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 func operatorFlags() []cli.Flag {
--- a/cmd/hyssopgrade/replay.go
+++ b/cmd/hyssopgrade/replay.go
@@ -11,12 +11,12 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hglog"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/proof/hgcell"
 	"hyssopgrade/internal/proof/hgreplay"
 	"hyssopgrade/internal/proof/hgsite"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
 )
 
 func replayFlags() []cli.Flag {
--- a/hgshard/plan.go
+++ b/hgshard/plan.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgmember"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // Of returns the shard of a program, which is that of its root program.
--- a/hgshard/plan_test.go
+++ b/hgshard/plan_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgmember"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // cell returns the view of node a, which hears b, and a shard for which each of them is preferred.
--- a/hgconfig/config_test.go
+++ b/internal/operate/hgconfig/config_test.go
@@ -10,7 +10,7 @@
 
 func example(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../examples/node.toml")
+	data, err := os.ReadFile("../../../examples/node.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/hgconfig/entry_test.go
+++ b/internal/operate/hgconfig/entry_test.go
@@ -6,13 +6,13 @@
 	"strings"
 	"testing"
 
-	"hyssopgrade/hgconfig"
+	"hyssopgrade/internal/operate/hgconfig"
 )
 
 // filled is the template as the platform fills it in on a VM.
 func filled(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../deploy/entry.toml.tmpl")
+	data, err := os.ReadFile("../../../deploy/entry.toml.tmpl")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operate/hgedge/directory.go
+++ b/internal/operate/hgedge/directory.go
@@ -7,7 +7,7 @@
 
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgconfig"
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgstatus"
 	"hyssopgrade/internal/peer/hgpeer"
 	hgplatform "hyssopgrade/platform"
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
-	"hyssopgrade/hgconfig"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgfigure"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgentry"
--- a/hglog/writer_test.go
+++ b/internal/operate/hglog/writer_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"hyssopgrade/hglog"
+	"hyssopgrade/internal/operate/hglog"
 )
 
 // blocked is an output that takes nothing until it is released.
--- a/hgmetric/metric.go
+++ b/internal/operate/hgmetric/metric.go
@@ -11,7 +11,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgowner"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // reportEvery is the period in which figures are handed to the reporter.
--- a/hginner/client.go
+++ b/internal/peer/hginner/client.go
@@ -17,10 +17,10 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgkey"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // Client speaks to the peers of a node; it is safe for concurrent use.
--- a/hginner/server.go
+++ b/internal/peer/hginner/server.go
@@ -15,9 +15,9 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgkey"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
+	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // Node is what a node does for its peers.
--- a/hginner/server_test.go
+++ b/internal/peer/hginner/server_test.go
@@ -13,10 +13,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hglog"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // node is a Node that answers everything.
--- a/hgnode/cell.go
+++ b/internal/peer/hgnode/cell.go
@@ -7,12 +7,12 @@
 
 	"github.com/samber/lo"
 
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgmember"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // opTimeout bounds a periodic operation on the platform.
--- a/hgnode/endpoint.go
+++ b/internal/peer/hgnode/endpoint.go
@@ -7,10 +7,10 @@
 
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgconfig"
 	"hyssopgrade/hgmember"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/operate/hgconfig"
 )
 
 // watchTimeout bounds one load report.
--- a/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -16,19 +16,19 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hgfront"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgmember"
-	"hyssopgrade/hgmetric"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
-	"hyssopgrade/hgsched"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hgmetric"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgfront"
+	"hyssopgrade/internal/serve/hgowner"
+	"hyssopgrade/internal/serve/hgsched"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // shardOwner is who owns a shard, as last heard.
--- a/hgnode/operate.go
+++ b/internal/peer/hgnode/operate.go
@@ -11,11 +11,11 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hgfront"
 	"hyssopgrade/hgmember"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgshard"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // Locate names addresses to use for a program: its owner, then the nodes of this node's failure domain, then others.
--- a/hgnode/peer.go
+++ b/internal/peer/hgnode/peer.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgquarantine"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // peerSide is the node as its peers see it.
--- a/hgnode/serve.go
+++ b/internal/peer/hgnode/serve.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hginner"
 	"hyssopgrade/hgmember"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgshard"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // Bounds of the search for a shard's owner.
--- a/hgnode/turn.go
+++ b/internal/peer/hgnode/turn.go
@@ -4,11 +4,11 @@
 	"sync"
 	"time"
 
-	"hyssopgrade/hginner"
 	"hyssopgrade/hgmember"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/peer/hginner"
 )
 
 // turnTimeout bounds the question for a turn; without an answer the copy runs.
--- a/hgnode/wire.go
+++ b/internal/peer/hgnode/wire.go
@@ -6,15 +6,15 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgmetric"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgroute"
-	"hyssopgrade/hgsched"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hgmetric"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgsched"
 	hgplatform "hyssopgrade/platform"
 )
 
--- a/internal/peer/hgpeer/places_test.go
+++ b/internal/peer/hgpeer/places_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
--- a/internal/proof/hgbench/cell_slope_test.go
+++ b/internal/proof/hgbench/cell_slope_test.go
@@ -10,11 +10,11 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hglog"
-	"hyssopgrade/hgnode"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/peer/hgnode"
 	"hyssopgrade/internal/proof/hgcell"
+	"hyssopgrade/internal/serve/hgcaller"
+	"hyssopgrade/internal/serve/hgendpoint"
 )
 
 // demoEngines is the number of engines of a cell where it does not matter.
--- a/internal/proof/hgbench/run.go
+++ b/internal/proof/hgbench/run.go
@@ -14,7 +14,7 @@
 	"hyssopgrade/hgretain"
 	"hyssopgrade/hgretry"
 	"hyssopgrade/hgroute"
-	"hyssopgrade/hgsched"
+	"hyssopgrade/internal/serve/hgsched"
 )
 
 // Policy is what is measured: the preset's policies and whether prefixes are released.
--- a/internal/proof/hgbench/slope_test.go
+++ b/internal/proof/hgbench/slope_test.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // cpu returns the processor time of the process.
--- a/internal/proof/hgcell/cell.go
+++ b/internal/proof/hgcell/cell.go
@@ -13,12 +13,12 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hgnode"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/peer/hginner"
+	"hyssopgrade/internal/peer/hgnode"
 	"hyssopgrade/internal/proof/hgreplay"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
 )
 
 // Domains are the failure domains of a cell.
--- a/internal/proof/hgcell/cell_test.go
+++ b/internal/proof/hgcell/cell_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"hyssopgrade/hglog"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/proof/hgreplay"
 )
 
--- a/internal/proof/hgcell/front_test.go
+++ b/internal/proof/hgcell/front_test.go
@@ -14,12 +14,12 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgshard"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
+	"hyssopgrade/internal/serve/hgendpoint"
 )
 
 func smallCell(t *testing.T) *Cell {
--- a/internal/proof/hgproof/bench_test.go
+++ b/internal/proof/hgproof/bench_test.go
@@ -17,11 +17,11 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgfront"
 	"hyssopgrade/internal/proof/hgcell"
 	"hyssopgrade/internal/proof/hgreplay"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // binary is the program under test.
--- a/internal/proof/hgproof/budget_test.go
+++ b/internal/proof/hgproof/budget_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgowner"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // TestBudgetHolds lets sub-agents loop without end on one budget while the owner is killed: what the engines generated
--- a/internal/proof/hgproof/cut_test.go
+++ b/internal/proof/hgproof/cut_test.go
@@ -14,15 +14,15 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hgfront"
-	"hyssopgrade/hginner"
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgshard"
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/peer/hginner"
 	"hyssopgrade/internal/proof/hgcell"
 	"hyssopgrade/internal/proof/hgreplay"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // network connects the nodes of a cell and can cut one of them from the others, in both directions.
--- a/internal/proof/hgproof/drain_test.go
+++ b/internal/proof/hgproof/drain_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"hyssopgrade/hgcaller"
+	"hyssopgrade/internal/serve/hgcaller"
 )
 
 // TestGracefulStop ends a node by SIGTERM under load, with long streams in progress and callers that hold its address:
--- a/internal/proof/hgproof/fault_test.go
+++ b/internal/proof/hgproof/fault_test.go
@@ -11,10 +11,10 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
 )
 
 func shardOf(program string) uint32 { return hgshard.Of(program, 16) }
--- a/internal/proof/hgproof/history_test.go
+++ b/internal/proof/hgproof/history_test.go
@@ -10,9 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgfront"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // converse runs turns of a program and returns the conversation that its caller saw.
--- a/internal/proof/hgproof/preset_test.go
+++ b/internal/proof/hgproof/preset_test.go
@@ -12,9 +12,9 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgfront"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 func (b *bench) presets(i int) (s hgfront.PresetStatus, err error) {
--- a/internal/proof/hgreplay/replay.go
+++ b/internal/proof/hgreplay/replay.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgcaller"
 	"hyssopgrade/internal/proof/hgstandin"
+	"hyssopgrade/internal/serve/hgcaller"
 )
 
 // Caller sends calls; *hgcaller.Client is one.
--- a/internal/proof/hgsite/keys_test.go
+++ b/internal/proof/hgsite/keys_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"hyssopgrade/hgconfig"
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/proof/hgsite"
 	"hyssopgrade/internal/proof/hgstandin"
 )
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -10,10 +10,10 @@
 
 	"github.com/samber/lo"
 
-	"hyssopgrade/hgconfig"
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgedge"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/serve/hgdesired"
 	"hyssopgrade/internal/serve/hgreplica"
 	hgplatform "hyssopgrade/platform"
--- a/internal/proof/hgsoak/process.go
+++ b/internal/proof/hgsoak/process.go
@@ -11,7 +11,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"hyssopgrade/hgconfig"
+	"hyssopgrade/internal/operate/hgconfig"
 )
 
 // process is an entry VM as a process of its own.
--- a/internal/proof/hgstandin/cache.go
+++ b/internal/proof/hgstandin/cache.go
@@ -4,8 +4,8 @@
 	"container/list"
 	"net/http"
 
-	"hyssopgrade/hgendpoint"
 	"hyssopgrade/hgretain"
+	"hyssopgrade/internal/serve/hgendpoint"
 )
 
 // cache is a prefix cache with least-recently-used eviction by program.
--- a/internal/proof/hgstandin/endpoint.go
+++ b/internal/proof/hgstandin/endpoint.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"hyssopgrade/hgendpoint"
+	"hyssopgrade/internal/serve/hgendpoint"
 )
 
 // Fault says how an endpoint misbehaves.
--- a/hgcaller/client.go
+++ b/internal/serve/hgcaller/client.go
@@ -15,8 +15,8 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgfront"
-	"hyssopgrade/hgkey"
+	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // Client calls a system; it is safe for concurrent use.
--- a/hgcaller/stream.go
+++ b/internal/serve/hgcaller/stream.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgfront"
+	"hyssopgrade/internal/serve/hgfront"
 )
 
 // maxLineBytes bounds one event of a stream.
--- a/hgfront/front.go
+++ b/internal/serve/hgfront/front.go
@@ -10,12 +10,12 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgkey"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgroute"
+	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 // Backend is the node behind the front.
--- a/hgfront/operation.go
+++ b/internal/serve/hgfront/operation.go
@@ -9,9 +9,9 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgkey"
-	"hyssopgrade/hgowner"
 	"hyssopgrade/hgpreset"
+	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgowner"
 )
 
 type body[T any] struct{ Body T }
--- a/hgowner/dispatch.go
+++ b/internal/serve/hgowner/dispatch.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgendpoint"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgretain"
 	"hyssopgrade/hgroute"
-	"hyssopgrade/hgsched"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgsched"
 )
 
 // probeTimeout bounds the question whether an endpoint lives.
--- a/hgowner/job.go
+++ b/internal/serve/hgowner/job.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgendpoint"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgretain"
-	"hyssopgrade/hgsched"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgsched"
 )
 
 // job is one call in progress; it goes on when its caller is gone.
--- a/hgowner/owner.go
+++ b/internal/serve/hgowner/owner.go
@@ -9,16 +9,16 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgretry"
-	"hyssopgrade/hgsched"
 	"hyssopgrade/hgshard"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgsched"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // Journal makes records durable.
--- a/hgowner/owner_test.go
+++ b/internal/serve/hgowner/owner_test.go
@@ -13,15 +13,15 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgendpoint"
-	"hyssopgrade/hgjournal"
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgpreset"
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgroute"
-	"hyssopgrade/hgsched"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/serve/hgendpoint"
+	"hyssopgrade/internal/serve/hgsched"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // script answers the dispatches of all endpoints of a test, one after the other, with errors or, when none is left, well.
--- a/hgowner/ownership.go
+++ b/internal/serve/hgowner/ownership.go
@@ -7,9 +7,9 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgjournal"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgretain"
+	"hyssopgrade/internal/state/hgjournal"
 )
 
 // Take claims shards as they were seen, recovers their programs and serves them.
--- a/hgowner/place.go
+++ b/internal/serve/hgowner/place.go
@@ -7,7 +7,7 @@
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/hgquarantine"
-	"hyssopgrade/hgsched"
+	"hyssopgrade/internal/serve/hgsched"
 )
 
 // errQuarantined refuses a request that crashed endpoints.
--- a/hgowner/resolve.go
+++ b/internal/serve/hgowner/resolve.go
@@ -7,9 +7,9 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/hgcall"
-	"hyssopgrade/hgendpoint"
 	"hyssopgrade/hgprogram"
 	"hyssopgrade/hgretain"
+	"hyssopgrade/internal/serve/hgendpoint"
 )
 
 const (
--- a/internal/state/hgfeed/feed_test.go
+++ b/internal/state/hgfeed/feed_test.go
@@ -10,9 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/samber/lo"
 
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgfeed"
 )
 
--- a/internal/state/hgledger/ledger_test.go
+++ b/internal/state/hgledger/ledger_test.go
@@ -10,9 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgledger"
 	"hyssopgrade/internal/state/hgturn"
 )
--- a/internal/state/hgledger/outage_test.go
+++ b/internal/state/hgledger/outage_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/samber/lo"
 
-	"hyssopgrade/hglog"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgledger"
 	"hyssopgrade/internal/state/hgturn"
 )
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -38,27 +38,27 @@
 red order TestOrderAcrossNodes internal/proof/hgproof \
   hgprogram/shard.go 's/case c\.Seq > p\.next \|\| p\.open != nil:/case p.open != nil:/'
 red history TestHistorySurvivesKills internal/proof/hgproof \
-  hgowner/call.go 's/(func \(o \*Owner\) confirm.*?\{\n)/$1\tif s.epoch == epoch {\n\t\treturn nil\n\t}\n/'
+  internal/serve/hgowner/call.go 's/(func \(o \*Owner\) confirm.*?\{\n)/$1\tif s.epoch == epoch {\n\t\treturn nil\n\t}\n/'
 red budget TestBudgetHolds internal/proof/hgproof \
   hgprogram/shard.go 's/root\.spent\+root\.reserved\)/root.spent)/'
 red memory TestEngineMemoryIsReleased internal/proof/hgproof \
-  hgowner/ownership.go 's/orders = k\.Tick\(now\)\n/_ = k\n/'
+  internal/serve/hgowner/ownership.go 's/orders = k\.Tick\(now\)\n/_ = k\n/'
 red whole TestWholeAnswers internal/proof/hgproof \
-  hgendpoint/http.go 's/return c, &Error\{Sent: true, Cut: true, Err: fmt\.Errorf\("answer was cut.*?\n/return endOfStream(c, text.String(), true)\n/'
+  internal/serve/hgendpoint/http.go 's/return c, &Error\{Sent: true, Cut: true, Err: fmt\.Errorf\("answer was cut.*?\n/return endOfStream(c, text.String(), true)\n/'
 red notRun TestNotRunNeverRuns internal/proof/hgproof \
   hgprogram/program.go 's/(if t\.result\.State == hgcall\.NotRun \{\n)/$1\t\tdelete(p.byRequest, t.request)\n/'
 red once 'TestAtMostOnce/owner_killed,_fencing_false' internal/proof/hgproof \
-  hgowner/resolve.go 's/if c\.Idempotent \{/if c.Idempotent || true {/' \
+  internal/serve/hgowner/resolve.go 's/if c\.Idempotent \{/if c.Idempotent || true {/' \
   hgprogram/shard.go 's/t == nil \|\| !t\.idempotent/t == nil/'
-red fences TestNextOwnerResolvesAnOpenCall hgowner \
-  hgowner/resolve.go 's/ && o\.cfg\.Fencing\[id\]//'
-red withdraw TestNextOwnerResolvesAnOpenCall hgowner \
-  hgowner/resolve.go 's/case a\.unrun && !started:/case false:/'
-red resend TestRequestIsNeverSentTwice hgendpoint \
-  hgendpoint/http.go 's/r\.GetBody = nil/r.Header.Set("Idempotency-Key", request)/' \
-  hgendpoint/http.go 's/DisableKeepAlives: true/DisableKeepAlives: false/'
+red fences TestNextOwnerResolvesAnOpenCall internal/serve/hgowner \
+  internal/serve/hgowner/resolve.go 's/ && o\.cfg\.Fencing\[id\]//'
+red withdraw TestNextOwnerResolvesAnOpenCall internal/serve/hgowner \
+  internal/serve/hgowner/resolve.go 's/case a\.unrun && !started:/case false:/'
+red resend TestRequestIsNeverSentTwice internal/serve/hgendpoint \
+  internal/serve/hgendpoint/http.go 's/r\.GetBody = nil/r.Header.Set("Idempotency-Key", request)/' \
+  internal/serve/hgendpoint/http.go 's/DisableKeepAlives: true/DisableKeepAlives: false/'
 red leaving TestLeavingEndpointGetsNoNewWork internal/proof/hgproof \
-  hgnode/endpoint.go 's/n\.sched\.SetLeaving\(e\.ID, leaving\)\n//'
+  internal/peer/hgnode/endpoint.go 's/n\.sched\.SetLeaving\(e\.ID, leaving\)\n//'
 red drain TestGracefulStop internal/proof/hgproof \
   cmd/hyssopgrade/node.go 's/err = n\.Drain\(ctx\)/_ = ctx/'
 red race TestPresetRaces internal/proof/hgproof \
@@ -69,16 +69,16 @@
   hgquarantine/list.go 's/case !ok \|\| e\.cleared:/case !ok || e.deaths > 0 || e.cleared:/'
 red turns TestCrashingCopiesAtOnce internal/proof/hgproof \
   hgquarantine/turns.go 's/now-r\.since < exclusiveFor \{\n\t\treturn false/now-r.since < exclusiveFor {\n\t\treturn true/'
-red epochs TestTakeoverKeepsWhatWasCommitted hgjournal \
-  hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
+red epochs TestTakeoverKeepsWhatWasCommitted internal/state/hgjournal \
+  internal/state/hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
 red cut TestSupersededOwnerDispatchesNothing internal/proof/hgproof \
-  hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
-red lostReply TestTakeoverKeepsWhatWasCommitted hgjournal \
-  hgjournal/committer.go 's/conflict = !applied/_ = applied/'
+  internal/state/hgjournal/committer.go 's/\n[^\n]*Key: ShardKey\(e\.Shard\), Version[^\n]*//'
+red lostReply TestTakeoverKeepsWhatWasCommitted internal/state/hgjournal \
+  internal/state/hgjournal/committer.go 's/conflict = !applied/_ = applied/'
 red hung TestHungTool internal/proof/hgproof \
-  hgowner/job.go 's/context\.WithTimeout\(j\.o\.ctx, [^\n]*/context.WithTimeout(j.o.ctx, time.Hour)/'
+  internal/serve/hgowner/job.go 's/context\.WithTimeout\(j\.o\.ctx, [^\n]*/context.WithTimeout(j.o.ctx, time.Hour)/'
 red outage TestStoreOutage internal/proof/hgproof \
-  hgowner/call.go 's/context\.WithTimeout\(ctx, o\.cfg\.Limits\.CommitWait\)/context.WithTimeout(ctx, time.Minute)/'
+  internal/serve/hgowner/call.go 's/context\.WithTimeout\(ctx, o\.cfg\.Limits\.CommitWait\)/context.WithTimeout(ctx, time.Minute)/'
 red entryOnce TestReplicaFaults internal/proof/hgsite \
   internal/serve/hgentry/send.go 's/return x\.route\.Repeatable\(\) && x\.sent/return x.sent/'
 red entryHead TestReplicaFaults internal/proof/hgsite \
