Wait for peers' answers in one place

Cause: the wait for an answer that gives up when the peer shows no sign stood twice (turns, places). Change: await in hgpeer, with the patience of each; nothing else changes.

--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -73,40 +73,20 @@
 const signTime = 100 * time.Millisecond
 
 // ask asks a placer, and gives up when there is no sign of it.
-func (p *Places) ask(caller context.Context, placer Info, a hgplacer.Ask) (reply PlaceReply, err error) {
-	ctx, cancel := context.WithTimeout(caller, a.Wait+spareWait)
-	defer cancel()
-	type result struct {
-		reply PlaceReply
-		err   error
-	}
-	done := make(chan result, 1)
-	go func() {
-		reply, err := p.client.Place(ctx, placer.Peer, a)
-		done <- result{reply, err}
-	}()
+func (p *Places) ask(ctx context.Context, placer Info, a hgplacer.Ask) (reply PlaceReply, err error) {
 	began := p.members.Age()
-	for {
-		select {
-		case r := <-done:
-			if caller.Err() == nil {
-				p.signed(placer.Name, r.err)
-			}
-			return r.reply, r.err
-		case <-time.After(signTime):
-			if p.silentSince(placer.Name, began) >= signTime {
-				cancel()
-			}
-		}
+	patience := patience{limit: a.Wait + spareWait, tick: signTime, isSilent: func() bool { return p.silentSince(placer.Name, began) >= signTime }}
+	reply, err = await(ctx, p.members, placer, patience, func(ctx context.Context) (PlaceReply, error) {
+		return p.client.Place(ctx, placer.Peer, a)
+	})
+	if err == nil {
+		p.signed(placer.Name)
 	}
+	return reply, err
 }
 
-// signed notes the end of a question.
-func (p *Places) signed(placer string, err error) {
-	if err != nil {
-		p.members.Suspect(placer)
-		return
-	}
+// signed notes an answer of a placer.
+func (p *Places) signed(placer string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answered[placer] = p.members.Age()
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -38,7 +38,7 @@
 	if self {
 		return p.ledger.Open(ctx, q), owner
 	}
-	reply, err := ask(ctx, p.members, owner, openTime, func(ctx context.Context) (hgledger.OpenReply, error) {
+	reply, err := await(ctx, p.members, owner, p.patience(owner, openTime), func(ctx context.Context) (hgledger.OpenReply, error) {
 		return p.client.Open(ctx, owner.Peer, q)
 	})
 	if err == nil {
@@ -64,7 +64,7 @@
 	if owner.Name == p.members.Self().Name {
 		return p.ledger.Close(ctx, q)
 	}
-	_, err = ask(ctx, p.members, owner, closeTime, func(ctx context.Context) (Empty, error) {
+	_, err = await(ctx, p.members, owner, p.patience(owner, closeTime), func(ctx context.Context) (Empty, error) {
 		return Empty{}, p.client.Close(ctx, owner.Peer, q)
 	})
 	if err == nil {
@@ -74,31 +74,7 @@
 	return p.ledger.Close(ctx, q)
 }
 
-// ask runs a call to a peer and gives up after answerTime without a sign of it, or after the limit.
-func ask[R any](caller context.Context, m *Members, peer Info, limit time.Duration, run func(ctx context.Context) (R, error)) (reply R, err error) {
-	ctx, cancel := context.WithTimeout(caller, limit)
-	defer cancel()
-	type result struct {
-		reply R
-		err   error
-	}
-	done := make(chan result, 1)
-	go func() {
-		reply, err := run(ctx)
-		done <- result{reply, err}
-	}()
-	for {
-		select {
-		case r := <-done:
-			if r.err != nil && caller.Err() == nil {
-				m.Suspect(peer.Name)
-			}
-			return r.reply, r.err
-		case <-time.After(answerTime):
-			period := m.Pace()
-			if !m.HeardWithin(peer.Name, signBeats*period) {
-				cancel()
-			}
-		}
-	}
+// patience waits on while heartbeats of a peer go on, as when the store is slow.
+func (p *Programs) patience(peer Info, limit time.Duration) patience {
+	return patience{limit: limit, tick: answerTime, isSilent: func() bool { return !p.members.HeardWithin(peer.Name, signBeats*p.members.Pace()) }}
 }
