Keep requests away from replicas that fail them at once

Change: failures in a row without an answer between them count, and the longer the more there are; a single one does not, as it may be the request's own. The time in which a replica fails is not taken for its speed.

--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -27,6 +27,8 @@
 	BreakAfter int
 	// Head sends the head of a stream and breaks it off before its first event.
 	Head bool
+	// Error answers at once that the request failed.
+	Error bool
 	// Stranger answers with the identifier of another request.
 	Stranger bool
 	// StrangeRefusal runs the request behind the refusal of another one, as when an answer comes late.
@@ -173,6 +175,10 @@
 	}
 	answer.Sealed = true
 	hgplatform.EncodeAnswer(w.Header(), answer)
+	if f.Error {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if !r.engine {
 		r.sleep()
 		fmt.Fprintf(w, "done %s", a.ID)
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -56,6 +56,8 @@
 	Sealed bool
 	// NotRun says that the replica has not run the request.
 	NotRun bool
+	// Failed says that the replica ran the request and failed it.
+	Failed bool
 	// KeepsIdle is how long the replica keeps an unused connection; 0 if it does not say.
 	KeepsIdle time.Duration
 	// HasLoad says that Running, Waiting and Slots are known.
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -35,8 +35,8 @@
 	// after it.
 	Answered   bool
 	Took, Held time.Duration
-	// Failed and Misdirected are as the methods of Lease.
-	Failed, Misdirected bool
+	// Errored says that the replica answered that it failed; Failed and Misdirected are as the methods of Lease.
+	Errored, Failed, Misdirected bool
 }
 
 // Adopt returns a lease of a place that another node has given; it counts the request, and released tells it the end.
@@ -57,8 +57,8 @@
 
 // Apply takes over what the holder of the place has seen, and releases it.
 func (l *Lease) Apply(o Outcome) {
-	if o.Answered {
-		l.Answered(hgattempt.Answer{}, o.Took)
+	if o.Answered || o.Errored {
+		l.Answered(hgattempt.Answer{Failed: o.Errored}, o.Took)
 		l.answered = l.set.timer.Now() - o.Held
 	}
 	if o.Failed {
@@ -108,6 +108,13 @@
 		return
 	}
 	l.answered = now
+	if a.Failed {
+		// How fast it failed says nothing of how fast it answers.
+		l.outcome.Errored = true
+		r.errored(now)
+		return
+	}
+	r.streak = 0
 	l.outcome.Answered, l.outcome.Took = true, took
 	if r.delay == 0 {
 		r.delay = float64(took)
@@ -122,9 +129,8 @@
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	l.outcome.Failed = true
-	r := l.replica
-	r.failures = r.recentFailures(now) + 1
-	r.failedAt = now
+	l.replica.streak++
+	l.replica.failed(now, 1)
 }
 
 // Misdirected tells that another replica has the address; this one is not used again.
--- a/internal/serve/hgreplica/score.go
+++ b/internal/serve/hgreplica/score.go
@@ -10,6 +10,10 @@
 	// failureCost is what a recent failure counts; it halves each failureHalfLife.
 	failureCost     = 150 * time.Millisecond
 	failureHalfLife = 2 * time.Second
+	// maxStreak is the most times by which failures without an answer between them lengthen that, and errorStreak the
+	// number of failed requests in a row from which they count.
+	maxStreak   = 4
+	errorStreak = 2
 	// loadFor is how long a replica's own report of its load is believed.
 	loadFor = time.Second
 	// slowHalfLife is the time in which an observed delay is half forgotten, so that slow replicas are tried again.
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -47,6 +47,8 @@
 	delayAt  time.Duration
 	failures float64
 	failedAt time.Duration
+	// streak is the number of failures since the last answer.
+	streak int
 	// misdirected says that another replica has the address.
 	misdirected bool
 }
@@ -235,7 +237,25 @@
 	if r.failures == 0 {
 		return 0
 	}
-	return r.failures * halved(now-r.failedAt, failureHalfLife)
+	return r.failures * halved(now-r.failedAt, failureHalfLife*time.Duration(min(max(r.streak, 1), maxStreak)))
+}
+
+// failed counts failures.
+func (r *replica) failed(now time.Duration, n float64) {
+	r.failures = r.recentFailures(now) + n
+	r.failedAt = now
+}
+
+// errored counts an answer that the replica failed a request. A single one may be the request's own fault; from the second
+// one without an answer between them on they count, as a replica that fails at once looks idle and draws requests.
+func (r *replica) errored(now time.Duration) {
+	r.streak++
+	switch {
+	case r.streak == errorStreak:
+		r.failed(now, errorStreak)
+	case r.streak > errorStreak:
+		r.failed(now, 1)
+	}
 }
 
 // halved returns what is left of something after a time in which it halves again and again.
--- a/internal/serve/hgreplica/set_test.go
+++ b/internal/serve/hgreplica/set_test.go
@@ -214,3 +214,36 @@
 		t.Error("adopted a place on a replica that is not there")
 	}
 }
+
+// A single failed request says nothing of its replica; failures in a row count, and longer the more there are.
+func TestErrorsInARow(t *testing.T) {
+	fail, answer := hgattempt.Answer{Failed: true}, hgattempt.Answer{}
+	tests := map[string]struct {
+		answers []hgattempt.Answer
+		after   time.Duration
+		draws   bool
+	}{
+		"one":                      {[]hgattempt.Answer{fail}, 0, true},
+		"with answers between":     {[]hgattempt.Answer{fail, answer, fail, answer, fail}, 0, true},
+		"two":                      {[]hgattempt.Answer{fail, fail}, 0, false},
+		"two, long ago":            {[]hgattempt.Answer{fail, fail}, time.Minute, true},
+		"many, some seconds ago":   {[]hgattempt.Answer{fail, fail, fail, fail, fail, fail}, 10 * time.Second, false},
+		"many and then an answer":  {[]hgattempt.Answer{fail, fail, fail, answer}, 20 * time.Second, true},
+		"not run, which is no one": {[]hgattempt.Answer{{NotRun: true}, {NotRun: true}, {NotRun: true}}, 0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, c := newSet(entry("a", "north"))
+			for _, a := range tt.answers {
+				l, _ := s.Pick(hgreplica.Want{Service: "s"})
+				l.Answered(a, time.Millisecond)
+				l.Release()
+			}
+			c.now += tt.after
+			s.Apply(byID([]hgreplica.Entry{entry("a", "north"), entry("b", "north")}), 0)
+			if n := picks(s, hgreplica.Want{}, 6)["a"]; (n > 1) != tt.draws {
+				t.Errorf("%d of 6 requests go there", n)
+			}
+		})
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -116,6 +116,8 @@
   internal/serve/hgplacer/placer.go 's/now >= h\.until/false/'
 red placerDies TestPlacerDies internal/proof/hgsite \
   internal/peer/hgpeer/places.go 's/left\(hgreplica\.Outcome\{\}\)\n\t\treturn p\.pick\(a\)\n\tcase reply/return nil, hgplacer.Expired\n\tcase reply/'
+red errors TestFailingReplicaDrawsFew internal/proof/hgsite \
+  internal/serve/hgreplica/set.go 's/r\.streak\+\+\n\tswitch/switch/'
 red fetch TestHelpersFetch internal/proof/hgsite \
   platform/request.go 's/h\.Set\(headerFetch, s\.FetchFrom\)/_ = s/'
 red relayAge TestRelays internal/peer/hgpeer \
