Let callers come only when all tables are known

Cause: a VM counted as ready with the desired state alone; callers that came before it had read the replicas or the markers got 503. Change: ready when all three watched tables have been read, from the store or from a peer; at once then, not with the next heartbeat. Test: TestReadyKnowsAllTables, red first with the same two answers. Ruled out: a slow test machine alone, as the answers say what was not yet known.

--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -220,6 +220,14 @@
 		}
 		n.members.Introduce(info)
 	}
+	n.readyAtOnce()
+}
+
+// readyAtOnce lets callers come as soon as the last table is known, without waiting for the next heartbeat.
+func (n *Node) readyAtOnce() {
+	if !n.members.Self().Ready {
+		n.updateReady()
+	}
 }
 
 // health tells whether the store answers this node.
@@ -252,10 +260,16 @@
 	return h.good > 0 && (h.bad == 0 || h.timer.Now()-h.bad < badFor)
 }
 
-// updateReady says whether callers may come: there is a desired state, and this node or a peer reaches the store.
+// knowsTables says whether the node has read all watched tables, from the store or from a peer.
+func (n *Node) knowsTables() bool {
+	return lo.EveryBy(lo.Values(n.watches), func(w *hgfeed.Watch) bool { return w.Changed() > 0 })
+}
+
+// updateReady says whether callers may come: there is a desired state, the replicas and the other VMs are known, and this
+// node or a peer reaches the store.
 func (n *Node) updateReady() {
 	storeOK := n.health.ok()
-	ready := n.entry.Desired() != nil && !n.stopping.Load()
+	ready := n.entry.Desired() != nil && n.knowsTables() && !n.stopping.Load()
 	if !storeOK && ready {
 		ready = len(n.members.Live()) > 0
 	}
--- a/internal/operate/hgedge/replica.go
+++ b/internal/operate/hgedge/replica.go
@@ -57,6 +57,7 @@
 		entries[e.ID] = e
 	}
 	n.set.Apply(entries, lapse)
+	n.readyAtOnce()
 }
 
 func (n *Node) applyDesired(rows map[string]hgstore.Row, _ time.Duration) {
--- /dev/null
+++ b/internal/proof/hgsite/ready_test.go
@@ -0,0 +1,33 @@
+package hgsite_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"hyssopgrade/internal/proof/hgsite"
+	hgplatform "hyssopgrade/platform"
+)
+
+// A VM that has just started counts as ready only when it knows the replicas and the markers of the store as well.
+func TestReadyKnowsAllTables(t *testing.T) {
+	for name, table := range map[string]string{"replicas": hgplatform.ReplicaTable, "VMs and markers": "hgnode"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			s.Kill(0)
+			s.SetSlow(table, 400*time.Millisecond)
+			if err := s.RestartNode(0); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.WaitReady(readyLimit); err != nil {
+				t.Fatal(err)
+			}
+			if reply := call(t, s, 0, hgsite.Request{Path: hgsite.CheckPath, Method: http.MethodGet}); reply.Status != http.StatusOK {
+				t.Errorf("tool: status %d: %s", reply.Status, reply.Body)
+			}
+			if reply := call(t, s, 0, hgsite.Turn(hgsite.ChatPath, "p", "", "x")); reply.Status != http.StatusOK {
+				t.Errorf("turn: status %d: %s", reply.Status, reply.Body)
+			}
+		})
+	}
+}
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -45,7 +46,9 @@
 	Configs  []hgconfig.Entry
 	address  string
 	store    *http.Server
-	log      *slog.Logger
+	// slow is the table whose calls the store answers late, and by how much.
+	slow atomic.Pointer[slowTable]
+	log  *slog.Logger
 }
 
 // Desired returns the desired state of a version: a chat that keeps nothing, a thread that keeps its turns, a check that
@@ -85,7 +88,13 @@
 		return nil, err
 	}
 	s.address = l.Addr().String()
-	s.store = &http.Server{Handler: hgplatform.NewStoreHandler(s.Store)}
+	handler := hgplatform.NewStoreHandler(s.Store)
+	s.store = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if slow := s.slow.Load(); slow != nil && r.URL.Query().Get("table") == slow.name {
+			time.Sleep(slow.by)
+		}
+		handler.ServeHTTP(w, r)
+	})}
 	go func() { _ = s.store.Serve(l) }()
 	for i, e := range []hgreplica.Entry{
 		{ID: "engine-0", Service: Engines}, {ID: "engine-1", Service: Engines}, {ID: "tool-0", Service: Tools}, {ID: "tool-1", Service: Tools},
@@ -117,6 +126,14 @@
 	return s, nil
 }
 
+type slowTable struct {
+	name string
+	by   time.Duration
+}
+
+// SetSlow makes the store answer calls about a table late.
+func (s *Site) SetSlow(table string, by time.Duration) { s.slow.Store(&slowTable{table, by}) }
+
 // StoreAddress returns the address of the store.
 func (s *Site) StoreAddress() string { return s.address }
 
