Lose no place that is granted as its caller leaves

Cause: found by reading: a place granted at the moment at which its request's wait ended was looked for in a map from which the grant had just removed it, and stayed taken for good. Change: the wait keeps its channel. What nothing uses of the queue is gone. Test: TestPlaceOfCallerThatLeaves, red first (6 of 100 places stayed taken).

--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -88,7 +88,7 @@
 	select {
 	case l = <-granted:
 	case <-ctx.Done():
-		if l = p.withdraw(a); l == nil {
+		if l = p.withdraw(a, granted); l == nil {
 			return nil, Expired
 		}
 	}
@@ -103,11 +103,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.timer.Now()
-	a.Want.Window, a.Rank.Arrived = Window, now
+	a.Want.Window, a.Rank.Arrived = Window, p.timer.Now()
 	granted = make(chan *hgreplica.Lease, 1)
 	p.waiting[a.ID] = granted
-	p.queue(a.Want.Service).Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank, Until: now + a.Wait})
+	p.queue(a.Want.Service).Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank})
 	return granted, true
 }
 
@@ -132,10 +131,9 @@
 }
 
 // withdraw takes a request back; it returns the place if one was granted meanwhile.
-func (p *Placer) withdraw(a Ask) (l *hgreplica.Lease) {
+func (p *Placer) withdraw(a Ask, granted chan *hgreplica.Lease) (l *hgreplica.Lease) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	granted := p.waiting[a.ID]
 	delete(p.waiting, a.ID)
 	if p.queue(a.Want.Service).Remove(a.ID) {
 		return nil
--- a/internal/serve/hgplacer/placer_test.go
+++ b/internal/serve/hgplacer/placer_test.go
@@ -167,3 +167,18 @@
 		})
 	}
 }
+
+// A place that is granted at the moment at which its caller leaves is free again.
+func TestPlaceOfCallerThatLeaves(t *testing.T) {
+	p, s := newPlacer(t, "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		if l, v := p.Place(ctx, ask("gone", time.Minute)); v == hgplacer.Granted {
+			l.Release()
+		}
+	}
+	if n := s.InFlight(); len(n) > 0 {
+		t.Errorf("still held: %v", n)
+	}
+}
--- a/internal/serve/hgplacer/queue.go
+++ b/internal/serve/hgplacer/queue.go
@@ -13,8 +13,6 @@
 	ID   string
 	Want hgreplica.Want
 	Rank Rank
-	// Until is when its caller does not wait any more.
-	Until time.Duration
 }
 
 // Rank orders requests that wait.
@@ -88,19 +86,6 @@
 	return r, l, ok
 }
 
-// Expired takes out the requests whose callers do not wait any more.
-func (q *Queue) Expired(now time.Duration) (gone []Request) {
-	for _, i := range q.byID {
-		if now >= i.Until {
-			gone = append(gone, i.Request)
-		}
-	}
-	for _, r := range gone {
-		q.Remove(r.ID)
-	}
-	return gone
-}
-
 type waiting []*item
 
 func (w waiting) Len() int           { return len(w) }
