Start nothing beside a node that closes

Change: work that runs beside starts under a lock that the end takes as well; nothing starts from then on.

--- a/internal/peer/hgnode/cell.go
+++ b/internal/peer/hgnode/cell.go
@@ -195,7 +195,7 @@
 		}
 		n.beating[m.ID] = true
 		b := n.message(m.ID)
-		n.wg.Go(func() {
+		n.background(func() {
 			n.beatOne(m, b)
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -267,7 +267,7 @@
 			if err := n.owner.Take(ctx, claim); err != nil {
 				n.log.Warn("shards not taken", "err", err)
 			}
-			n.wg.Go(n.announce)
+			n.background(n.announce)
 		}
 	}
 	n.release(ctx, n.planned().Release, true)
@@ -299,7 +299,7 @@
 	live := n.view.Live(n.now())
 	n.mu.Unlock()
 	for _, m := range live {
-		n.wg.Go(func() { _ = n.client.Nudge(m.Inner) })
+		n.background(func() { _ = n.client.Nudge(m.Inner) })
 	}
 }
 
--- a/internal/peer/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -57,9 +57,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
-	public *http.Server
-	peers  *http.Server
-	planMu sync.Mutex
+	// startMu keeps what runs beside from starting while Close waits for it.
+	startMu sync.Mutex
+	public  *http.Server
+	peers   *http.Server
+	planMu  sync.Mutex
 	// planAgain says that something has changed since the last plan began.
 	planAgain atomic.Bool
 
@@ -236,7 +238,7 @@
 
 // Close stops the node at once; calls in progress are cut.
 func (n *Node) Close() {
-	n.cancel()
+	n.endBackground()
 	n.timer.Close()
 	_ = n.public.Close()
 	_ = n.peers.Close()
@@ -247,6 +249,23 @@
 	n.wg.Wait()
 }
 
+// background runs something beside until the node closes; nothing is started from then on, as a message of a peer may
+// still come while Close waits.
+func (n *Node) background(run func()) {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	if n.ctx.Err() == nil {
+		n.wg.Go(run)
+	}
+}
+
+// endBackground ends what runs beside, and lets nothing start any more.
+func (n *Node) endBackground() {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	n.cancel()
+}
+
 // now returns the node's monotonic time.
 func (n *Node) now() time.Duration { return n.timer.Now() }
 
--- a/internal/peer/hgnode/operate.go
+++ b/internal/peer/hgnode/operate.go
@@ -129,7 +129,7 @@
 		n.applyPreset(v)
 	}
 	n.mu.Unlock()
-	n.wg.Go(n.announce)
+	n.background(n.announce)
 	return v, nil
 }
 
--- a/internal/peer/hgnode/peer.go
+++ b/internal/peer/hgnode/peer.go
@@ -21,7 +21,7 @@
 	defer n.mu.Unlock()
 	m, known := n.view.Member(b.ID)
 	if n.take(b) && known {
-		n.wg.Go(func() { n.fetchPreset(m.Inner) })
+		n.background(func() { n.fetchPreset(m.Inner) })
 	}
 	return n.message(b.ID)
 }
--- a/internal/peer/hgnode/turn.go
+++ b/internal/peer/hgnode/turn.go
@@ -76,7 +76,7 @@
 		return n.turns.enter(k, h)
 	}
 	answer := make(chan bool, 1)
-	n.wg.Go(func() {
+	n.background(func() {
 		ok, err := n.client.EnterTurn(keeper.Inner, hginner.Turn{Key: k, Holder: h})
 		if err != nil {
 			n.log.Warn("turn not answered", "digest", digest, "keeper", keeper.ID, "err", err)
@@ -101,7 +101,7 @@
 	if known || keeper.ID == n.cfg.Node.ID {
 		return
 	}
-	n.wg.Go(func() { _ = n.client.LeaveTurn(keeper.Inner, hginner.Turn{Key: k, Holder: h, Proven: proven}) })
+	n.background(func() { _ = n.client.LeaveTurn(keeper.Inner, hginner.Turn{Key: k, Holder: h, Proven: proven}) })
 }
 
 // EnterTurn gives a peer's copy its turn.
