Name each question for a place uniquely

Two waiting ones of the same name made the placer send to a channel that was gone, under its lock: it stood still for good, and with it the engines' path of its failure domain. Change: the asking VM adds its boot and a number. Besides, without change of what is done: one place that notes a node as heard, the cost of a fetch worked out once, the time waited for a place observed per wait and not summed, comments that were no longer true. Test: TestSameAttemptTwice; on the old code it hung until it was killed after 20 s.

--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -129,14 +129,19 @@
 func (m *Members) Heard(b Beat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteTrouble(b.Info)
+	m.heardAt(b.Info, b.InFlight, m.timer.Now())
+	m.takeRelays(b.Relays)
+}
+
+// heardAt takes what a node said of itself at a time, by an answer or a relay; m.mu is held.
+func (m *Members) heardAt(i Info, inFlight map[string]int, at time.Duration) {
+	m.noteTrouble(i)
 	now := m.timer.Now()
 	since := now
-	if have, ok := m.members[b.Info.Name]; ok {
+	if have, ok := m.members[i.Name]; ok {
 		since = have.since
 	}
-	m.members[b.Info.Name] = &member{info: b.Info, inFlight: b.InFlight, answered: true, heard: now, since: since, known: now, suspect: m.suspectOf(b.Info)}
-	m.takeRelays(b.Relays)
+	m.members[i.Name] = &member{info: i, inFlight: inFlight, answered: true, heard: at, since: since, known: now, suspect: m.suspectOf(i)}
 }
 
 // suspectOf keeps a suspicion over heartbeats, unless the peer has started again; m.mu is held.
@@ -229,14 +234,14 @@
 	defer m.mu.Unlock()
 	sum := map[string]int{}
 	now := m.timer.Now()
-	relayed := m.relaysLive(now)
-	for domain := range relayed {
-		for id, n := range m.relayed[domain].InFlight {
+	relays := m.freshRelays(now)
+	for _, r := range relays {
+		for id, n := range r.InFlight {
 			sum[id] += n
 		}
 	}
 	for _, p := range m.members {
-		if relayed[p.info.Domain] || !m.answers(p, now) {
+		if _, relayed := relays[p.info.Domain]; relayed || !m.answers(p, now) {
 			continue
 		}
 		for id, n := range p.inFlight {
--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hyssopgrade/internal/serve/hgplacer"
@@ -17,6 +19,8 @@
 	members *Members
 	client  *Client
 	log     *slog.Logger
+	// asked is the number of questions so far, which makes their identifiers unique.
+	asked atomic.Int64
 
 	mu sync.Mutex
 	// loads is what the placer said of each service.
@@ -40,6 +44,8 @@
 
 // Take waits for a place; the lease is nil if there is none.
 func (p *Places) Take(ctx context.Context, a hgplacer.Ask) (l *hgreplica.Lease, v hgplacer.Verdict) {
+	// Callers choose their identifiers, and may use one twice.
+	a.ID = fmt.Sprintf("%s/%s/%d", a.ID, p.members.Self().Boot, p.asked.Add(1))
 	placer, self := p.members.Placer()
 	if self {
 		return p.placer.Place(ctx, a)
--- a/internal/peer/hgpeer/places_test.go
+++ b/internal/peer/hgpeer/places_test.go
@@ -84,3 +84,39 @@
 		})
 	}
 }
+
+// Two requests with the same identifier, as a faulty caller may send, get a place each, and hold up nobody.
+func TestSameAttemptTwice(t *testing.T) {
+	timer := hgtimer.NewService()
+	defer timer.Close()
+	set := hgreplica.NewSet(timer, "north", func(time.Duration) *http.Client { return &http.Client{} })
+	m := hgpeer.NewMembers(timer, info("a", "north"))
+	places := hgpeer.NewPlaces(hgplacer.NewPlacer(set, timer), set, m, hgpeer.NewClient(nil), hglog.Discard())
+	set.Apply(map[string]hgreplica.Entry{"r": {ID: "r", Service: "s", Domain: "north", Slots: 1}}, 0)
+	var leases []*hgreplica.Lease
+	for range hgplacer.Window {
+		l, _ := places.Take(t.Context(), hgplacer.Ask{ID: "fill", Want: hgreplica.Want{Service: "s"}, Wait: time.Second})
+		leases = append(leases, l)
+	}
+	granted := make(chan hgplacer.Verdict, 2)
+	for range 2 {
+		go func() {
+			_, v := places.Take(context.Background(), hgplacer.Ask{ID: "same", Want: hgreplica.Want{Service: "s"}, Wait: time.Second})
+			granted <- v
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, l := range leases {
+		go l.Release()
+	}
+	for range 2 {
+		select {
+		case v := <-granted:
+			if v != hgplacer.Granted {
+				t.Errorf("verdict %s", v)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatal("held up")
+		}
+	}
+}
--- a/internal/peer/hgpeer/relay.go
+++ b/internal/peer/hgpeer/relay.go
@@ -109,24 +109,17 @@
 	}
 }
 
-// heardOf takes what a relay tells of a node; m.mu is held.
+// heardOf takes what a relay tells of a node, unless more is known; m.mu is held.
 func (m *Members) heardOf(i Info, at time.Duration) {
-	have, ok := m.members[i.Name]
-	if ok && have.answered && have.heard >= at {
+	if have, ok := m.members[i.Name]; ok && have.answered && have.heard >= at {
 		return
 	}
-	since := m.timer.Now()
-	if ok {
-		since = have.since
-	}
-	m.noteTrouble(i)
-	m.members[i.Name] = &member{info: i, answered: true, heard: at, since: since, known: m.timer.Now(), suspect: m.suspectOf(i)}
+	m.heardAt(i, nil, at)
 }
 
-// relaysLive returns the failure domains of which a relay has told lately; m.mu is held.
-func (m *Members) relaysLive(now time.Duration) (domains map[string]bool) {
-	fresh := lo.PickBy(m.relayed, func(domain string, r heardRelay) bool { return now-r.at < m.silent(domain) })
-	return lo.MapValues(fresh, func(heardRelay, string) bool { return true })
+// freshRelays returns the relays, by failure domain, that are not too old; m.mu is held.
+func (m *Members) freshRelays(now time.Duration) map[string]heardRelay {
+	return lo.PickBy(m.relayed, func(domain string, r heardRelay) bool { return now-r.at < m.silent(domain) })
 }
 
 // Unheard returns the number of the site's failure domains of which nothing is known on a large site, so that nodes
--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -1,7 +1,6 @@
 package hgentry
 
 import (
-	"strconv"
 	"time"
 
 	"hyssopgrade/internal/serve/hgplacer"
@@ -26,13 +25,14 @@
 		return l, nil
 	}
 	a := hgplacer.Ask{
-		ID: x.attempt.ID + "/" + strconv.Itoa(x.tries), Want: w, Rank: x.rank(), Left: x.left(),
+		ID: x.attempt.ID, Want: w, Rank: x.rank(), Left: x.left(),
 		Wait: min(placeWait, time.Duration(placeShare*float64(x.left()))),
 	}
 	began := x.entry.timer.Now()
 	l, v := x.entry.places.Take(x.ctx, a)
-	x.placeTook += x.entry.timer.Now() - began
-	x.entry.figures.Observe("place", x.placeTook)
+	waited := x.entry.timer.Now() - began
+	x.placeTook += waited
+	x.entry.figures.Observe("place", waited)
 	switch v {
 	case hgplacer.Granted:
 		return l, nil
--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -26,7 +26,7 @@
 
 // Ask asks for a place.
 type Ask struct {
-	// ID names the question among all that the placer gets.
+	// ID names the question; it must be unique among all that the placer gets.
 	ID   string
 	Want hgreplica.Want
 	Rank Rank
--- a/internal/serve/hgplacer/queue.go
+++ b/internal/serve/hgplacer/queue.go
@@ -19,7 +19,7 @@
 type Rank struct {
 	// New says that the request begins a program. Programs under way go first, as they hold what they were served so far.
 	New bool
-	// Late says that the program can't reach its aim any more.
+	// Late says that the program has passed its aim.
 	Late bool
 	// Priority is the rank of the route; 0 goes first.
 	Priority int
--- a/internal/serve/hgreplica/fetch.go
+++ b/internal/serve/hgreplica/fetch.go
@@ -40,10 +40,11 @@
 		return nil
 	}
 	fetch := min(w.Kept[from.ID]-w.Kept[id], v.miss)
-	if took := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+w.Fetch.Charge); fetch <= 0 || took >= v.readTime(fetch) {
+	cost := w.Fetch.Setup + time.Duration(fetch)*(w.Fetch.PerToken+w.Fetch.Charge)
+	if fetch <= 0 || cost >= v.readTime(fetch) {
 		return nil
 	}
-	v.fetch, v.fetchTook = fetch, w.Fetch.Setup+time.Duration(fetch)*(w.Fetch.PerToken+w.Fetch.Charge)
+	v.fetch, v.fetchCost = fetch, cost
 	v.miss -= fetch
 	return from
 }
--- a/internal/serve/hgreplica/score.go
+++ b/internal/serve/hgreplica/score.go
@@ -30,9 +30,9 @@
 	inFlight int
 	// miss is the number of prompt tokens that the replica has to read anew.
 	miss int
-	// fetch is the number of tokens that it fetches from another replica, and fetchTook what that costs.
+	// fetch is the number of tokens that it fetches from another replica, and fetchCost what that costs.
 	fetch     int
-	fetchTook time.Duration
+	fetchCost time.Duration
 	// delay is the average time to the first byte, and usual the least of the service's replicas.
 	delay, usual time.Duration
 	// hold is how long a request of the service takes a slot after its first byte.
@@ -45,7 +45,7 @@
 
 // cost returns the expected time that a request loses on a replica.
 func (v view) cost() time.Duration {
-	c := v.readTime(v.miss) + v.fetchTook
+	c := v.readTime(v.miss) + v.fetchCost
 	c += time.Duration(v.inFlight) * crowdCost
 	if over := v.inFlight + 1 - v.slots; over > 0 {
 		c += (v.usual + v.hold) * time.Duration(over) / time.Duration(max(v.slots, 1))
