Hear a large fleet through hubs, serve by its strong VMs, bound endless answers

Cause: at 295 VMs heartbeats between all VMs of a domain, lists sorted for each request, and tables decoded anew each second cost 0.028 of a core a VM (0.049 the most); each VM kept connections to all replicas. Ruled out: the store's watches (4 ms an answer, three a second a VM) as the main cost; they stay and cost 0.0195. Change: three hubs a domain hear its VMs, answers hold what changed since the asker's last; what follows from the members is worked out at most each 25 ms; unchanged rows are not decoded; callers and programs go to VMs of at least half of the strongest one's processor; breaks and programs spread with heartbeats. Answers that are held take a tenth of a VM's memory together, heads 64 KB: 48 endless answers took 291 to 1,194 MB of heap before (TestEndlessBytes red in six cases), under 128 now.

--- a/internal/operate/hgedge/directory.go
+++ b/internal/operate/hgedge/directory.go
@@ -43,6 +43,7 @@
 	if near := lo.Filter(nodes, func(i hgpeer.Info, _ int) bool { return i.Domain == domain }); len(near) > 1 {
 		nodes = near
 	}
+	nodes = hgpeer.Strong(nodes)
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	return lo.Map(nodes[:min(len(nodes), maxAddresses)], func(i hgpeer.Info, _ int) string { return i.Public })
 }
--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -18,6 +18,7 @@
 	"hyssopgrade/internal/operate/hgfigure"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgentry"
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
@@ -40,6 +41,8 @@
 	// longest time that the desired state keeps turns.
 	forgetAfter  = 2 * time.Minute
 	forgetFactor = 2
+	// answerShare is the part of the VM's memory that answers may take while they are held until they are whole.
+	answerShare = 0.1
 )
 
 // Node is a running entry VM.
@@ -58,7 +61,10 @@
 	set     *hgreplica.Set
 	entry   *hgentry.Entry
 	watches map[string]*hgfeed.Watch
-	figures *hgfigure.Figures
+	// nodeRows and replicaRows are the decoded rows of the watched tables.
+	nodeRows    hgfeed.Rows[hgpeer.Info]
+	replicaRows hgfeed.Rows[hgreplica.Entry]
+	figures     *hgfigure.Figures
 	// suspects counts breaks; the entry uses it by way of one that tells the peers.
 	suspects *hgsuspect.List
 
@@ -90,7 +96,7 @@
 	n.figures = hgfigure.NewFigures(log)
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
-		Power: cfg.VM.CPUShare * cfg.VM.Cores,
+		Power: cfg.VM.CPUShare * cfg.VM.Cores, Started: time.Now().UnixMilli(),
 	}, cfg.VM.Domains...)
 	n.client = hgpeer.NewClient(n.secure)
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
@@ -99,7 +105,8 @@
 	n.suspects = hgsuspect.NewList(n.timer)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.set, n.timer), n.set, n.members, n.client, log)
-	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, suspects{n.suspects, n})
+	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, suspects{n.suspects, n},
+		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*answerShare)))
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired),
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas),
--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -64,10 +64,11 @@
 
 // Beat takes a heartbeat and returns this node's.
 func (h *peerHandler) Beat(b hgpeer.Beat) hgpeer.Beat {
-	h.members.Introduce(b.Info)
-	h.ledger.Learn(b.Programs, false)
-	reply := (*Node)(h).beat()
-	reply.Relays = h.members.RelaysFor(b.Info)
+	n := (*Node)(h)
+	news := h.members.Answer(b)
+	n.useEvents()
+	reply := n.beat()
+	reply.News = news
 	return reply
 }
 
@@ -115,31 +116,51 @@
 
 // beatAll sends a heartbeat to all peers, as what this node says of itself has changed.
 func (n *Node) beatAll() {
-	near, far := lo.FilterReject(n.members.All(), func(i hgpeer.Info, _ int) bool { return i.Domain == n.cfg.VM.Domain })
-	n.beatTo(near, far)
+	n.beatTo(n.members.Targets(0))
 }
 
 // beatTo sends a heartbeat to some peers, and does not wait for answers.
 func (n *Node) beatTo(near, far []hgpeer.Info) {
 	n.updateReady()
+	n.members.TellPrograms(n.ledger.Seen())
 	b := n.beat()
 	for _, p := range far {
 		go n.beatOne(p, b)
 	}
-	b.Programs = n.ledger.Seen()
+	b.Events = n.members.TakeUntold()
 	for _, p := range near {
 		go n.beatOne(p, b)
 	}
 }
 
+// useEvents takes over what peers have told of programs and of requests that break off replicas.
+func (n *Node) useEvents() {
+	events := n.members.TakeUnused()
+	if len(events) == 0 {
+		return
+	}
+	var programs []uint64
+	for _, e := range events {
+		if e.Program {
+			programs = append(programs, e.Digest)
+		} else {
+			n.suspects.Broke(e.Digest)
+		}
+	}
+	n.ledger.Learn(programs, false)
+}
+
 func (n *Node) beatOne(p hgpeer.Info, b hgpeer.Beat) {
 	ctx, cancel := context.WithTimeout(n.ctx, beatTime)
 	defer cancel()
+	b.Ask = n.members.AskOf(p)
 	reply, err := n.client.Beat(ctx, p.Peer, b)
 	if err != nil || reply.Info.Name != p.Name {
+		n.members.Failed(p.Name)
 		return
 	}
 	n.members.Heard(reply)
+	n.useEvents()
 	n.learnSeen(ctx, reply.Info)
 	for table, changed := range reply.Changed {
 		n.takeTable(ctx, p, table, changed)
@@ -209,17 +230,17 @@
 
 func (n *Node) applyNodes(rows map[string]hgstore.Row, _ time.Duration) {
 	n.ledger.SetMarkers(rows)
-	for key, row := range rows {
-		if strings.HasPrefix(key, hgledger.MarkerPrefix) {
-			continue
+	nodes := n.nodeRows.Decode(rows, func(row hgstore.Row) (i hgpeer.Info, ok bool) {
+		if strings.HasPrefix(row.Key, hgledger.MarkerPrefix) {
+			return i, false
 		}
-		info, err := infoCodec.Decode(row.Value)
+		i, err := infoCodec.Decode(row.Value)
 		if err != nil {
-			n.log.Warn("node left out", "row", key, "error", err)
-			continue
+			n.log.Warn("node left out", "row", row.Key, "error", err)
 		}
-		n.members.Introduce(info)
-	}
+		return i, err == nil
+	})
+	n.members.SetNamed(nodes)
 	n.readyAtOnce()
 }
 
--- a/internal/operate/hgedge/replica.go
+++ b/internal/operate/hgedge/replica.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
 
 	"hyssopgrade/hgstore"
@@ -20,6 +21,8 @@
 	silentConn = 1500 * time.Millisecond
 	// replicaConns bounds the idle connections to one replica.
 	replicaConns = 16
+	// maxReplicaHead bounds the head of a replica's answer, in bytes.
+	maxReplicaHead = 64 << 10
 )
 
 // newReplicaClient returns a client that sends a request once, follows nothing and decodes nothing, and keeps unused
@@ -41,22 +44,21 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: replicaConns, IdleConnTimeout: idle,
+			MaxResponseHeaderBytes: maxReplicaHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 func (n *Node) applyReplicas(rows map[string]hgstore.Row, lapse time.Duration) {
-	entries := map[string]hgreplica.Entry{}
-	for key, row := range rows {
-		e, err := hgplatform.DecodeReplica(key, row.Value)
+	entries := n.replicaRows.Decode(rows, func(row hgstore.Row) (e hgreplica.Entry, ok bool) {
+		e, err := hgplatform.DecodeReplica(row.Key, row.Value)
 		if err != nil {
 			n.log.Debug("registration left out", "error", err, "version", row.Version)
-			continue
 		}
-		entries[e.ID] = e
-	}
-	n.set.Apply(entries, lapse)
+		return e, err == nil
+	})
+	n.set.Apply(lo.KeyBy(entries, func(e hgreplica.Entry) string { return e.ID }), lapse)
 	n.readyAtOnce()
 }
 
--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -13,9 +13,13 @@
 	node *Node
 }
 
-// Broke counts a break and tells all live peers.
+// Broke counts a break and tells all live peers, on a large site with the heartbeats.
 func (s suspects) Broke(digest uint64) {
 	s.List.Broke(digest)
+	if s.node.members.IsLarge() {
+		s.node.members.TellBreak(digest)
+		return
+	}
 	for _, p := range s.node.members.Live() {
 		go func() {
 			ctx, cancel := context.WithTimeout(s.node.ctx, beatTime)
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -1,8 +1,10 @@
 package hgpeer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +17,7 @@
 const (
 	// basePeriod is the time between two heartbeats to a peer of the same failure domain.
 	basePeriod = 300 * time.Millisecond
-	// perPeer lengthens it for each peer beyond fewPeers, so that heartbeats cost a bounded part of a small VM.
+	// perPeer lengthens it for each peer beyond fewPeers, so that heartbeats cost a bounded part of a VM.
 	perPeer  = 4 * time.Millisecond
 	fewPeers = 8
 	// farBeats is the number of periods between two heartbeats to a peer in another failure domain: it serves no
@@ -27,16 +29,22 @@
 	suspectFor = 700 * time.Millisecond
 	// forgetAfter is the time after which a silent peer is asked no more, unless the store names it.
 	forgetAfter = time.Minute
+	// viewFor is how long what follows from the members is used before it is worked out again.
+	viewFor = 25 * time.Millisecond
 )
 
 type member struct {
 	info     Info
 	inFlight map[string]int
-	// answered says that it has ever answered, and heard when it last did; suspect is until when it is passed over.
+	// answered says that it was ever heard, and heard when it last was; suspect is until when it is passed over.
 	answered       bool
 	heard, suspect time.Duration
+	// claimed is when others last said that it answers; only on large sites.
+	claimed time.Duration
 	// since is when it became known, and known when it was last named.
 	since, known time.Duration
+	// missed is the number of heartbeats that it has not answered since it was last heard.
+	missed int
 }
 
 // Members is what a node believes of its peers; it is safe for concurrent use.
@@ -49,18 +57,38 @@
 	troubled time.Duration
 	self     Info
 	members  map[string]*member
+	// named are the peers that the store names.
+	named map[string]bool
 	// domains are the failure domains of the site, as far as the settings name them.
 	domains []string
-	// relayed is what was heard of other failure domains through placers.
-	relayed map[string]heardRelay
-	// ownInFlight is the number of this node's requests on each replica.
+	// ownInFlight is the number of this node's requests on each replica, and busy when there last was one.
 	ownInFlight map[string]int
+	busy        time.Duration
+	// last is what follows from the members, and changed says that it has to be worked out again.
+	last    view
+	changed bool
+	// sources are the peers that tell of others on large sites, and claims what this node tells of them.
+	sources map[string]*source
+	claims  claimLog
+	events  eventLog
+}
+
+// view is what follows from the members at a time.
+type view struct {
+	at time.Duration
+	// live are the peers that answer, in no order.
+	live []Info
+	// hubs are the hubs of each failure domain, the first one first; only on large sites.
+	hubs map[string][]Info
+	// near is the number of peers in this failure domain.
+	near int
 }
 
 // NewMembers returns the members as seen by a node that knows only itself and the names of the failure domains.
 func NewMembers(timer hgtimer.Timer, self Info, domains ...string) *Members {
 	return &Members{
-		timer: timer, made: timer.Now(), self: self, members: map[string]*member{}, domains: domains, relayed: map[string]heardRelay{},
+		timer: timer, made: timer.Now(), self: self, members: map[string]*member{}, domains: domains, changed: true,
+		sources: map[string]*source{}, claims: newClaimLog(), events: newEventLog(),
 	}
 }
 
@@ -69,6 +97,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ownInFlight = n
+	if len(n) > 0 {
+		m.busy = m.timer.Now()
+	}
 }
 
 // Age returns the time since the members were made, at the start of the node.
@@ -85,7 +116,10 @@
 func (m *Members) SetSelf(change func(i Info) Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self = change(m.self)
+	if next := change(m.self); next != m.self {
+		next.Revision = m.self.Revision + 1
+		m.self, m.changed = next, true
+	}
 	m.noteTrouble(m.self)
 }
 
@@ -103,54 +137,90 @@
 func (m *Members) Troubled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// On a large site peers repeat nothing, so that the trouble of a live one lasts as long as it says so.
+	if m.isLarge() {
+		for _, i := range m.live() {
+			m.noteTrouble(i)
+		}
+	}
 	return m.troubled > 0 && m.timer.Now()-m.troubled < troubleTime
 }
 
-// Introduce tells of a node that the store or a peer names; it counts as live only when it has answered.
+// SetNamed tells of the nodes that the store names; they count as live only when they have answered.
+func (m *Members) SetNamed(nodes []Info) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.named = map[string]bool{}
+	for _, i := range nodes {
+		m.named[i.Name] = true
+		m.introduce(i)
+	}
+}
+
+// Introduce tells of a node that a peer names; it counts as live only when it has answered.
 func (m *Members) Introduce(i Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.introduce(i)
+}
+
+// introduce returns the member that is named; nil if it is this node. m.mu is held.
+func (m *Members) introduce(i Info) *member {
 	if i.Name == m.self.Name || i.Name == "" {
-		return
+		return nil
 	}
-	m.noteTrouble(i)
 	now := m.timer.Now()
-	if have, ok := m.members[i.Name]; ok {
-		if have.info.Peer != i.Peer {
-			have.info = i
-		}
-		have.known = now
+	have, ok := m.members[i.Name]
+	if !ok {
+		m.noteTrouble(i)
+		have = &member{info: i, since: now}
+		m.members[i.Name], m.changed = have, true
+	}
+	have.known = now
+	m.update(have, i)
+	return have
+}
+
+// update takes over what a node says of itself unless more is known; m.mu is held.
+func (m *Members) update(p *member, i Info) {
+	if p.info == i || !i.isNewer(p.info) {
 		return
 	}
-	m.members[i.Name] = &member{info: i, since: now, known: now}
+	if p.info.Boot != i.Boot {
+		p.suspect, p.missed = 0, 0
+	}
+	m.noteTrouble(i)
+	p.info, m.changed = i, true
+}
+
+// isNewer says whether a node has said something later than something else, in this run or one before.
+func (i Info) isNewer(o Info) bool {
+	if i.Started != o.Started {
+		return i.Started > o.Started
+	}
+	return i.Revision >= o.Revision
 }
 
 // Heard takes the answer of a peer to a heartbeat of this node.
 func (m *Members) Heard(b Beat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heardAt(b.Info, b.InFlight, m.timer.Now())
-	m.takeRelays(b.Relays)
-}
-
-// heardAt takes what a node said of itself at a time, by an answer or a relay; m.mu is held.
-func (m *Members) heardAt(i Info, inFlight map[string]int, at time.Duration) {
-	m.noteTrouble(i)
-	now := m.timer.Now()
-	since := now
-	if have, ok := m.members[i.Name]; ok {
-		since = have.since
+	if p := m.hear(b); p != nil && b.News != nil {
+		m.takeNews(p.info, *b.News)
 	}
-	m.members[i.Name] = &member{info: i, inFlight: inFlight, answered: true, heard: at, since: since, known: now, suspect: m.suspectOf(i)}
 }
 
-// suspectOf keeps a suspicion over heartbeats, unless the peer has started again; m.mu is held.
-func (m *Members) suspectOf(i Info) time.Duration {
-	have, ok := m.members[i.Name]
-	if !ok || have.info.Boot != i.Boot {
-		return 0
+// hear takes what a peer has said itself; m.mu is held.
+func (m *Members) hear(b Beat) *member {
+	p := m.introduce(b.Info)
+	if p == nil {
+		return nil
 	}
-	return have.suspect
+	now := m.timer.Now()
+	m.noteTrouble(b.Info)
+	m.changed = m.changed || !p.answered || !m.isDirect(p, now)
+	p.answered, p.heard, p.missed, p.inFlight = true, now, 0, b.InFlight
+	return p
 }
 
 // Suspect passes a peer over for a short time, after a message to it failed.
@@ -159,23 +229,31 @@
 	defer m.mu.Unlock()
 	if have, ok := m.members[name]; ok {
 		have.suspect = m.timer.Now() + suspectFor
+		m.changed = true
 	}
 }
 
-// All returns the peers to send heartbeats to.
+// All returns the peers that are known.
 func (m *Members) All() []Info {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.timer.Now()
-	maps.DeleteFunc(m.members, func(_ string, p *member) bool { return now-p.known > forgetAfter })
+	m.forget()
 	return lo.MapToSlice(m.members, func(_ string, p *member) Info { return p.info })
 }
 
+// forget drops peers that the store does not name and nobody else has for long; m.mu is held.
+func (m *Members) forget() {
+	now := m.timer.Now()
+	maps.DeleteFunc(m.members, func(name string, p *member) bool { return !m.named[name] && now-p.known > forgetAfter })
+}
+
 // Live returns the peers that answer, in the order of their names.
 func (m *Members) Live() (live []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live()
+	live = slices.Clone(m.live())
+	slices.SortFunc(live, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return live
 }
 
 // Pace returns the time between two heartbeats to a peer of this failure domain.
@@ -185,32 +263,59 @@
 	return m.period()
 }
 
+// period is the same on a large site for all nodes of a failure domain, whose hubs it keeps from too many heartbeats.
 func (m *Members) period() time.Duration {
-	return basePeriod + time.Duration(max(len(m.members)-fewPeers, 0))*perPeer
+	peers := len(m.members)
+	if m.isLarge() {
+		peers = m.last.near
+	}
+	return basePeriod + time.Duration(max(peers-fewPeers, 0))*perPeer
 }
 
 // silent returns the time without an answer after which a peer counts as gone; m.mu is held.
 func (m *Members) silent(domain string) time.Duration {
-	if domain == m.self.Domain {
+	if domain == m.self.Domain || m.isLarge() {
 		return silentBeats * m.period()
 	}
 	return silentBeats * farBeats * m.period()
 }
 
-// answers says whether a peer has answered lately; m.mu is held.
-func (m *Members) answers(p *member, now time.Duration) bool {
+// isDirect says whether a peer was itself heard lately; m.mu is held.
+func (m *Members) isDirect(p *member, now time.Duration) bool {
 	return p.answered && now-p.heard < m.silent(p.info.Domain)
 }
 
-func (m *Members) live() (live []Info) {
+// live returns the peers that answer, which the caller does not change; m.mu is held.
+func (m *Members) live() []Info { return m.look().live }
+
+// look returns what follows from the members now; m.mu is held.
+func (m *Members) look() *view {
 	now := m.timer.Now()
+	if !m.changed && now-m.last.at < viewFor {
+		return &m.last
+	}
+	v := view{at: now}
 	for _, p := range m.members {
-		if m.answers(p, now) && now >= p.suspect {
-			live = append(live, p.info)
+		if p.info.Domain == m.self.Domain {
+			v.near++
 		}
 	}
-	slices.SortFunc(live, func(a, b Info) int { return lo.Ternary(a.Name < b.Name, -1, 1) })
-	return live
+	m.last.near = v.near
+	fresh := m.freshSources(now)
+	for name, p := range m.members {
+		claimed := isClaimed(name, fresh)
+		if claimed {
+			p.claimed, p.known = now, now
+		}
+		if (claimed || m.isDirect(p, now)) && now >= p.suspect {
+			v.live = append(v.live, p.info)
+		}
+	}
+	if m.isLarge() {
+		v.hubs = m.hubs()
+	}
+	m.last, m.changed = v, false
+	return &m.last
 }
 
 // Concerned returns the peers that may have a part in programs: those that answered lately, and those that have not
@@ -218,46 +323,24 @@
 func (m *Members) Concerned() (peers []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.look()
 	now := m.timer.Now()
+	silent := silentBeats * farBeats * m.period()
 	for _, p := range m.members {
-		silent := silentBeats * farBeats * m.period()
-		if p.answered && now-p.heard < silent || now-p.since < silent {
+		if p.answered && now-p.heard < silent || p.claimed > 0 && now-p.claimed < silent || now-p.since < silent {
 			peers = append(peers, p.info)
 		}
 	}
 	return peers
 }
 
-// InFlight returns the number of requests that all live peers run on each replica.
-func (m *Members) InFlight() map[string]int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	sum := map[string]int{}
-	now := m.timer.Now()
-	relays := m.freshRelays(now)
-	for _, r := range relays {
-		for id, n := range r.InFlight {
-			sum[id] += n
-		}
-	}
-	for _, p := range m.members {
-		if _, relayed := relays[p.info.Domain]; relayed || !m.answers(p, now) {
-			continue
-		}
-		for id, n := range p.inFlight {
-			sum[id] += n
-		}
-	}
-	return sum
-}
-
 // Owner returns the node that serves a program: by rendezvous hashing one that reaches the store, in this node's
 // failure domain if there is one, as callers of a domain mostly enter in it. Self says that it is this node. Offline says
 // that no node reaches the store, so that the owner can only use what it has in memory; all nodes then choose alike.
 func (m *Members) Owner(program string) (owner Info, self, offline bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := lo.Filter(append(m.live(), m.self), func(i Info, _ int) bool { return !i.Stopping })
+	all := lo.Filter(append(slices.Clone(m.live()), m.self), func(i Info, _ int) bool { return !i.Stopping })
 	if len(all) == 0 {
 		all = []Info{m.self}
 	}
@@ -270,7 +353,7 @@
 		nodes = near
 	}
 	var most uint64
-	for _, i := range nodes {
+	for _, i := range Strong(nodes) {
 		if h := xxhash.Sum64String(i.Name + "\x00" + program); h >= most {
 			owner, most = i, h
 		}
@@ -278,7 +361,7 @@
 	return owner, owner.Name == m.self.Name, offline
 }
 
-// HeardWithin says whether a peer has answered a heartbeat within a time.
+// HeardWithin says whether a peer was itself heard within a time.
 func (m *Members) HeardWithin(name string, d time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -291,30 +374,20 @@
 func (m *Members) Placer() (placer Info, self bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	placer = m.placer(m.self.Domain)
-	return placer, placer.Name == m.self.Name || placer.Name == ""
-}
-
-// placer returns the placer of a failure domain, or none; m.mu is held.
-func (m *Members) placer(domain string) (best Info) {
-	for _, i := range append(m.live(), m.self) {
-		if i.Domain != domain || i.Stopping || !i.Ready {
-			continue
-		}
-		if best.Name == "" || i.Power > best.Power || i.Power == best.Power && i.Name < best.Name {
+	var best Info
+	consider := func(i Info) {
+		if i.Domain == m.self.Domain && !i.Stopping && i.Ready && (best.Name == "" || byPower(i, best) < 0) {
 			best = i
 		}
 	}
-	return best
+	for _, i := range m.live() {
+		consider(i)
+	}
+	consider(m.self)
+	return best, best.Name == m.self.Name || best.Name == ""
 }
 
-// placers returns the names of the placers of all failure domains; m.mu is held.
-func (m *Members) placers() map[string]bool {
-	names := map[string]bool{}
-	for _, domain := range lo.Uniq(lo.MapToSlice(m.members, func(_ string, p *member) string { return p.info.Domain })) {
-		if p := m.placer(domain); p.Name != "" {
-			names[p.Name] = true
-		}
-	}
-	return names
+// byPower orders nodes by their processor, the strongest first, and by name.
+func byPower(a, b Info) int {
+	return cmp.Or(cmp.Compare(b.Power, a.Power), strings.Compare(a.Name, b.Name))
 }
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -14,6 +14,9 @@
 	// Peer is the address for other nodes, and Public the one for callers.
 	Peer, Public string
 	Domain       string
+	// Started is when the process started, in Unix milliseconds, and Revision grows with each change of what it says.
+	Started  int64
+	Revision uint64
 	// Power is the processor of the node, in cores.
 	Power float64
 	// Ready says that the node serves callers; Stopping that it will end soon.
@@ -33,10 +36,11 @@
 	Changed map[string]uint64
 	// InFlight is the number of the node's requests on each replica.
 	InFlight map[string]int
-	// Programs are those that the node has begun to serve since the last heartbeat, by digest; only to its own domain.
-	Programs []uint64
-	// Relays tell of other failure domains; only in answers of placers on large sites.
-	Relays []Relay
+	// Events are those of the node since its last heartbeat; those about programs only to its own domain.
+	Events []Event
+	// Ask is what a heartbeat asks for, and News what the answer to one tells; only on large sites.
+	Ask  Ask
+	News *News
 }
 
 // SeenReply lists the programs that a node knows of, by digest, and says whether that is all there are nearby.
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -76,5 +76,24 @@
 
 // patience waits on while heartbeats of a peer go on, as when the store is slow.
 func (p *Programs) patience(peer Info, limit time.Duration) patience {
-	return patience{limit: limit, tick: answerTime, isSilent: func() bool { return !p.members.HeardWithin(peer.Name, signBeats*p.members.Pace()) }}
+	return patience{limit: limit, tick: answerTime, isSilent: func() bool { return p.isSilent(peer) }}
+}
+
+// isSilent says whether there is no sign of a peer. On a large site most peers send no heartbeats to this node, which
+// then asks for a sign.
+func (p *Programs) isSilent(peer Info) bool {
+	switch {
+	case p.members.HeardWithin(peer.Name, signBeats*p.members.Pace()):
+		return false
+	case !p.members.IsLarge():
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	reply, err := p.client.Beat(ctx, peer.Peer, Beat{Info: p.members.Self(), Ask: Ask{SignOnly: true}})
+	if err != nil || reply.Info.Name != peer.Name {
+		return true
+	}
+	p.members.Heard(reply)
+	return false
 }
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgattempt"
 	"hyssopgrade/internal/serve/hgdesired"
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
@@ -73,14 +74,16 @@
 	log      *slog.Logger
 	figures  Figures
 	suspects Suspects
+	// memory is what answers that are held until they are whole may take together.
+	memory   *hgmemory.Pool
 	desired  atomic.Pointer[hgdesired.State]
 	stopping atomic.Bool
 	running  atomic.Int64
 }
 
 // NewEntry returns a handler that refuses everything until it has a desired state.
-func NewEntry(d Dialect, p Programs, places Places, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Figures, s Suspects) *Entry {
-	return &Entry{dialect: d, programs: p, places: places, replicas: r, timer: timer, log: log, figures: f, suspects: s}
+func NewEntry(d Dialect, p Programs, places Places, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Figures, s Suspects, m *hgmemory.Pool) *Entry {
+	return &Entry{dialect: d, programs: p, places: places, replicas: r, timer: timer, log: log, figures: f, suspects: s, memory: m}
 }
 
 // SetDesired puts a desired state in force unless a newer one is.
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,12 +37,14 @@
 		return err
 	}
 	defer t.end()
-	body, err := io.ReadAll(io.LimitReader(t.resp.Body, maxPlainBytes+1))
-	if err != nil || len(body) > maxPlainBytes {
+	answer, err := x.entry.memory.Read(t.resp.Body, maxPlainBytes)
+	if err != nil {
 		t.lease.Failed()
 		x.broke()
 		return errors.Join(errBroken, err)
 	}
+	defer answer.Release()
+	body := answer.Bytes
 	if t.resp.StatusCode >= http.StatusInternalServerError && x.again(errBroken) {
 		return errBroken
 	}
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,7 +14,7 @@
 
 const (
 	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 	// fetchSetup is what each fetch of kept parts takes besides its tokens, by the users' sheets 0.6 ms.
 	fetchSetup = time.Millisecond
 	// moveCharge is what a token of moved memory counts besides: it is charged 0.4 a GB, 6.6e-5 a token of 164 kB, while
@@ -99,15 +98,19 @@
 
 // passFailure passes on an answer of a replica that is no stream.
 func (x *exchange) passFailure(t *try, s *stream) error {
-	body, err := io.ReadAll(io.LimitReader(t.resp.Body, maxEventBytes))
-	if err != nil || s.begun || x.again(errBroken) {
+	answer, err := x.entry.memory.Read(t.resp.Body, maxEventBytes)
+	if err != nil {
 		return errors.Join(errBroken, err)
 	}
+	defer answer.Release()
+	if s.begun || x.again(errBroken) {
+		return errBroken
+	}
 	x.closeTurn(s, false)
 	x.copyHead(t.resp)
 	x.status = t.resp.StatusCode
 	x.w.WriteHeader(x.status)
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := x.w.Write(answer.Bytes); err != nil {
 		return errors.Join(errCaller, err)
 	}
 	return nil
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -24,6 +24,8 @@
 	// lapseTime is the time after an outage in which rows that lapsed during it come back. It counts from the store's
 	// return, so that a row that is removed later is gone within the same time of its removal.
 	lapseTime = 2 * time.Second
+	// lapseTold is how long after that the state is told without a change.
+	lapseTold = 3 * time.Second
 )
 
 // Copy is the state of a table: rows by key, the version of its newest change, and the version it is as of.
@@ -157,11 +159,20 @@
 		w.copy.Changed = max(w.copy.Changed, c.Version)
 	}
 	w.copy.Version = max(w.copy.Version, version)
-	copied, lapse := maps.Clone(w.copy.Rows), w.lapse()
-	w.mu.Unlock()
-	if len(changes) > 0 || lapse == 0 {
-		w.onChange(copied, lapse)
+	lapse := w.lapse()
+	if len(changes) == 0 && !w.hasLapsed() {
+		w.mu.Unlock()
+		return
 	}
+	copied := maps.Clone(w.copy.Rows)
+	w.mu.Unlock()
+	w.onChange(copied, lapse)
+}
+
+// hasLapsed says whether rows that were missing after an outage have become gone a moment ago; w.mu is held.
+func (w *Watch) hasLapsed() bool {
+	since := w.timer.Now() - w.regained
+	return w.regained > 0 && since >= lapseTime && since < lapseTime+lapseTold
 }
 
 // Offer takes over a peer's copy if it is newer.
--- a/internal/state/hgfeed/feed_test.go
+++ b/internal/state/hgfeed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,52 @@
 		})
 	}
 }
+
+// A table that does not change costs nothing but the calls that wait for changes.
+func TestWatchQuiet(t *testing.T) {
+	m := hgstore.NewMemory()
+	commit(t, m, put("t//a"))
+	var told atomic.Int64
+	timer := hgtimer.NewService()
+	defer timer.Close()
+	w := hgfeed.NewWatch(m, "t", timer, hglog.Discard(), func(map[string]hgstore.Row, time.Duration) { told.Add(1) })
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	w.Run(ctx)
+	if n := told.Load(); n != 1 {
+		t.Errorf("the state was told %d times, want once", n)
+	}
+}
+
+// Only rows of another version are decoded again.
+func TestRows(t *testing.T) {
+	var rows hgfeed.Rows[string]
+	decoded := 0
+	decode := func(row hgstore.Row) (string, bool) {
+		decoded++
+		return string(row.Value), len(row.Value) > 0
+	}
+	row := func(key, value string, version uint64) hgstore.Row {
+		return hgstore.Row{Key: key, Value: []byte(value), Version: version}
+	}
+	steps := []struct {
+		name    string
+		rows    []hgstore.Row
+		want    []string
+		decoded int
+	}{
+		{"all are new", []hgstore.Row{row("a", "x", 1), row("b", "", 1)}, []string{"x"}, 2},
+		{"none changed", []hgstore.Row{row("a", "x", 1), row("b", "", 1)}, []string{"x"}, 0},
+		{"one changed", []hgstore.Row{row("a", "x", 1), row("b", "y", 2)}, []string{"x", "y"}, 1},
+		{"one is gone", []hgstore.Row{row("b", "y", 2)}, []string{"y"}, 0},
+		{"it is back", []hgstore.Row{row("a", "z", 3), row("b", "y", 2)}, []string{"y", "z"}, 1},
+	}
+	for _, s := range steps {
+		decoded = 0
+		got := rows.Decode(lo.KeyBy(s.rows, func(r hgstore.Row) string { return r.Key }), decode)
+		sort.Strings(got)
+		if diff := cmp.Diff(s.want, got); diff != "" || decoded != s.decoded {
+			t.Errorf("%s: %d decoded, want %d; values (-want +got):\n%s", s.name, decoded, s.decoded, diff)
+		}
+	}
+}
