Go on with programs under way while the store is out of reach; let idle VMs ask it less

Cause: without the store all VMs choose one VM of the whole site for a program, which does not know those under way; in the test 10 of 12 such programs were refused (TestOutageUnderWay, red first). Now the VM that served the program goes on with what it has taken before, which its row tells of; only what nobody has served goes to the VM that all agree on. The bound of the budget does not change: nothing is taken anew. Idle VMs of large sites let the store hold their watches for 8 s, as hubs tell of newer versions (TestWatchBehind). Messages at once share the connection that is being made. Found by reading: a forgotten hub was looked up (TestFleetForgets).

--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -107,10 +107,11 @@
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.set, n.timer), n.set, n.members, n.client, log)
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, suspects{n.suspects, n},
 		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*answerShare)))
+	wait := hgfeed.WithWait(n.feedWait)
 	n.watches = map[string]*hgfeed.Watch{
-		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired),
-		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas),
-		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes),
+		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, wait),
+		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait),
+		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes, wait),
 	}
 	return n, nil
 }
--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -111,9 +111,29 @@
 		case <-time.After(n.members.Pace()):
 		}
 		n.set.SetGossip(n.members.InFlight())
+		if n.feedWait() < longWait {
+			for _, w := range n.watches {
+				w.Hurry()
+			}
+		}
 	}
 }
 
+const (
+	// usualWait is how long the store may hold a watch's call: a store that fell silent is noticed soon after.
+	usualWait = time.Second
+	// longWait is that of nodes which serve nobody, while hubs tell them of newer versions.
+	longWait = 8 * time.Second
+)
+
+// feedWait returns how long the store may hold a watch's call.
+func (n *Node) feedWait() time.Duration {
+	if n.members.IsIdle() {
+		return longWait
+	}
+	return usualWait
+}
+
 // beatAll sends a heartbeat to all peers, as what this node says of itself has changed.
 func (n *Node) beatAll() {
 	n.beatTo(n.members.Targets(0))
@@ -201,7 +221,11 @@
 // takeTable fetches a peer's newer copy of a table if the store does not tell this node.
 func (n *Node) takeTable(ctx context.Context, p hgpeer.Info, table string, changed uint64) {
 	w, ok := n.watches[table]
-	if !ok || changed <= w.Changed() || w.Failing() < feedPatience {
+	if !ok || changed <= w.Changed() {
+		return
+	}
+	w.Behind(changed)
+	if w.Failing() < feedPatience {
 		return
 	}
 	c, err := n.client.Table(ctx, p.Peer, table)
--- a/internal/peer/hgpeer/fleet_test.go
+++ b/internal/peer/hgpeer/fleet_test.go
@@ -282,3 +282,25 @@
 		}
 	}
 }
+
+// Nodes that the store does not name are forgotten when they have been gone for long, hubs too.
+func TestFleetForgets(t *testing.T) {
+	f := newFleet(40, 2)
+	f.until(10 * time.Second)
+	left := f.names[:20]
+	for _, name := range f.names[20:] {
+		f.down[name] = true
+	}
+	for _, name := range left {
+		f.nodes[name].SetNamed(lo.Map(left, func(n string, _ int) hgpeer.Info { return f.nodes[n].Self() }))
+	}
+	f.run(70 * time.Second)
+	for _, name := range left {
+		if n := len(f.nodes[name].All()); n != len(left)-1 {
+			t.Errorf("%s knows %d peers, want %d", name, n, len(left)-1)
+		}
+	}
+	if missing, ghosts := f.unseen(); missing+ghosts > 0 {
+		t.Errorf("%d missing, %d ghosts", missing, ghosts)
+	}
+}
--- a/internal/peer/hgpeer/hub.go
+++ b/internal/peer/hgpeer/hub.go
@@ -154,6 +154,25 @@
 	return lo.CountBy(m.domains, func(d string) bool { return !heard[d] })
 }
 
+// IsIdle says whether this node serves nobody as stronger ones do, and a hub of its failure domain answers.
+func (m *Members) IsIdle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isLarge() {
+		return false
+	}
+	v := m.look()
+	near := lo.Filter(append(slices.Clone(v.live), m.self), func(i Info, _ int) bool { return i.Domain == m.self.Domain && !i.Stopping })
+	if lo.ContainsBy(Strong(near), func(i Info) bool { return i.Name == m.self.Name }) {
+		return false
+	}
+	now := m.timer.Now()
+	return lo.SomeBy(v.hubs[m.self.Domain], func(i Info) bool {
+		p, ok := m.members[i.Name]
+		return ok && m.isDirect(p, now)
+	})
+}
+
 // busyFor is how long after its last request a node still asks for the loads of replicas.
 const busyFor = 2 * time.Second
 
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -244,7 +244,10 @@
 // forget drops peers that the store does not name and nobody else has for long; m.mu is held.
 func (m *Members) forget() {
 	now := m.timer.Now()
+	known := len(m.members)
 	maps.DeleteFunc(m.members, func(name string, p *member) bool { return !m.named[name] && now-p.known > forgetAfter })
+	maps.DeleteFunc(m.sources, func(name string, _ *source) bool { return m.members[name] == nil })
+	m.changed = m.changed || len(m.members) < known
 }
 
 // Live returns the peers that answer, in the order of their names.
@@ -348,17 +351,37 @@
 	if offline = len(nodes) == 0; offline {
 		nodes = all
 	}
-	near := lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
-	if len(near) > 0 && !offline {
+	if near := m.near(nodes); len(near) > 0 && !offline {
 		nodes = near
 	}
+	owner = rendezvous(nodes, program)
+	return owner, owner.Name == m.self.Name, offline
+}
+
+// NearOwner returns the node of this failure domain that has served a program while the store was in reach, as far as the
+// nodes are the same.
+func (m *Members) NearOwner(program string) (owner Info, self bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	near := lo.Reject(m.near(m.live()), func(i Info, _ int) bool { return i.Stopping })
+	owner = rendezvous(append(near, m.self), program)
+	return owner, owner.Name == m.self.Name
+}
+
+// near returns the nodes of this failure domain.
+func (m *Members) near(nodes []Info) []Info {
+	return lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
+}
+
+// rendezvous returns the node that a program hashes to, the same one for all that know the same nodes.
+func rendezvous(nodes []Info, program string) (owner Info) {
 	var most uint64
 	for _, i := range Strong(nodes) {
 		if h := xxhash.Sum64String(i.Name + "\x00" + program); h >= most {
 			owner, most = i, h
 		}
 	}
-	return owner, owner.Name == m.self.Name, offline
+	return owner
 }
 
 // HeardWithin says whether a peer was itself heard within a time.
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -35,6 +35,20 @@
 func (p *Programs) Open(ctx context.Context, q hgledger.OpenRequest) (reply hgledger.OpenReply, owner Info) {
 	owner, self, offline := p.members.Owner(q.Program)
 	q.Offline = offline
+	if near, nearSelf := p.members.NearOwner(q.Program); near.Name != owner.Name && !q.Kept {
+		// The node that has served the program is without the store, and may go on with what it has taken before.
+		known := q
+		known.Offline, known.KnownOnly = true, true
+		reply, by := p.openAt(ctx, near, nearSelf, known)
+		if reply.Verdict == hgledger.Granted || reply.Verdict == hgledger.Spent {
+			return reply, by
+		}
+	}
+	return p.openAt(ctx, owner, self, q)
+}
+
+// openAt asks a node, and decides itself if that one does not answer.
+func (p *Programs) openAt(ctx context.Context, owner Info, self bool, q hgledger.OpenRequest) (reply hgledger.OpenReply, by Info) {
 	if self {
 		return p.ledger.Open(ctx, q), owner
 	}
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/singleflight"
 
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
@@ -118,6 +119,9 @@
 type Client struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// dials are the connections that are being made, by address, so that messages at once share one.
+	dials singleflight.Group
+
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 }
@@ -134,25 +138,43 @@
 
 // conn returns the connection to a peer. It connects without the lock, so that one dead peer holds up no others.
 func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn, ok := c.conns[address]
-	c.mu.Unlock()
-	if ok {
+	if conn, ok := c.have(address); ok {
 		return conn, nil
 	}
-	raw, err := c.dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
+	// The connection outlives the message that asks for it first, as others wait for it too.
+	made := c.dials.DoChan(address, func() (any, error) {
+		if conn, ok := c.have(address); ok {
+			return conn, nil
+		}
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
+		defer cancel()
+		raw, err := c.dial(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		conn := rpc.NewClient(raw)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.conns[address] = conn
+		return conn, nil
+	})
+	select {
+	case r := <-made:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*rpc.Client), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
+}
+
+// have returns the connection to a peer if there is one.
+func (c *Client) have(address string) (conn *rpc.Client, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		raw.Close()
-		return conn, nil
-	}
-	conn = rpc.NewClient(raw)
-	c.conns[address] = conn
-	return conn, nil
+	conn, ok = c.conns[address]
+	return conn, ok
 }
 
 // drop closes a connection that failed or fell silent.
--- a/internal/proof/hgsite/path_test.go
+++ b/internal/proof/hgsite/path_test.go
@@ -298,6 +298,26 @@
 	wantStream(t, call(t, s, 1, hgsite.Turn(hgsite.ThreadPath, "q", first.ID, "x")))
 }
 
+// While the store is out of reach programs under way go on, with the tokens that the VM which served them has taken before.
+func TestOutageUnderWay(t *testing.T) {
+	s := newSite(t, 6)
+	const programs = 12
+	turn := func(i int) hgsite.Request {
+		return hgsite.Turn(hgsite.ChatPath, fmt.Sprint("under way ", i), "", "x")
+	}
+	for i := range programs {
+		wantStream(t, call(t, s, 0, turn(i)))
+	}
+	outage(s, true)
+	time.Sleep(1500 * time.Millisecond)
+	for i := range programs {
+		// The other VM of the same failure domain knows as much.
+		if reply := call(t, s, 3*(i%2), turn(i)); reply.Status != http.StatusOK {
+			t.Errorf("program %d: status %d: %s", i, reply.Status, reply.Body)
+		}
+	}
+}
+
 // A stop cuts no request, also of callers that have not heard of it.
 func TestGracefulStop(t *testing.T) {
 	s := newSite(t, 2)
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -51,11 +51,26 @@
 	// regained is when the store was last reached again.
 	regained time.Duration
 	listed   bool
+	// wait is how long the store may hold a call without changes.
+	wait func() time.Duration
+	// hurry ends the call that waits for changes, which began at the time called; nil if there is none.
+	hurry  context.CancelFunc
+	called time.Duration
+	// newer is the version of the newest change that a peer knows of, and told when it first said so.
+	newer uint64
+	told  time.Duration
 }
 
 // NewWatch returns a watch of a table that is not running.
-func NewWatch(store hgstore.Feed, table string, timer hgtimer.Timer, log *slog.Logger, onChange func(rows map[string]hgstore.Row, lapse time.Duration)) *Watch {
-	return &Watch{store: store, table: table, timer: timer, log: log, onChange: onChange, copy: Copy{Rows: map[string]hgstore.Row{}}}
+func NewWatch(store hgstore.Feed, table string, timer hgtimer.Timer, log *slog.Logger, onChange func(rows map[string]hgstore.Row, lapse time.Duration), opts ...Option) *Watch {
+	w := &Watch{
+		store: store, table: table, timer: timer, log: log, onChange: onChange, copy: Copy{Rows: map[string]hgstore.Row{}},
+		wait: func() time.Duration { return waitFor },
+	}
+	for _, opt := range opts {
+		opt(w)
+	}
+	return w
 }
 
 // Run follows the table until the context ends.
@@ -84,7 +99,13 @@
 		}
 		return err
 	}
-	changes, version, err := w.store.Changes(ctx, w.table, after, waitFor)
+	call, end := w.begin(ctx)
+	defer end()
+	changes, version, err := w.store.Changes(call, w.table, after, w.wait())
+	if err != nil && call.Err() != nil && ctx.Err() == nil {
+		// The call was ended in favour of a new one, which says nothing of the store.
+		return nil
+	}
 	if errors.Is(err, hgstore.ErrHistoryGone) {
 		w.log.Info("feed history is gone", "table", w.table, "version", after)
 		w.mu.Lock()
--- a/internal/state/hgfeed/feed_test.go
+++ b/internal/state/hgfeed/feed_test.go
@@ -197,3 +197,44 @@
 		}
 	}
 }
+
+// silentStore is a store whose calls that wait for changes get no answer while it is silent.
+type silentStore struct {
+	*hgstore.Memory
+	silent atomic.Bool
+}
+
+func (s *silentStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]hgstore.Change, uint64, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.Memory.Changes(ctx, table, after, wait)
+}
+
+// A watch whose call waits on a connection that has fallen silent asks again when a peer knows of a newer version.
+func TestWatchBehind(t *testing.T) {
+	s := &silentStore{Memory: hgstore.NewMemory()}
+	commit(t, s.Memory, put("t//a"))
+	timer := hgtimer.NewService()
+	defer timer.Close()
+	v := &view{}
+	long := hgfeed.WithWait(func() time.Duration { return time.Minute })
+	s.silent.Store(true)
+	w := hgfeed.NewWatch(s, "t", timer, hglog.Discard(), v.change, long)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	wantKeys(t, v, "t//a")
+	time.Sleep(300 * time.Millisecond)
+	s.silent.Store(false)
+	commit(t, s.Memory, put("t//b"))
+	for range 4 {
+		w.Behind(w.Copy().Version + 1)
+		time.Sleep(200 * time.Millisecond)
+	}
+	wantKeys(t, v, "t//a", "t//b")
+	if w.Failing() > 0 {
+		t.Error("a call that was ended counts as a failure of the store")
+	}
+}
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -52,6 +52,8 @@
 	NoNew bool
 	// Offline says that no node reaches the store, so that only what is in memory counts.
 	Offline bool
+	// KnownOnly says that nothing is taken for a program that this ledger has taken nothing for before.
+	KnownOnly bool
 }
 
 // OpenReply is the decision on a turn.
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -76,7 +76,7 @@
 		return 0, Spent
 	}
 	a := p.account
-	if a.Mine == 0 && a.Others == 0 && q.Most <= q.Budget && l.isSole(ctx, p, isNew) {
+	if a.Mine == 0 && a.Others == 0 && !q.KnownOnly && q.Most <= q.Budget && l.isSole(ctx, p, isNew) {
 		a.Mine = q.Most
 		ctx, cancel := context.WithTimeout(ctx, peerTime)
 		defer cancel()
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -120,8 +120,12 @@
   internal/serve/hgreplica/set.go 's/r\.streak\+\+\n\tswitch/switch/'
 red fetch TestHelpersFetch internal/proof/hgsite \
   platform/request.go 's/h\.Set\(headerFetch, s\.FetchFrom\)/_ = s/'
-red relayAge TestRelays internal/peer/hgpeer \
-  internal/peer/hgpeer/relay.go 's/at := now - r\.Age/at := now/'
+red hearsay TestFleet internal/peer/hgpeer \
+  internal/peer/hgpeer/claim.go 's/p\.info\.Domain != m\.self\.Domain && isClaimed\(p\.info\.Name, farSources\)/isClaimed(p.info.Name, m.freshSources(now))/'
+red behind TestWatchBehind internal/state/hgfeed \
+  internal/state/hgfeed/hurry.go 's/now-w\.told > behindFor/false/'
+red endless TestEndlessBytes internal/proof/hgsite \
+  internal/serve/hgmemory/pool.go 's/p\.taken\.Add\(n\) > p\.limit/p.taken.Add(n) < 0/'
 red callerTime TestTimeHandedOn internal/proof/hgsite \
   platform/request.go 's/left\.Milliseconds\(\)/(2 * left).Milliseconds()/'
 red callerLeaves TestCallerLeaves internal/proof/hgsite \
