--- a/internal/peer/hgpeer/claim.go
+++ b/internal/peer/hgpeer/claim.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// AskOf returns what a heartbeat to a peer asks for.
+func (m *Members) AskOf(peer Info) (a Ask) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.sources[peer.Name]; ok {
+		a.Known = s.known
+	}
+	if !m.isLarge() {
+		return a
+	}
+	a.Loads = peer.Domain != m.self.Domain || m.firstHub() == peer.Name && m.busy > 0 && m.timer.Now()-m.busy < busyFor
+	return a
+}
+
 // Answer takes a heartbeat of a peer and returns what this node tells it of others; nil on a small site.
 func (m *Members) Answer(b Beat) *News {
 	m.mu.Lock()
@@ -146,21 +160,6 @@
 	return n
 }
 
-// loadsFor returns the requests in flight as another node needs them; m.mu is held.
-func (m *Members) loadsFor(b Beat, far bool, now time.Duration) map[string]int {
-	all := sum(m.ownInFlight, m.nearInFlight(now))
-	if far {
-		return all
-	}
-	addTo(all, m.farInFlight(now))
-	for id, n := range b.InFlight {
-		if all[id] -= n; all[id] <= 0 {
-			delete(all, id)
-		}
-	}
-	return all
-}
-
 // takeNews takes over what a peer tells of others, unless later news came before; m.mu is held.
 func (m *Members) takeNews(from Info, n News) {
 	s, ok := m.sources[from.Name]
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -1,14 +1,12 @@
 package hgpeer
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgtimer"
@@ -219,7 +217,10 @@
 	now := m.timer.Now()
 	m.noteTrouble(b.Info)
 	m.changed = m.changed || !p.answered || !m.isDirect(p, now)
-	p.answered, p.heard, p.missed, p.inFlight = true, now, 0, b.InFlight
+	p.answered, p.heard, p.missed = true, now, 0
+	if !b.Ask.SignOnly {
+		p.inFlight = b.InFlight
+	}
 	return p
 }
 
@@ -337,53 +338,6 @@
 	return peers
 }
 
-// Owner returns the node that serves a program: by rendezvous hashing one that reaches the store, in this node's
-// failure domain if there is one, as callers of a domain mostly enter in it. Self says that it is this node. Offline says
-// that no node reaches the store, so that the owner can only use what it has in memory; all nodes then choose alike.
-func (m *Members) Owner(program string) (owner Info, self, offline bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	all := lo.Filter(append(slices.Clone(m.live()), m.self), func(i Info, _ int) bool { return !i.Stopping })
-	if len(all) == 0 {
-		all = []Info{m.self}
-	}
-	nodes := lo.Filter(all, func(i Info, _ int) bool { return i.StoreOK })
-	if offline = len(nodes) == 0; offline {
-		nodes = all
-	}
-	if near := m.near(nodes); len(near) > 0 && !offline {
-		nodes = near
-	}
-	owner = rendezvous(nodes, program)
-	return owner, owner.Name == m.self.Name, offline
-}
-
-// NearOwner returns the node of this failure domain that has served a program while the store was in reach, as far as the
-// nodes are the same.
-func (m *Members) NearOwner(program string) (owner Info, self bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	near := lo.Reject(m.near(m.live()), func(i Info, _ int) bool { return i.Stopping })
-	owner = rendezvous(append(near, m.self), program)
-	return owner, owner.Name == m.self.Name
-}
-
-// near returns the nodes of this failure domain.
-func (m *Members) near(nodes []Info) []Info {
-	return lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
-}
-
-// rendezvous returns the node that a program hashes to, the same one for all that know the same nodes.
-func rendezvous(nodes []Info, program string) (owner Info) {
-	var most uint64
-	for _, i := range Strong(nodes) {
-		if h := xxhash.Sum64String(i.Name + "\x00" + program); h >= most {
-			owner, most = i, h
-		}
-	}
-	return owner
-}
-
 // HeardWithin says whether a peer was itself heard within a time.
 func (m *Members) HeardWithin(name string, d time.Duration) bool {
 	m.mu.Lock()
@@ -391,26 +345,3 @@
 	p, ok := m.members[name]
 	return ok && p.answered && m.timer.Now()-p.heard < d
 }
-
-// Placer returns the node that places the requests of this failure domain: the one with the most processor among those
-// that answer. Nodes may differ for a moment; then replicas get more than they run at once.
-func (m *Members) Placer() (placer Info, self bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var best Info
-	consider := func(i Info) {
-		if i.Domain == m.self.Domain && !i.Stopping && i.Ready && (best.Name == "" || byPower(i, best) < 0) {
-			best = i
-		}
-	}
-	for _, i := range m.live() {
-		consider(i)
-	}
-	consider(m.self)
-	return best, best.Name == m.self.Name || best.Name == ""
-}
-
-// byPower orders nodes by their processor, the strongest first, and by name.
-func byPower(a, b Info) int {
-	return cmp.Or(cmp.Compare(b.Power, a.Power), strings.Compare(a.Name, b.Name))
-}
