Ask only a VM that lost the store and does not stop to go on without it

Read off the code of 'Go on with programs under way': a stopping VM counted itself as the one that served the program, asked its own ledger as in an outage, which had given budgets back and granted less than the turn needed. Change: no VM that stops or reaches the store is asked so, and while others reach the store it grants a whole turn or nothing. TestCutOwner and TestOutageWhole, each red on the old code.

--- a/internal/peer/hgpeer/members_test.go
+++ b/internal/peer/hgpeer/members_test.go
@@ -112,3 +112,42 @@
 		})
 	}
 }
+
+// Only a node that has lost the store and does not stop is asked to go on with what it has taken before.
+func TestCutOwner(t *testing.T) {
+	tests := map[string]struct {
+		change func(i hgpeer.Info) hgpeer.Info
+		ok     bool
+	}{
+		"reaches the store": {func(i hgpeer.Info) hgpeer.Info { return i }, false},
+		"lost the store": {func(i hgpeer.Info) hgpeer.Info {
+			i.StoreOK = false
+			return i
+		}, true},
+		"stops": {func(i hgpeer.Info) hgpeer.Info {
+			i.Stopping = true
+			return i
+		}, false},
+		"lost the store and stops": {func(i hgpeer.Info) hgpeer.Info {
+			i.StoreOK, i.Stopping = false, true
+			return i
+		}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := hgpeer.NewMembers(&clock{now: time.Minute}, tt.change(info("a", "north")))
+			m.Heard(hgpeer.Beat{Info: info("b", "north")})
+			cut := 0
+			for i := range 50 {
+				owner, self, ok := m.CutOwner(string(rune('A' + i)))
+				if ok && (!tt.ok || !self || owner.Name != "a") {
+					t.Errorf("%q is asked without the store", owner.Name)
+				}
+				cut += lo.Ternary(ok, 1, 0)
+			}
+			if (cut > 0) != tt.ok {
+				t.Errorf("%d of 50 programs go on without the store", cut)
+			}
+		})
+	}
+}
--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -30,14 +30,14 @@
 	return owner, owner.Name == m.self.Name, offline
 }
 
-// NearOwner returns the node of this failure domain that has served a program while the store was in reach, as far as the
-// nodes are the same.
-func (m *Members) NearOwner(program string) (owner Info, self bool) {
+// CutOwner returns the node of this failure domain that has served a program until it lost the store; ok is false if the
+// one that serves programs here reaches it.
+func (m *Members) CutOwner(program string) (owner Info, self, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	near := lo.Reject(m.near(m.live()), func(i Info, _ int) bool { return i.Stopping })
-	owner = rendezvous(append(near, m.self), program)
-	return owner, owner.Name == m.self.Name
+	near := lo.Reject(append(m.near(m.live()), m.self), func(i Info, _ int) bool { return i.Stopping })
+	owner = rendezvous(near, program)
+	return owner, owner.Name == m.self.Name, owner.Name != "" && !owner.StoreOK
 }
 
 // near returns the nodes of this failure domain.
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -35,11 +35,11 @@
 func (p *Programs) Open(ctx context.Context, q hgledger.OpenRequest) (reply hgledger.OpenReply, owner Info) {
 	owner, self, offline := p.members.Owner(q.Program)
 	q.Offline = offline
-	if near, nearSelf := p.members.NearOwner(q.Program); near.Name != owner.Name && !q.Kept {
-		// The node that has served the program is without the store, and may go on with what it has taken before.
+	if cut, cutSelf, ok := p.members.CutOwner(q.Program); ok && cut.Name != owner.Name && !q.Kept {
+		// It may go on with what it has taken before, if no other can take as much as the turn needs.
 		known := q
-		known.Offline, known.KnownOnly = true, true
-		reply, by := p.openAt(ctx, near, nearSelf, known)
+		known.Offline, known.KnownOnly, known.Whole = true, true, !offline
+		reply, by := p.openAt(ctx, cut, cutSelf, known)
 		if reply.Verdict == hgledger.Granted || reply.Verdict == hgledger.Spent {
 			return reply, by
 		}
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -54,6 +54,8 @@
 	Offline bool
 	// KnownOnly says that nothing is taken for a program that this ledger has taken nothing for before.
 	KnownOnly bool
+	// Whole says that less than Most is not worth having.
+	Whole bool
 }
 
 // OpenReply is the decision on a turn.
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -87,7 +87,7 @@
 		l.log.Info("taken without a row", "program", p.id, "taken", a.Mine)
 	}
 	most = min(q.Most, a.Left())
-	if most < min(q.Most, max(q.Estimate, minCap)) {
+	if most < min(q.Most, max(q.Estimate, minCap)) || q.Whole && most < q.Most {
 		return 0, Outage
 	}
 	a.Open += most
--- a/internal/state/hgledger/outage_test.go
+++ b/internal/state/hgledger/outage_test.go
@@ -266,3 +266,38 @@
 		}
 	}
 }
+
+// A ledger without the store grants what it has taken before; where another one could take more it grants a whole turn or
+// nothing, so that no turn is cut that could have run to its end.
+func TestOutageWhole(t *testing.T) {
+	tests := map[string]struct {
+		used  int
+		whole bool
+		want  hgledger.Verdict
+	}{
+		"enough is left":                {40, true, hgledger.Granted},
+		"too little is left":            {180, true, hgledger.Outage},
+		"too little, but there is none": {180, false, hgledger.Granted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := hgstore.NewMemory()
+			l := newPeered(t, "a", store, &peers{})
+			q := hgledger.OpenRequest{Program: "p", Attempt: "1", Budget: 500, Most: 200, HasBudget: true}
+			if v := l.Open(t.Context(), q).Verdict; v != hgledger.Granted {
+				t.Fatal(v)
+			}
+			if err := l.Close(t.Context(), hgledger.CloseRequest{Program: "p", Attempt: "1", Holder: "a", Used: tt.used}); err != nil {
+				t.Fatal(err)
+			}
+			q.Attempt, q.Offline, q.KnownOnly, q.Whole = "2", true, true, tt.whole
+			if v := l.Open(t.Context(), q).Verdict; v != tt.want {
+				t.Errorf("verdict %s, want %s", v, tt.want)
+			}
+			q.Program = "unknown"
+			if v := l.Open(t.Context(), q).Verdict; v != hgledger.Outage {
+				t.Errorf("a program that was not served here: %s", v)
+			}
+		})
+	}
+}
