--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -22,8 +22,6 @@
 	nodeTable = "hgnode"
 	// beatTime bounds a heartbeat.
 	beatTime = 600 * time.Millisecond
-	// feedPatience is how long a table's watch must fail before a peer's copy is fetched.
-	feedPatience = 250 * time.Millisecond
 	// registerAfter is the pause after a registration that failed.
 	registerAfter = 300 * time.Millisecond
 )
@@ -111,32 +109,14 @@
 		case <-time.After(n.members.Pace()):
 		}
 		n.set.SetGossip(n.members.InFlight())
-		if n.feedWait() < longWait {
-			for _, w := range n.watches {
-				w.Hurry()
-			}
-		}
-	}
-}
-
-const (
-	// usualWait is how long the store may hold a watch's call: a store that fell silent is noticed soon after.
-	usualWait = time.Second
-	// longWait is that of nodes which serve nobody, while hubs tell them of newer versions.
-	longWait = 8 * time.Second
-)
-
-// feedWait returns how long the store may hold a watch's call.
-func (n *Node) feedWait() time.Duration {
-	if n.members.IsIdle() {
-		return longWait
+		n.hurryWatches()
 	}
-	return usualWait
 }
 
-// beatAll sends a heartbeat to all peers, as what this node says of itself has changed.
+// beatAll sends a heartbeat at once to all peers that get any, as what this node says of itself has changed.
 func (n *Node) beatAll() {
-	n.beatTo(n.members.Targets(0))
+	const allRound = 0 // In the first round none is left out.
+	n.beatTo(n.members.Targets(allRound))
 }
 
 // beatTo sends a heartbeat to some peers, and does not wait for answers.
@@ -218,24 +198,6 @@
 	}
 }
 
-// takeTable fetches a peer's newer copy of a table if the store does not tell this node.
-func (n *Node) takeTable(ctx context.Context, p hgpeer.Info, table string, changed uint64) {
-	w, ok := n.watches[table]
-	if !ok || changed <= w.Changed() {
-		return
-	}
-	w.Behind(changed)
-	if w.Failing() < feedPatience {
-		return
-	}
-	c, err := n.client.Table(ctx, p.Peer, table)
-	if err != nil {
-		n.log.Debug("table not fetched", "table", table, "peer", p.Name, "error", err)
-		return
-	}
-	w.Offer(c)
-}
-
 // register writes the node's row until that has succeeded.
 func (n *Node) register() {
 	key := nodeTable + "//" + n.cfg.VM.Name
--- a/internal/peer/hgpeer/hub.go
+++ b/internal/peer/hgpeer/hub.go
@@ -28,7 +28,7 @@
 func (m *Members) isLarge() bool { return len(m.members) > meshPeers }
 
 // hubs returns the hubs of each failure domain: the strongest nodes that do not leave heartbeats unanswered. Nodes may
-// differ about them for a moment; a node that is asked answers whether it counts itself among them or not. m.mu is held.
+// differ about them for a moment, so that any node answers heartbeats as a hub does. m.mu is held.
 func (m *Members) hubs() map[string][]Info {
 	hubs := map[string][]Info{}
 	consider := func(i *Info) {
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -155,22 +155,15 @@
 	}
 }
 
-// Introduce tells of a node that a peer names; it counts as live only when it has answered.
-func (m *Members) Introduce(i Info) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.introduce(i)
-}
-
-// introduce returns the member that is named; nil if it is this node. m.mu is held.
+// introduce takes what is said of a node, by itself, a peer or the store, and returns it; nil if it is this node. m.mu is held.
 func (m *Members) introduce(i Info) *member {
 	if i.Name == m.self.Name || i.Name == "" {
 		return nil
 	}
 	now := m.timer.Now()
 	have, ok := m.members[i.Name]
+	m.noteTrouble(i)
 	if !ok {
-		m.noteTrouble(i)
 		have = &member{info: i, since: now}
 		m.members[i.Name], m.changed = have, true
 	}
@@ -187,7 +180,6 @@
 	if p.info.Boot != i.Boot {
 		p.suspect, p.missed = 0, 0
 	}
-	m.noteTrouble(i)
 	p.info, m.changed = i, true
 }
 
@@ -215,7 +207,6 @@
 		return nil
 	}
 	now := m.timer.Now()
-	m.noteTrouble(b.Info)
 	m.changed = m.changed || !p.answered || !m.isDirect(p, now)
 	p.answered, p.heard, p.missed = true, now, 0
 	if !b.Ask.SignOnly {
@@ -267,7 +258,8 @@
 	return m.period()
 }
 
-// period is the same on a large site for all nodes of a failure domain, whose hubs it keeps from too many heartbeats.
+// period returns the time between two heartbeats. On a large site it grows with the failure domain, as the hubs hear all
+// nodes of it; m.mu is held.
 func (m *Members) period() time.Duration {
 	peers := len(m.members)
 	if m.isLarge() {
--- a/internal/peer/hgpeer/members_test.go
+++ b/internal/peer/hgpeer/members_test.go
@@ -34,8 +34,7 @@
 func TestMembers(t *testing.T) {
 	c := &clock{now: time.Minute}
 	m := hgpeer.NewMembers(c, info("a", "north"))
-	m.Introduce(info("b", "north"))
-	m.Introduce(info("c", "south"))
+	m.SetNamed([]hgpeer.Info{info("b", "north"), info("c", "south")})
 	steps := []struct {
 		name            string
 		at              time.Duration
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -36,7 +36,7 @@
 	owner, self, offline := p.members.Owner(q.Program)
 	q.Offline = offline
 	if cut, cutSelf, ok := p.members.CutOwner(q.Program); ok && cut.Name != owner.Name && !q.Kept {
-		// It may go on with what it has taken before, if no other can take as much as the turn needs.
+		// It goes on with what it has taken before. While others reach the store, they serve turns that need more.
 		known := q
 		known.Offline, known.KnownOnly, known.Whole = true, true, !offline
 		reply, by := p.openAt(ctx, cut, cutSelf, known)
--- a/internal/proof/hgsite/endless_test.go
+++ b/internal/proof/hgsite/endless_test.go
@@ -1,6 +1,7 @@
 package hgsite_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,8 @@
 	"time"
 
 	"hyssopgrade/internal/proof/hgsite"
+	"hyssopgrade/internal/serve/hgattempt"
+	hgplatform "hyssopgrade/platform"
 )
 
 // endless is a replica that answers each request with a beginning, and then with the same bytes until its connection is
@@ -35,37 +38,48 @@
 
 func (e *endless) answer(conn net.Conn) {
 	defer conn.Close()
-	request := make([]byte, 64<<10)
-	n, err := conn.Read(request)
+	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
 	e.open.Add(1)
 	defer e.open.Add(-1)
-	id := ""
-	for line := range strings.SplitSeq(string(request[:n]), "\r\n") {
-		if name, value, _ := strings.Cut(line, ": "); strings.EqualFold(name, "X-Attempt-Id") {
-			id = value
-		}
+	a, err := hgplatform.Dialect{}.DecodeAttempt(r.Header)
+	if err != nil {
+		return
 	}
-	_, err = io.WriteString(conn, strings.ReplaceAll(e.head, "ID", id))
+	_, err = io.WriteString(conn, strings.ReplaceAll(e.head, anyID, a.ID))
 	more := strings.Repeat(e.more, 1+8192/len(e.more))
 	for err == nil {
 		_, err = io.WriteString(conn, more)
 	}
 }
 
+// anyID stands for the attempt's identifier in the heads of answers.
+const anyID = "any-attempt"
+
+// headOf returns the lines of a head that say what an answer says.
+func headOf(a hgattempt.Answer) string {
+	h, lines := http.Header{}, &strings.Builder{}
+	hgplatform.EncodeAnswer(h, a)
+	if err := h.Write(lines); err != nil {
+		panic(err)
+	}
+	return lines.String()
+}
+
 // Bytes without end that are no answer, from all replicas to many requests at once, take a bounded part of a VM's
 // memory; callers get an answer of the VM's own in time, and the connections are closed.
 func TestEndlessBytes(t *testing.T) {
 	const (
 		callers = 48
 		// maxHeap is half of a VM's memory, in bytes; the heap holds the stand-ins and the callers besides the VM.
-		maxHeap  = 128 << 20
-		sealed   = "X-Attempt-Id: ID\r\nX-Response-Seal: s\r\n"
-		okHead   = "HTTP/1.1 200 OK\r\n" + sealed
-		inEvents = okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		maxHeap = 128 << 20
 	)
+	sealed := headOf(hgattempt.Answer{AttemptID: anyID, Sealed: true})
+	okHead := "HTTP/1.1 200 OK\r\n" + sealed
+	inEvents := okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + headOf(hgattempt.Answer{AttemptID: anyID, NotRun: true})
 	tests := map[string]struct {
 		path, head, more string
 	}{
@@ -79,7 +93,7 @@
 		"trailer":                 {hgsite.CheckPath, okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: x\r\n"},
 		"event":                   {hgsite.ChatPath, inEvents, "5\r\ndata:\r\n"},
 		"events that say nothing": {hgsite.ThreadPath, inEvents, "3\r\n:\n\n\r\n"},
-		"refusal":                 {hgsite.ChargePath, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\r\n", "x"},
+		"refusal":                 {hgsite.ChargePath, refusal + "\r\n", "x"},
 		"failure of a stream":     {hgsite.ThreadPath, "HTTP/1.1 500 Internal Server Error\r\n" + sealed + "\r\n", "x"},
 	}
 	for name, tt := range tests {
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgreplica"
 )
 
@@ -38,6 +39,10 @@
 	}
 	defer t.end()
 	answer, err := x.entry.memory.Read(t.resp.Body, maxPlainBytes)
+	if errors.Is(err, hgmemory.ErrFull) {
+		// That is neither the replica's fault nor the request's.
+		return errors.Join(errBroken, err)
+	}
 	if err != nil {
 		t.lease.Failed()
 		x.broke()
--- a/internal/serve/hgmemory/doc.go
+++ b/internal/serve/hgmemory/doc.go
@@ -1,2 +1,2 @@
-// Package hgmemory bounds the bytes that all requests of a node hold at once.
+// Package hgmemory bounds the bytes of the answers that a node holds at once until they are whole.
 package hgmemory
--- a/internal/serve/hgmemory/pool.go
+++ b/internal/serve/hgmemory/pool.go
@@ -10,14 +10,14 @@
 var (
 	// ErrTooLong means that there is more to read than was allowed.
 	ErrTooLong = errors.New("too many bytes")
-	// ErrFull means that other requests hold the memory.
+	// ErrFull means that other answers hold the memory.
 	ErrFull = errors.New("no memory is left for more bytes")
 )
 
 // firstBytes is what a reader takes at first; it doubles that when it is full.
 const firstBytes = 4 << 10
 
-// Pool is the memory that requests share; it is safe for concurrent use.
+// Pool is the memory that answers share; it is safe for concurrent use.
 type Pool struct {
 	limit int64
 	taken atomic.Int64
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// waitFor is how long the store may hold a call without changes; a connection that went silent is noticed soon after.
-	waitFor = time.Second
+	// UsualWait is how long the store may hold a call without changes; a connection that went silent is noticed soon after.
+	UsualWait = time.Second
 	// gatherFor is the pause after changes, in which further ones gather for the next call.
 	gatherFor = 200 * time.Millisecond
 	// retryAfter is the pause after a failure.
@@ -53,9 +53,7 @@
 	listed   bool
 	// wait is how long the store may hold a call without changes.
 	wait func() time.Duration
-	// hurry ends the call that waits for changes, which began at the time called; nil if there is none.
-	hurry  context.CancelFunc
-	called time.Duration
+	call waiting
 	// newer is the version of the newest change that a peer knows of, and told when it first said so.
 	newer uint64
 	told  time.Duration
@@ -65,7 +63,7 @@
 func NewWatch(store hgstore.Feed, table string, timer hgtimer.Timer, log *slog.Logger, onChange func(rows map[string]hgstore.Row, lapse time.Duration), opts ...Option) *Watch {
 	w := &Watch{
 		store: store, table: table, timer: timer, log: log, onChange: onChange, copy: Copy{Rows: map[string]hgstore.Row{}},
-		wait: func() time.Duration { return waitFor },
+		wait: func() time.Duration { return UsualWait },
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -99,9 +97,9 @@
 		}
 		return err
 	}
-	call, end := w.begin(ctx)
+	call, wait, end := w.begin(ctx)
 	defer end()
-	changes, version, err := w.store.Changes(call, w.table, after, w.wait())
+	changes, version, err := w.store.Changes(call, w.table, after, wait)
 	if err != nil && call.Err() != nil && ctx.Err() == nil {
 		// The call was ended in favour of a new one, which says nothing of the store.
 		return nil
--- a/internal/state/hgfeed/feed_test.go
+++ b/internal/state/hgfeed/feed_test.go
@@ -198,6 +198,9 @@
 	}
 }
 
+// silentTimeout is how long the client of a silent store waits beyond the time for which the store may hold a call.
+const silentTimeout = 300 * time.Millisecond
+
 // silentStore is a store whose calls that wait for changes get no answer while it is silent.
 type silentStore struct {
 	*hgstore.Memory
@@ -206,6 +209,8 @@
 
 func (s *silentStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]hgstore.Change, uint64, error) {
 	if s.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, wait+silentTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -238,3 +243,36 @@
 		t.Error("a call that was ended counts as a failure of the store")
 	}
 }
+
+// A store that gives no answers counts as failing, whatever peers know meanwhile, so that their copies are used.
+func TestWatchSilentStore(t *testing.T) {
+	tests := map[string]hgfeed.Option{
+		"usual wait": func(*hgfeed.Watch) {},
+		"long wait":  hgfeed.WithWait(func() time.Duration { return time.Minute }),
+	}
+	for name, wait := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &silentStore{Memory: hgstore.NewMemory()}
+			commit(t, s.Memory, put("t//a"))
+			timer := hgtimer.NewService()
+			defer timer.Close()
+			v := &view{}
+			s.silent.Store(true)
+			w := hgfeed.NewWatch(s, "t", timer, hglog.Discard(), v.change, wait)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go w.Run(ctx)
+			wantKeys(t, v, "t//a")
+			// By then a call with the usual wait has failed, after one with a long wait was ended.
+			for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				w.Behind(w.Copy().Version + 1)
+				w.Hurry()
+				if w.Failing() > 0 {
+					return
+				}
+			}
+			t.Error("a silent store is not noticed")
+		})
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -124,6 +124,8 @@
   internal/peer/hgpeer/claim.go 's/p\.info\.Domain != m\.self\.Domain && isClaimed\(p\.info\.Name, farSources\)/isClaimed(p.info.Name, m.freshSources(now))/'
 red behind TestWatchBehind internal/state/hgfeed \
   internal/state/hgfeed/hurry.go 's/now-w\.told > behindFor/false/'
+red silentStore TestWatchSilentStore internal/state/hgfeed \
+  internal/state/hgfeed/hurry.go 's/c\.end != nil && c\.wait > UsualWait/c.end != nil/'
 red endless TestEndlessBytes internal/proof/hgsite \
   internal/serve/hgmemory/pool.go 's/p\.taken\.Add\(n\) > p\.limit/p.taken.Add(n) < 0/'
 red callerTime TestTimeHandedOn internal/proof/hgsite \
