Log each break under a request: counted, heard of, not told, not counted

Cause: of the incident of crashing requests not known yet; a break left no line, so that no hypothesis could be told from another. Ruled out: that the line of the request is enough, as it names only the end. Change: four lines and the request's digest; no decision changes. Conclusion: a request that was never counted, one whose break a VM never heard of, and one that was forgotten now look different.

--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -39,7 +39,7 @@
 }
 
 // Broke counts a break that a peer has seen.
-func (h *peerHandler) Broke(q hgpeer.BrokeRequest) { h.suspects.Broke(q.Digest) }
+func (h *peerHandler) Broke(q hgpeer.BrokeRequest) { (*Node)(h).brokeAtPeer(q.Digest) }
 
 // Part answers a peer's question about a program.
 func (h *peerHandler) Part(q hgledger.SoleRequest) hgledger.SoleReply {
@@ -144,7 +144,7 @@
 		if e.Program {
 			programs = append(programs, e.Digest)
 		} else {
-			n.suspects.Broke(e.Digest)
+			n.brokeAtPeer(e.Digest)
 		}
 	}
 	n.ledger.Learn(programs, false)
--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -13,9 +13,15 @@
 	node *Node
 }
 
+// brokeAtPeer counts a break that a peer has told of.
+func (n *Node) brokeAtPeer(digest uint64) {
+	n.log.Info("break heard of", "digest", digest, "breaks", n.suspects.Broke(digest))
+}
+
 // Broke counts a break and tells all live peers, on a large site with the heartbeats.
 func (s suspects) Broke(digest uint64) {
-	s.List.Broke(digest)
+	breaks := s.List.Broke(digest)
+	s.node.log.Info("break counted", "digest", digest, "breaks", breaks)
 	if s.node.members.IsLarge() {
 		s.node.members.TellBreak(digest)
 		return
@@ -25,7 +31,7 @@
 			ctx, cancel := context.WithTimeout(s.node.ctx, beatTime)
 			defer cancel()
 			if err := s.node.client.Broke(ctx, p.Peer, hgpeer.BrokeRequest{Digest: digest}); err != nil {
-				s.node.log.Debug("break not told", "peer", p.Name, "error", err)
+				s.node.log.Info("break not told", "digest", digest, "peer", p.Name, "error", err)
 			}
 		}()
 	}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -277,7 +277,7 @@
 func (x *exchange) report(status int, reason string) {
 	now := x.entry.timer.Now()
 	args := []any{
-		"attempt", x.attempt.ID, "program", x.attempt.Program, "route", x.route.Name, "status", status, "reason", reason,
+		"attempt", x.attempt.ID, "program", x.attempt.Program, "digest", x.digest, "route", x.route.Name, "status", status, "reason", reason,
 		"ms", (now - x.start).Milliseconds(), "version", x.version(), "sent", x.sent, "tries", x.tries,
 	}
 	if x.tries > 0 {
@@ -295,6 +295,11 @@
 	x.entry.log.Info("request", args...)
 }
 
+// reportUncounted logs a break that is not held against the request.
+func (x *exchange) reportUncounted(reason string) {
+	x.entry.log.Info("break not counted", "digest", x.digest, "attempt", x.attempt.ID, "replica", x.replica, "reason", reason)
+}
+
 func (x *exchange) version() uint64 {
 	if x.state == nil {
 		return 0
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -125,7 +125,12 @@
 
 // broke tells that the replica broke off, unless the caller left, the time was up or others send the same.
 func (x *exchange) broke() {
-	if x.ctx.Err() == nil && x.isDistinct() {
+	switch {
+	case x.ctx.Err() != nil:
+		x.reportUncounted("time is up or the caller left")
+	case !x.isDistinct():
+		x.reportUncounted("others send the same")
+	default:
 		x.entry.suspects.Broke(x.digest)
 	}
 }
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -45,8 +45,8 @@
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer) *List { return &List{timer: timer, entries: map[uint64]entry{}} }
 
-// Broke tells that a replica broke off while it ran a request, at this VM or at a peer.
-func (l *List) Broke(digest uint64) {
+// Broke tells that a replica broke off while it ran a request, at this VM or at a peer, and returns the breaks that count.
+func (l *List) Broke(digest uint64) (breaks int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
@@ -58,6 +58,7 @@
 		e.breaks = 0
 	}
 	l.entries[digest] = entry{breaks: e.breaks + 1, at: now}
+	return e.breaks + 1
 }
 
 // Ended tells that a replica ran a request to its end, which clears it.
