--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -23,6 +23,12 @@
 	Refuse bool
 	// Lose runs the request and breaks the connection without an answer.
 	Lose bool
+	// Hang runs the request and never answers it.
+	Hang bool
+	// After is the time that the request runs until then.
+	After time.Duration
+	// Only says which requests are treated so; nil means all.
+	Only func(r Run) bool
 	// BreakAfter breaks a stream off after so many events, within the next one; 0 does not.
 	BreakAfter int
 	// Head sends the head of a stream and breaks it off before its first event.
@@ -38,6 +44,7 @@
 // Run is a request that a replica ran.
 type Run struct {
 	Replica, Attempt, URI, Body string
+	Program                     string
 	At                          time.Time
 	Forged                      []string
 	LastEvent                   string
@@ -120,10 +127,11 @@
 	return append([]Run(nil), r.runs...)
 }
 
-func (r *Replica) nextFault() Fault {
+// nextFault returns how to treat a request.
+func (r *Replica) nextFault(run Run) Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fault.Left == 0 {
+	if r.fault.Left == 0 || r.fault.Only != nil && !r.fault.Only(run) {
 		return Fault{}
 	}
 	r.fault.Left--
@@ -143,7 +151,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	f := r.nextFault()
+	run := Run{
+		Replica: r.Entry.ID, Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
+		LastEvent: a.LastEvent, Deadline: a.Deadline, FetchFrom: hgplatform.FetchFrom(q.Header),
+	}
+	f := r.nextFault(run)
 	if f.Refuse {
 		answer.NotRun = true
 		hgplatform.EncodeAnswer(w.Header(), answer)
@@ -154,12 +166,9 @@
 	if err != nil {
 		return
 	}
+	run.Body = string(body)
 	r.mu.Lock()
-	r.runs = append(r.runs, Run{
-		Replica: r.Entry.ID, Attempt: a.ID, URI: q.RequestURI, Body: string(body), At: time.Now(),
-		Forged: hgplatform.Forged(q.Header), LastEvent: a.LastEvent, Deadline: a.Deadline,
-		FetchFrom: hgplatform.FetchFrom(q.Header),
-	})
+	r.runs = append(r.runs, run)
 	r.mu.Unlock()
 	defer r.watch(q.Context())()
 	if f.StrangeRefusal {
@@ -167,7 +176,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if f.Hang {
+		<-q.Context().Done()
+		return
+	}
 	if f.Lose {
+		time.Sleep(f.After)
 		panic(http.ErrAbortHandler)
 	}
 	if f.Stranger {
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -112,20 +113,36 @@
 	if err := s.SetDesired(Desired(1)); err != nil {
 		return nil, err
 	}
-	for i := range nodes {
-		cfg, err := entryConfig(i, s.address)
-		if err != nil {
-			return nil, err
-		}
-		s.Configs = append(s.Configs, cfg)
-		s.Nodes = append(s.Nodes, nil)
-		if err := s.StartNode(i); err != nil {
+	for range nodes {
+		if err := s.addNode(true); err != nil {
 			return nil, err
 		}
 	}
 	return s, nil
 }
 
+// AddNode starts one more entry VM, which knows nothing of before.
+func (s *Site) AddNode() (err error) { return s.addNode(false) }
+
+func (s *Site) addNode(first bool) (err error) {
+	cfg, err := s.AddConfig(s.address)
+	if err != nil {
+		return err
+	}
+	i := len(s.Configs) - 1
+	cfg.VM.FirstStart = first
+	s.Configs[i] = cfg
+	s.Nodes = append(s.Nodes, nil)
+	return s.StartNode(i)
+}
+
+// Rebirth tells of a replica's next start, under its old identifier and address.
+func (s *Site) Rebirth(id string, start int) (err error) {
+	e := s.Replicas[id].Entry
+	e.Born = strconv.Itoa(start)
+	return s.Register(e)
+}
+
 type slowTable struct {
 	name string
 	by   time.Duration
