Agree among all VMs on requests that end replicas, and keep them in the store

What callers saw: a request that had ended three replicas was sent on by VMs that had started, been added, cut off or frozen since. Cause: each break was told once, by one message or one event, and lived in memory only; a VM that missed it never heard of it. The class: news that is sent once in place of state that is exchanged until both sides agree. Ruled out: that a longer time of keeping mends it (the VMs that sent on never knew). Change: a request's breaks and its last proof are a record that merges in any order; heartbeats push own changes until they are acknowledged and pull what differs, by fingerprint and cursor. From the second break on a record is a row in the table that all VMs read before they are ready, so that it outlives all of them; a VM that hears few peers writes from the first break on. A refusal grows from a minute to an hour with each further break, which leaves three retries. A proof clears at all VMs, not only where it was seen. Conclusion: a VM that takes callers knows; why it works: nothing has to arrive the first time.

--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -64,9 +64,10 @@
 	// nodeRows and replicaRows are the decoded rows of the watched tables.
 	nodeRows    hgfeed.Rows[hgpeer.Info]
 	replicaRows hgfeed.Rows[hgreplica.Entry]
+	// suspectRows are those of requests that broke off replicas.
+	suspectRows hgfeed.Rows[hgsuspect.Row]
 	figures     *hgfigure.Figures
-	// suspects counts breaks; the entry uses it by way of one that tells the peers.
-	suspects *hgsuspect.List
+	suspects    *suspects
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -102,10 +103,10 @@
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
 		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithComplete(cfg.VM.FirstStart), hgledger.WithMarkers())
 	n.set = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
-	n.suspects = hgsuspect.NewList(n.timer)
+	n.suspects = &suspects{List: hgsuspect.NewList(n.timer, log), node: n}
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.set, n.timer), n.set, n.members, n.client, log)
-	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, suspects{n.suspects, n},
+	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, n.suspects,
 		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*answerShare)))
 	wait := hgfeed.WithWait(n.feedWait)
 	n.watches = map[string]*hgfeed.Watch{
@@ -144,6 +145,7 @@
 	n.wg.Go(n.beats)
 	n.timer.Every(forgetAfter/4, n.forget)
 	n.timer.Every(savePeriod, n.save)
+	n.timer.Every(suspectPeriod, n.suspects.save)
 	n.timer.After(forgetAfter, func(time.Duration) { n.ledger.Learn(nil, true) })
 	n.log.Info("started", "vm", n.cfg.VM.Name, "domain", n.cfg.VM.Domain, "public", n.cfg.Listen.Public, "ledger", n.ledger.String())
 	return nil
@@ -210,8 +212,9 @@
 	n.log.Info("budgets returned", "programs", returned, "failed", failed)
 }
 
-// forget drops silent programs and removes their rows.
+// forget drops silent programs and requests that count no longer, and removes their rows.
 func (n *Node) forget(time.Duration) {
+	n.forgetSuspects()
 	ctx, cancel := context.WithTimeout(n.ctx, forgetAfter/4)
 	defer cancel()
 	silent := forgetAfter
--- a/internal/operate/hgedge/peer.go
+++ b/internal/operate/hgedge/peer.go
@@ -38,9 +38,6 @@
 	return hgpeer.OKReply{OK: h.ledger.TakeCopy(ctx, c)}
 }
 
-// Broke counts a break that a peer has seen.
-func (h *peerHandler) Broke(q hgpeer.BrokeRequest) { (*Node)(h).brokeAtPeer(q.Digest) }
-
 // Part answers a peer's question about a program.
 func (h *peerHandler) Part(q hgledger.SoleRequest) hgledger.SoleReply {
 	ctx, cancel := context.WithTimeout(h.ctx, beatTime)
@@ -67,6 +64,7 @@
 	n.useEvents()
 	reply := n.beat()
 	reply.News = news
+	reply.Suspects = h.suspects.Answer(b.Info.Name, b.Suspects)
 	return reply
 }
 
@@ -127,39 +125,30 @@
 	for _, p := range far {
 		go n.beatOne(p, b)
 	}
-	b.Events = n.members.TakeUntold()
+	b.Programs = n.members.TakeUntold()
 	for _, p := range near {
 		go n.beatOne(p, b)
 	}
 }
 
-// useEvents takes over what peers have told of programs and of requests that break off replicas.
+// useEvents takes over what peers have told of programs.
 func (n *Node) useEvents() {
-	events := n.members.TakeUnused()
-	if len(events) == 0 {
-		return
-	}
-	var programs []uint64
-	for _, e := range events {
-		if e.Program {
-			programs = append(programs, e.Digest)
-		} else {
-			n.brokeAtPeer(e.Digest)
-		}
+	if programs := n.members.TakeUnused(); len(programs) > 0 {
+		n.ledger.Learn(programs, false)
 	}
-	n.ledger.Learn(programs, false)
 }
 
 func (n *Node) beatOne(p hgpeer.Info, b hgpeer.Beat) {
 	ctx, cancel := context.WithTimeout(n.ctx, beatTime)
 	defer cancel()
-	b.Ask = n.members.AskOf(p)
+	b.Ask, b.Suspects = n.members.AskOf(p), n.suspects.Offer(p.Name)
 	reply, err := n.client.Beat(ctx, p.Peer, b)
 	if err != nil || reply.Info.Name != p.Name {
 		n.members.Failed(p.Name)
 		return
 	}
 	n.members.Heard(reply)
+	n.suspects.Take(p.Name, reply.Suspects)
 	n.useEvents()
 	n.learnSeen(ctx, reply.Info)
 	for table, changed := range reply.Changed {
@@ -216,8 +205,9 @@
 
 func (n *Node) applyNodes(rows map[string]hgstore.Row, _ time.Duration) {
 	n.ledger.SetMarkers(rows)
+	n.suspects.load(rows)
 	nodes := n.nodeRows.Decode(rows, func(row hgstore.Row) (i hgpeer.Info, ok bool) {
-		if strings.HasPrefix(row.Key, hgledger.MarkerPrefix) {
+		if strings.HasPrefix(row.Key, hgledger.MarkerPrefix) || isSuspect(row) {
 			return i, false
 		}
 		i, err := infoCodec.Decode(row.Value)
--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -2,37 +2,139 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
 
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgcodec"
+	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgsuspect"
 )
 
-// suspects are the requests that break off replicas, as all entry VMs have seen them.
+const (
+	// suspectPrefix begins the keys of requests that broke off replicas; they lie in a table that all VMs watch.
+	suspectPrefix = nodeTable + "//suspect-"
+	// spreadPause is the least time between two rounds of heartbeats that tell of breaks.
+	spreadPause = 50 * time.Millisecond
+	// suspectPeriod is the time between two tries to make requests durable that broke off replicas.
+	suspectPeriod = 500 * time.Millisecond
+	// maxSuspects bounds the rows that one transaction writes or removes; the store takes 100 entries.
+	maxSuspects = 50
+)
+
+var suspectCodec = hgcodec.JSON[hgsuspect.Row]{}
+
+// suspects are the requests that break off replicas, as all entry VMs have seen them: breaks are told with heartbeats, and
+// kept in the store from the second one on.
 type suspects struct {
 	*hgsuspect.List
 	node *Node
+	// spreading says that a round of heartbeats is due.
+	spreading atomic.Bool
+	// told is when the last one went out, in nanoseconds of the timer.
+	told atomic.Int64
+}
+
+// Broke counts a break and has peers and the store told.
+func (s *suspects) Broke(digest uint64) {
+	s.node.log.Info("break counted", "digest", digest, "breaks", s.List.Broke(digest))
+	if !s.spreading.CompareAndSwap(false, true) {
+		return
+	}
+	pause := spreadPause - (s.node.timer.Now() - time.Duration(s.told.Load()))
+	if pause <= 0 {
+		go s.spread(0)
+		return
+	}
+	s.node.timer.After(pause, s.spread)
+}
+
+func (s *suspects) spread(time.Duration) {
+	s.told.Store(int64(s.node.timer.Now()))
+	s.spreading.Store(false)
+	s.node.beatAll()
+	s.save(0)
 }
 
-// brokeAtPeer counts a break that a peer has told of.
-func (n *Node) brokeAtPeer(digest uint64) {
-	n.log.Info("break heard of", "digest", digest, "breaks", n.suspects.Broke(digest))
+// save writes what the store does not hold yet.
+func (s *suspects) save(time.Duration) {
+	records := s.Unsaved(s.node.isApart(), maxSuspects)
+	if len(records) == 0 {
+		return
+	}
+	now := time.Now()
+	var txn hgstore.Txn
+	for _, r := range records {
+		value, err := suspectCodec.Encode(hgsuspect.RowOf(r, now))
+		if err != nil {
+			s.node.log.Error("suspect not encoded", "digest", r.Digest, "error", err)
+			return
+		}
+		txn.Puts = append(txn.Puts, hgstore.Put{Key: fmt.Sprintf("%s%016x", suspectPrefix, r.Digest), Value: value})
+	}
+	ctx, cancel := context.WithTimeout(s.node.ctx, storeTimeout)
+	defer cancel()
+	if _, err := s.node.store.Commit(ctx, txn); err != nil {
+		s.node.log.Info("suspects not saved", "requests", len(records), "error", err)
+		return
+	}
+	s.Saved(records)
+	s.node.log.Info("suspects saved", "requests", len(records))
 }
 
-// Broke counts a break and tells all live peers, on a large site with the heartbeats.
-func (s suspects) Broke(digest uint64) {
-	breaks := s.List.Broke(digest)
-	s.node.log.Info("break counted", "digest", digest, "breaks", breaks)
-	if s.node.members.IsLarge() {
-		s.node.members.TellBreak(digest)
+// load takes over the rows of requests that broke off replicas at any VM.
+func (s *suspects) load(rows map[string]hgstore.Row) {
+	var records []hgsuspect.Record
+	now := time.Now()
+	s.node.suspectRows.Decode(rows, func(row hgstore.Row) (r hgsuspect.Row, ok bool) {
+		if !isSuspect(row) {
+			return r, false
+		}
+		r, err := suspectCodec.Decode(row.Value)
+		if err != nil {
+			s.node.log.Warn("suspect left out", "row", row.Key, "error", err)
+			return r, false
+		}
+		if !r.IsOld(now) {
+			records = append(records, r.Record(now))
+		}
+		return r, true
+	})
+	s.Load(records)
+}
+
+func isSuspect(row hgstore.Row) bool { return strings.HasPrefix(row.Key, suspectPrefix) }
+
+// isApart says whether this VM hears from so few others that most may not learn from it what it has seen.
+func (n *Node) isApart() bool { return 2*len(n.members.Live()) < len(n.members.All()) }
+
+// forgetSuspects removes rows that count no longer, at one VM of the site, and forgets the lists of peers that are gone.
+func (n *Node) forgetSuspects() {
+	n.suspects.Retain(lo.SliceToMap(n.members.All(), func(i hgpeer.Info) (string, bool) { return i.Name, true }))
+	if live := n.members.Live(); len(live) > 0 && live[0].Name < n.cfg.VM.Name {
 		return
 	}
-	for _, p := range s.node.members.Live() {
-		go func() {
-			ctx, cancel := context.WithTimeout(s.node.ctx, beatTime)
-			defer cancel()
-			if err := s.node.client.Broke(ctx, p.Peer, hgpeer.BrokeRequest{Digest: digest}); err != nil {
-				s.node.log.Info("break not told", "digest", digest, "peer", p.Name, "error", err)
-			}
-		}()
+	now := time.Now()
+	var old []string
+	for key, row := range n.watches[nodeTable].Copy().Rows {
+		if !isSuspect(row) {
+			continue
+		}
+		if r, err := suspectCodec.Decode(row.Value); err != nil || r.IsOld(now) {
+			old = append(old, key)
+		}
+	}
+	for _, keys := range lo.Chunk(old, maxSuspects) {
+		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+		_, err := n.store.Commit(ctx, hgstore.Txn{Deletes: keys})
+		cancel()
+		n.log.Info("suspects removed", "rows", len(keys), "error", err)
+		if err != nil {
+			return
+		}
 	}
 }
--- a/internal/peer/hgpeer/claim.go
+++ b/internal/peer/hgpeer/claim.go
@@ -18,8 +18,8 @@
 type Cursor struct {
 	// Run is a digest of the run's name.
 	Run uint64
-	// Claims and Events are the numbers of the last change of a claim and of the last event that are known.
-	Claims, Events uint64
+	// Claims and Programs are the numbers of the last change of a claim and of the last begun program that are known.
+	Claims, Programs uint64
 }
 
 // Ask is what a heartbeat asks for.
@@ -37,7 +37,8 @@
 	Now    Cursor
 	Whole  bool
 	Claims []Claim
-	Events []Event
+	// Programs are those that nodes of the failure domain have begun to serve, by digest.
+	Programs []uint64
 	// InFlight is the number of requests on each replica, without those of the asker.
 	InFlight map[string]int
 }
@@ -133,11 +134,11 @@
 	defer m.mu.Unlock()
 	if !m.isLarge() {
 		m.introduce(b.Info)
-		m.events.addHeard(b.Events)
+		m.begun.addHeard(b.Programs)
 		return nil
 	}
 	m.hear(b)
-	m.events.addHeard(b.Events)
+	m.begun.addHeard(b.Programs)
 	if b.Ask.SignOnly {
 		return nil
 	}
@@ -145,7 +146,7 @@
 	m.publish(now)
 	far := b.Info.Domain != m.self.Domain
 	run := xxhash.Sum64String(m.self.Boot)
-	n := &News{Now: Cursor{Run: run, Claims: m.claims.last, Events: m.events.last}, Whole: b.Ask.Known.Run != run}
+	n := &News{Now: Cursor{Run: run, Claims: m.claims.last, Programs: m.begun.last}, Whole: b.Ask.Known.Run != run}
 	known := b.Ask.Known
 	if n.Whole {
 		known = Cursor{}
@@ -153,7 +154,9 @@
 	n.Claims = m.claims.since(known.Claims, func(i Info) bool {
 		return i.Name != b.Info.Name && (!far || i.Domain == m.self.Domain)
 	})
-	n.Events = m.events.since(known.Events, !far)
+	if !far {
+		n.Programs = m.begun.since(known.Programs)
+	}
 	if b.Ask.Loads {
 		n.InFlight = m.loadsFor(b, far, now)
 	}
@@ -170,7 +173,7 @@
 		s = &source{domain: from.Domain, live: map[string]bool{}}
 		m.sources[from.Name] = s
 	}
-	if n.Now.Claims < s.known.Claims || n.Now.Events < s.known.Events {
+	if n.Now.Claims < s.known.Claims || n.Now.Programs < s.known.Programs {
 		return
 	}
 	if n.Whole {
@@ -181,7 +184,7 @@
 	for _, c := range n.Claims {
 		m.takeClaim(s, c)
 	}
-	m.events.addHeard(n.Events)
+	m.begun.addHeard(n.Programs)
 }
 
 func (m *Members) takeClaim(s *source, c Claim) {
--- a/internal/peer/hgpeer/fleet_test.go
+++ b/internal/peer/hgpeer/fleet_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/samber/lo"
 
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgsuspect"
 )
 
 // fleet is the members of all nodes of a site in virtual time.
@@ -19,8 +22,10 @@
 	random *rand.Rand
 	names  []string
 	nodes  map[string]*hgpeer.Members
-	next   map[string]time.Duration
-	round  map[string]int
+	// suspects are the nodes' lists of requests that break off replicas.
+	suspects map[string]*hgsuspect.List
+	next     map[string]time.Duration
+	round    map[string]int
 	// down nodes neither send nor answer, and a share of the messages gets lost.
 	down map[string]bool
 	loss float64
@@ -40,7 +45,7 @@
 // newFleet returns a site of some nodes, of which one in six is strong, that know each other's names.
 func newFleet(size, domains int) *fleet {
 	f := &fleet{
-		clock: &clock{now: time.Minute}, random: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*hgpeer.Members{}, next: map[string]time.Duration{},
+		clock: &clock{now: time.Minute}, random: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*hgpeer.Members{}, suspects: map[string]*hgsuspect.List{}, next: map[string]time.Duration{},
 		round: map[string]int{}, down: map[string]bool{}, sent: map[string]int{}, handled: map[string]int{}, bytes: map[string]int{},
 	}
 	f.every = max(size/100, 1)
@@ -58,6 +63,7 @@
 		m.SetNamed(infos)
 		f.names = append(f.names, in.Name)
 		f.nodes[in.Name] = m
+		f.suspects[in.Name] = hgsuspect.NewList(f.clock, hglog.Discard())
 		f.next[in.Name] = f.clock.now + time.Duration(f.random.IntN(300))*time.Millisecond
 	}
 	return f
@@ -76,9 +82,9 @@
 			near, far := f.nodes[name].Targets(f.round[name])
 			f.round[name]++
 			f.far += len(far)
-			events := f.nodes[name].TakeUntold()
+			programs := f.nodes[name].TakeUntold()
 			for _, p := range near {
-				f.beat(name, p, events)
+				f.beat(name, p, programs)
 			}
 			for _, p := range far {
 				f.beat(name, p, nil)
@@ -88,9 +94,9 @@
 }
 
 // beat sends a heartbeat from a node and takes its answer back.
-func (f *fleet) beat(name string, to hgpeer.Info, events []hgpeer.Event) {
+func (f *fleet) beat(name string, to hgpeer.Info, programs []uint64) {
 	m := f.nodes[name]
-	b := hgpeer.Beat{Info: m.Self(), InFlight: f.inFlight, Events: events, Ask: m.AskOf(to)}
+	b := hgpeer.Beat{Info: m.Self(), InFlight: f.inFlight, Programs: programs, Ask: m.AskOf(to), Suspects: f.suspects[name].Offer(to.Name)}
 	f.sent[name]++
 	if f.down[to.Name] {
 		m.Failed(to.Name)
@@ -100,7 +106,7 @@
 		return
 	}
 	peer := f.nodes[to.Name]
-	reply := hgpeer.Beat{Info: peer.Self(), InFlight: f.inFlight, News: peer.Answer(b)}
+	reply := hgpeer.Beat{Info: peer.Self(), InFlight: f.inFlight, News: peer.Answer(b), Suspects: f.suspects[to.Name].Answer(name, b.Suspects)}
 	f.handled[to.Name]++
 	if f.weighs {
 		size := f.size(b) + f.size(reply)
@@ -109,6 +115,7 @@
 	}
 	if f.random.Float64() >= f.loss {
 		m.Heard(reply)
+		f.suspects[name].Take(to.Name, reply.Suspects)
 	}
 }
 
@@ -263,26 +270,57 @@
 	}
 }
 
-// A break is told to all nodes once, a program to those of the failure domain.
-func TestFleetEvents(t *testing.T) {
+// A program is told once to the nodes of the failure domain.
+func TestFleetPrograms(t *testing.T) {
 	f := newFleet(48, 3)
 	f.until(10 * time.Second)
 	teller := f.names[40]
-	f.nodes[teller].TellBreak(7)
 	f.nodes[teller].TellPrograms([]uint64{9})
 	f.run(4 * time.Second)
 	for _, name := range f.names {
-		events := f.nodes[name].TakeUnused()
-		breaks := lo.CountBy(events, func(e hgpeer.Event) bool { return !e.Program && e.Digest == 7 })
-		programs := lo.CountBy(events, func(e hgpeer.Event) bool { return e.Program && e.Digest == 9 })
 		near := f.nodes[name].Self().Domain == f.nodes[teller].Self().Domain
-		wantBreaks, wantPrograms := lo.Ternary(name == teller, 0, 1), lo.Ternary(name != teller && near, 1, 0)
-		if breaks != wantBreaks || programs != wantPrograms {
-			t.Errorf("%s heard %d breaks and %d programs, want %d and %d", name, breaks, programs, wantBreaks, wantPrograms)
+		want := lo.Ternary(name != teller && near, []uint64{9}, nil)
+		if diff := cmp.Diff(want, f.nodes[name].TakeUnused()); diff != "" {
+			t.Errorf("%s heard of programs (-want +got):\n%s", name, diff)
 		}
 	}
 }
 
+// Breaks seen at three nodes reach all others, also nodes that were gone meanwhile and such as start anew, although messages
+// get lost.
+func TestFleetLearnsOfCrashingRequest(t *testing.T) {
+	const guilty, innocent = 7, 8
+	tests := map[string]struct{ size, domains int }{"small": {9, 3}, "large": {48, 3}, "very large": {300, 5}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tc.size, tc.domains)
+			f.until(10 * time.Second)
+			f.loss = 0.2
+			gone, anew := f.names[tc.size/2], f.names[tc.size/3]
+			f.down[gone] = true
+			for i := range 3 {
+				teller := f.suspects[f.names[i*tc.size/4]]
+				teller.Broke(guilty)
+				teller.Broke(innocent)
+			}
+			f.suspects[f.names[1]].Ended(innocent)
+			f.run(4 * time.Second)
+			f.suspects[f.names[tc.size-1]].Ended(innocent)
+			delete(f.down, gone)
+			f.suspects[anew] = hgsuspect.NewList(f.clock, hglog.Discard())
+			f.run(4 * time.Second)
+			for _, name := range f.names {
+				if _, refused := f.suspects[name].Refused(guilty); !refused {
+					t.Errorf("%s does not refuse the crashing request", name)
+				}
+				if _, refused := f.suspects[name].Refused(innocent); refused {
+					t.Errorf("%s refuses one that has proved itself", name)
+				}
+			}
+		})
+	}
+}
+
 // Nodes that the store does not name are forgotten when they have been gone for long, hubs too.
 func TestFleetForgets(t *testing.T) {
 	f := newFleet(40, 2)
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -68,7 +68,7 @@
 	// sources are the peers that tell of others on large sites, and claims what this node tells of them.
 	sources map[string]*source
 	claims  claimLog
-	events  eventLog
+	begun   begunLog
 }
 
 // view is what follows from the members at a time.
@@ -86,7 +86,7 @@
 func NewMembers(timer hgtimer.Timer, self Info, domains ...string) *Members {
 	return &Members{
 		timer: timer, made: timer.Now(), self: self, members: map[string]*member{}, domains: domains, changed: true,
-		sources: map[string]*source{}, claims: newClaimLog(), events: newEventLog(),
+		sources: map[string]*source{}, claims: newClaimLog(), begun: newBegunLog(),
 	}
 }
 
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -3,6 +3,7 @@
 import (
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
+	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
 )
@@ -36,8 +37,10 @@
 	Changed map[string]uint64
 	// InFlight is the number of the node's requests on each replica.
 	InFlight map[string]int
-	// Events are those of the node since its last heartbeat; those about programs only to its own domain.
-	Events []Event
+	// Programs are those that the node has begun to serve since its last heartbeat, by digest, for its own failure domain.
+	Programs []uint64
+	// Suspects brings the lists of requests that break off replicas into agreement.
+	Suspects hgsuspect.Exchange
 	// Ask is what a heartbeat asks for, and News what the answer to one tells; only on large sites.
 	Ask  Ask
 	News *News
@@ -68,8 +71,6 @@
 	Copy(c hgledger.Copy) OKReply
 	// Part says what this node knows to be taken of a program's budget.
 	Part(q hgledger.SoleRequest) hgledger.SoleReply
-	// Broke takes the news that a replica broke off under a request.
-	Broke(q BrokeRequest)
 	// Seen returns the programs that this node knows of.
 	Seen() SeenReply
 	// Place gives a place to a peer's request, and Leave ends it.
@@ -92,8 +93,5 @@
 	Outcome hgreplica.Outcome
 }
 
-// BrokeRequest tells that a replica broke off under a request, by its digest.
-type BrokeRequest struct{ Digest uint64 }
-
 // Empty is a message without content.
 type Empty struct{}
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -59,12 +59,6 @@
 	return nil
 }
 
-// Broke takes the news of a break.
-func (s service) Broke(q BrokeRequest, _ *Empty) error {
-	s.h.Broke(q)
-	return nil
-}
-
 // Seen returns known programs.
 func (s service) Seen(_ Empty, reply *SeenReply) error {
 	*reply = s.h.Seen()
@@ -248,12 +242,6 @@
 	return call[hgledger.SoleRequest, hgledger.SoleReply](ctx, c, address, "Part", q)
 }
 
-// Broke tells a peer that a replica broke off under a request.
-func (c *Client) Broke(ctx context.Context, address string, q BrokeRequest) error {
-	_, err := call[BrokeRequest, Empty](ctx, c, address, "Broke", q)
-	return err
-}
-
 // Place asks a peer for a place.
 func (c *Client) Place(ctx context.Context, address string, a hgplacer.Ask) (PlaceReply, error) {
 	return call[hgplacer.Ask, PlaceReply](ctx, c, address, "Place", a)
--- /dev/null
+++ b/internal/serve/hgsuspect/exchange_test.go
@@ -0,0 +1,161 @@
+package hgsuspect_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/serve/hgsuspect"
+)
+
+// exchange has one list offer to another; lost says which of the two messages gets lost.
+func exchange(from, to *hgsuspect.List, fromName, toName string, lostOffer, lostAnswer bool) {
+	offer := from.Offer(toName)
+	if lostOffer {
+		return
+	}
+	if answer := to.Answer(fromName, offer); !lostAnswer {
+		from.Take(toName, answer)
+	}
+}
+
+// refusedBy returns which of the lists refuse a request.
+func refusedBy(lists []*hgsuspect.List, digest uint64) (all []bool) {
+	for _, l := range lists {
+		_, refused := l.Refused(digest)
+		all = append(all, refused)
+	}
+	return all
+}
+
+// Whatever messages get lost and whichever list starts anew, one exchange of each pair makes all agree.
+func TestExchangeMakesListsAgree(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		c := &clock{now: time.Minute}
+		lists := make([]*hgsuspect.List, len(names))
+		for i := range lists {
+			lists[i] = hgsuspect.NewList(c, hglog.Discard())
+		}
+		round := func(loss float64) {
+			for i := range lists {
+				for k := range lists {
+					if i != k {
+						exchange(lists[i], lists[k], names[i], names[k], r.Float64() < loss, r.Float64() < loss)
+					}
+				}
+			}
+		}
+		told := map[uint64]int{}
+		for range 40 {
+			digest := uint64(r.IntN(4))
+			lists[r.IntN(2)].Broke(digest)
+			told[digest]++
+			c.now += 10 * time.Millisecond
+			if r.IntN(3) == 0 {
+				round(0.7)
+			}
+			if r.IntN(10) == 0 {
+				lists[2] = hgsuspect.NewList(c, hglog.Discard())
+			}
+		}
+		round(0)
+		round(0)
+		for digest, n := range told {
+			want := n >= 3
+			if diff := cmp.Diff([]bool{want, want, want, want}, refusedBy(lists, digest)); diff != "" {
+				t.Fatalf("seed %d, request %d after %d breaks (-want +got):\n%s", seed, digest, n, diff)
+			}
+		}
+		for i := range lists {
+			if offer := lists[i].Offer("new"); len(offer.Records) > 0 && i > 1 {
+				t.Errorf("seed %d: list %d pushes %d changes of others", seed, i, len(offer.Records))
+			}
+			answer := lists[i].Answer("agrees", lists[(i+1)%4].Offer("agrees"))
+			if len(answer.Records) > 0 {
+				t.Errorf("seed %d: lists that agree send %d records", seed, len(answer.Records))
+			}
+		}
+	}
+}
+
+// A proof at one list clears the request at all; breaks after it count anew.
+func TestProofClearsEverywhere(t *testing.T) {
+	c := &clock{now: time.Minute}
+	a, b := hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())
+	a.Broke(1)
+	b.Broke(1)
+	exchange(a, b, "a", "b", false, false)
+	c.now += time.Second
+	a.Ended(1)
+	exchange(b, a, "b", "a", false, false)
+	c.now += time.Second
+	for range 2 {
+		b.Broke(1)
+	}
+	if _, refused := b.Refused(1); refused {
+		t.Error("refused after two breaks since the proof")
+	}
+	b.Broke(1)
+	if _, refused := b.Refused(1); !refused {
+		t.Error("not refused after three breaks since the proof")
+	}
+}
+
+// More changes than one message holds come with the next ones.
+func TestExchangeInParts(t *testing.T) {
+	c := &clock{now: time.Minute}
+	a, b := hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())
+	const requests = 900
+	for digest := range uint64(requests) {
+		for range 3 {
+			a.Broke(digest)
+		}
+	}
+	for range 6 {
+		exchange(b, a, "b", "a", false, false)
+	}
+	for digest := range uint64(requests) {
+		if _, refused := b.Refused(digest); !refused {
+			t.Fatalf("request %d is not known", digest)
+		}
+	}
+}
+
+// What the store keeps tells a list that starts anew as much as the list that wrote it knew.
+func TestRowsOutliveAllLists(t *testing.T) {
+	c := &clock{now: time.Minute}
+	before := hgsuspect.NewList(c, hglog.Discard())
+	before.Broke(1)
+	if records := before.Unsaved(false, 10); len(records) > 0 {
+		t.Errorf("a single break is to be saved: %v", records)
+	}
+	if records := before.Unsaved(true, 10); len(records) != 1 {
+		t.Errorf("%d records of a list that hears no peer, want 1", len(records))
+	}
+	before.Broke(1)
+	before.Broke(1)
+	records := before.Unsaved(false, 10)
+	before.Saved(records)
+	if again := before.Unsaved(false, 10); len(again) > 0 {
+		t.Errorf("saved again: %v", again)
+	}
+	now := time.UnixMilli(1_700_000_000_000)
+	after := hgsuspect.NewList(c, hglog.Discard())
+	var loaded []hgsuspect.Record
+	for _, r := range records {
+		loaded = append(loaded, hgsuspect.RowOf(r, now).Record(now.Add(time.Second)))
+	}
+	if diff := cmp.Diff(records, loaded, cmpopts.IgnoreFields(hgsuspect.Break{}, "Age"), cmpopts.IgnoreFields(hgsuspect.Proof{}, "Age")); diff != "" {
+		t.Errorf("records (-want +got):\n%s", diff)
+	}
+	after.Load(loaded)
+	if left, refused := after.Refused(1); !refused || left != 59*time.Second {
+		t.Errorf("refused %v for %v", refused, left)
+	}
+}
