Count breaks of requests without a body, by content and by caller

Cause: a request without body and object was held to be like others, so that nobody's breaks counted for it; the digest left out who sends it, so that nothing else could tell it apart. The class: an exemption where a distinction is missing. Ruled out: counting the bare path alone (one grey replica would have it refused for all), and the caller alone (one that comes under new names). Change: a break counts under the content and under content and caller (program, or address). Any run that ends proves its keys, and a proof within two seconds stands against breaks, so that a path that others are served on is not refused to them. Conclusion: what the rule names (path, caller, body) is what counts; what cannot be told from a failing service is not counted.

--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -40,8 +40,8 @@
 }
 
 // Broke counts a break and has peers and the store told.
-func (s *suspects) Broke(digest uint64) {
-	s.node.log.Info("break counted", "digest", digest, "breaks", s.List.Broke(digest))
+func (s *suspects) Broke(r hgsuspect.Request) {
+	s.List.Broke(r)
 	if !s.spreading.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -51,11 +51,11 @@
 // Suspects knows the requests that break off the replicas that run them, over all entry VMs.
 type Suspects interface {
 	// Broke tells that a replica broke off while it ran a request.
-	Broke(digest uint64)
+	Broke(r hgsuspect.Request)
 	// Ended tells that a replica ran a request to its end.
-	Ended(digest uint64)
+	Ended(r hgsuspect.Request)
 	// Refused says whether a request is not to be run, and for how much longer.
-	Refused(digest uint64) (left time.Duration, refused bool)
+	Refused(r hgsuspect.Request) (left time.Duration, refused bool)
 }
 
 // Figures count and time what the entry does.
@@ -136,7 +136,8 @@
 	route   hgdesired.Route
 	attempt hgattempt.Attempt
 	body    []byte
-	digest  uint64
+	// suspect is the request as the list of those that break off replicas knows it.
+	suspect hgsuspect.Request
 	ctx     context.Context
 	// limit is when the caller or the route gives up.
 	limit time.Duration
@@ -186,16 +187,21 @@
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.limit-x.entry.timer.Now())
 	defer cancel()
 	x.ctx = ctx
-	x.digest = hgsuspect.Digest(x.r.Method, x.r.RequestURI, x.attempt.Object, x.body)
-	if left, refused := x.entry.suspects.Refused(x.digest); refused && x.isDistinct() {
+	x.suspect = hgsuspect.NewRequest(x.service(), x.caller(), x.r.Method, x.r.RequestURI, x.attempt.Object, x.body)
+	if left, refused := x.entry.suspects.Refused(x.suspect); refused {
 		x.answer(http.StatusServiceUnavailable, "replicas broke off under this request", left.Seconds())
 		return
 	}
 	x.forward()
 }
 
-// isDistinct says whether a request can be told from others of its kind when it comes again.
-func (x *exchange) isDistinct() bool { return len(x.body) > 0 || x.attempt.Object != "" }
+// caller names who sends the request: the program that it belongs to, or else the address.
+func (x *exchange) caller() string {
+	if x.attempt.Program != "" {
+		return "program " + x.attempt.Program
+	}
+	return hostOnly(x.r.RemoteAddr)
+}
 
 func hostOnly(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -277,7 +283,7 @@
 func (x *exchange) report(status int, reason string) {
 	now := x.entry.timer.Now()
 	args := []any{
-		"attempt", x.attempt.ID, "program", x.attempt.Program, "digest", x.digest, "route", x.route.Name, "status", status, "reason", reason,
+		"attempt", x.attempt.ID, "program", x.attempt.Program, "digest", x.suspect.Caller, "route", x.route.Name, "status", status, "reason", reason,
 		"ms", (now - x.start).Milliseconds(), "version", x.version(), "sent", x.sent, "tries", x.tries,
 	}
 	if x.tries > 0 {
@@ -297,7 +303,7 @@
 
 // reportUncounted logs a break that is not held against the request.
 func (x *exchange) reportUncounted(reason string) {
-	x.entry.log.Info("break not counted", "digest", x.digest, "attempt", x.attempt.ID, "replica", x.replica, "reason", reason)
+	x.entry.log.Info("break not counted", "digest", x.suspect.Caller, "attempt", x.attempt.ID, "replica", x.replica, "reason", reason)
 }
 
 func (x *exchange) version() uint64 {
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -53,7 +53,7 @@
 	if t.resp.StatusCode >= http.StatusInternalServerError && x.again(errBroken) {
 		return errBroken
 	}
-	x.entry.suspects.Ended(x.digest)
+	x.entry.suspects.Ended(x.suspect)
 	x.copyHead(t.resp)
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -123,16 +123,13 @@
 	return x.check(t)
 }
 
-// broke tells that the replica broke off, unless the caller left, the time was up or others send the same.
+// broke tells that the replica broke off, unless the caller left or the time was up.
 func (x *exchange) broke() {
-	switch {
-	case x.ctx.Err() != nil:
+	if x.ctx.Err() != nil {
 		x.reportUncounted("time is up or the caller left")
-	case !x.isDistinct():
-		x.reportUncounted("others send the same")
-	default:
-		x.entry.suspects.Broke(x.digest)
+		return
 	}
+	x.entry.suspects.Broke(x.suspect)
 }
 
 // check sorts out answers of other requests and refusals.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -92,7 +92,7 @@
 		}
 		return err
 	}
-	x.entry.suspects.Ended(x.digest)
+	x.entry.suspects.Ended(x.suspect)
 	return nil
 }
 
--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -6,16 +6,24 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
-// maxKept bounds the breaks that an entry holds; more than decide are not needed.
-const maxKept = 8
+const (
+	// maxKept bounds the breaks that an entry holds; more than decide are not needed.
+	maxKept = 8
+	// proofFor is how long a proof stands against breaks after it: the proofs of callers that share a request reach all VMs
+	// within that time.
+	proofFor = 2 * time.Second
+)
 
 // brk is a replica that broke off under a request.
 type brk struct {
 	// id names the break among all.
 	id uint64
 	at time.Duration
+	// excused says that its service was failing, so that the break is not held against the request.
+	excused bool
 }
 
 // proof is the last run of a request that came to its end. Of two the one with the greater number counts, and of those with
@@ -51,20 +59,23 @@
 	}
 }
 
-// count returns the breaks since the last proof.
-func (e *entry) count(now time.Duration) (n int) {
-	for _, b := range e.breaks {
-		if now-b.at <= keepFor && (e.proof.seq == 0 || b.at > e.proof.at) {
-			n++
-		}
-	}
-	return n
+// all returns the number of breaks since the last proof, the excused ones included.
+func (e *entry) all(now time.Duration) int { return len(e.since(now)) }
+
+// count returns the number of breaks since the last proof that are held against the request.
+func (e *entry) count(now time.Duration) int {
+	return lo.CountBy(e.since(now), func(b brk) bool { return !b.excused })
+}
+
+// since returns the breaks since the last proof.
+func (e *entry) since(now time.Duration) []brk {
+	return lo.Filter(e.breaks, func(b brk, _ int) bool { return now-b.at <= keepFor && (e.proof.seq == 0 || b.at > e.proof.at) })
 }
 
 // left returns how much longer the request is refused.
 func (e *entry) left(now time.Duration) time.Duration {
 	n := e.count(now)
-	if n < maxBreaks {
+	if n < maxBreaks || e.proof.seq > 0 && now-e.proof.at < proofFor {
 		return 0
 	}
 	return refusals[min(n-maxBreaks, len(refusals)-1)] - (now - e.breaks[len(e.breaks)-1].at)
--- a/internal/serve/hgsuspect/exchange.go
+++ b/internal/serve/hgsuspect/exchange.go
@@ -19,6 +19,8 @@
 type Break struct {
 	ID  uint64
 	Age time.Duration
+	// Excused says that the break is not held against the request.
+	Excused bool
 }
 
 // Proof is the last run of a request that came to its end, some time ago; Seq is 0 if there was none.
@@ -147,14 +149,7 @@
 }
 
 func (l *List) mergeOne(source string, r Record, now time.Duration) *entry {
-	e, ok := l.entries[r.Digest]
-	if !ok {
-		if len(l.entries) >= maxEntries {
-			l.forget(now)
-		}
-		e = &entry{}
-		l.entries[r.Digest] = e
-	}
+	e := l.entry(r.Digest, now)
 	l.change(r.Digest, e, now, source, func() { e.merge(r, now) })
 	return e
 }
@@ -162,7 +157,7 @@
 // merge takes over what a record says.
 func (e *entry) merge(r Record, now time.Duration) {
 	for _, b := range r.Breaks {
-		e.addBreak(brk{id: b.ID, at: now - b.Age})
+		e.addBreak(brk{id: b.ID, at: now - b.Age, excused: b.Excused})
 	}
 	if p := (proof{seq: r.Proof.Seq, id: r.Proof.ID, at: now - r.Proof.Age}); p.isNewer(e.proof) {
 		e.proof = p
@@ -172,7 +167,7 @@
 func (e *entry) record(digest uint64, now time.Duration) Record {
 	return Record{
 		Digest: digest,
-		Breaks: lo.Map(e.breaks, func(b brk, _ int) Break { return Break{ID: b.id, Age: now - b.at} }),
+		Breaks: lo.Map(e.breaks, func(b brk, _ int) Break { return Break{ID: b.id, Age: now - b.at, Excused: b.excused} }),
 		Proof:  Proof{Seq: e.proof.seq, ID: e.proof.id, Age: lo.Ternary(e.proof.seq > 0, now-e.proof.at, 0)},
 	}
 }
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hyssopgrade/hgtimer"
 )
 
@@ -27,16 +25,6 @@
 // that broke by chance may prove itself; one that ends replicas gets as many retries as there are steps before the last.
 var refusals = []time.Duration{time.Minute, 5 * time.Minute, 20 * time.Minute, keepFor}
 
-// Digest identifies a request by what its caller sends again when it comes back.
-func Digest(method, uri, object string, body []byte) uint64 {
-	d := xxhash.New()
-	for _, part := range [][]byte{[]byte(method), []byte(uri), []byte(object), body} {
-		_, _ = d.Write(part)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
-}
-
 // List holds the requests under which replicas broke off, and merges what other lists know; it is safe for concurrent use.
 type List struct {
 	timer hgtimer.Timer
@@ -51,52 +39,76 @@
 	// print is a fingerprint of all entries, the same for lists that hold the same.
 	print uint64
 	peers map[string]*peer
+	// outcomes are how runs of each service ended lately at this VM.
+	outcomes map[string]outcomes
 }
 
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer, log *slog.Logger) *List {
-	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}}
+	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{}}
 }
 
-// Broke tells that a replica broke off while it ran a request, and returns the breaks that count.
-func (l *List) Broke(digest uint64) (breaks int) {
+// Broke tells that a replica broke off while it ran a request.
+func (l *List) Broke(r Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	if len(l.entries) >= maxEntries {
-		l.forget(now)
+	isFailing := l.outcomes[r.Service].isFailing(r.Content, now)
+	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, true, now)
+	// Under a failing service callers that share the content would have it refused for all, while one that sends it again
+	// and again is told by its own digest.
+	digests := []uint64{r.Caller}
+	if !isFailing {
+		digests = r.keys()
 	}
-	e, ok := l.entries[digest]
-	if !ok {
-		e = &entry{}
-		l.entries[digest] = e
+	for _, digest := range digests {
+		e := l.entry(digest, now)
+		l.change(digest, e, now, here, func() { e.addBreak(brk{id: rand.Uint64(), at: now, excused: isFailing}) })
+		l.log.Info("break counted", "digest", digest, "caller", digest == r.Caller, "breaks", e.count(now), "excused", isFailing)
 	}
-	l.change(digest, e, now, here, func() { e.addBreak(brk{id: rand.Uint64(), at: now}) })
-	return e.count(now)
 }
 
 // Ended tells that a replica ran a request to its end, which proves it harmless.
-func (l *List) Ended(digest uint64) {
+func (l *List) Ended(r Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.entries[digest]
 	now := l.timer.Now()
-	if !ok || e.proof.seq > 0 && now-e.proof.at < refreshProof {
-		return
+	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, false, now)
+	for _, digest := range r.keys() {
+		e, ok := l.entries[digest]
+		if ok && (e.proof.seq == 0 || now-e.proof.at >= refreshProof) {
+			l.change(digest, e, now, here, func() { e.proof = proof{seq: e.proof.seq + 1, id: rand.Uint64(), at: now} })
+		}
 	}
-	l.change(digest, e, now, here, func() { e.proof = proof{seq: e.proof.seq + 1, id: rand.Uint64(), at: now} })
 }
 
 // Refused says whether a request is not to be run, and for how much longer.
-func (l *List) Refused(digest uint64) (left time.Duration, refused bool) {
+func (l *List) Refused(r Request) (left time.Duration, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.timer.Now()
+	for _, digest := range r.keys() {
+		if e, ok := l.entries[digest]; ok {
+			left = max(left, e.left(now))
+		}
+	}
+	if e, ok := l.entries[r.Caller]; ok && left <= 0 && e.all(now) > maxBreaks && l.outcomes[r.Service].isFailing(r.Content, now) {
+		left = outcomeFor
+	}
+	return left, left > 0
+}
+
+// entry returns the entry of a digest, a new one if there is none; l.mu is held.
+func (l *List) entry(digest uint64, now time.Duration) *entry {
 	e, ok := l.entries[digest]
 	if !ok {
-		return 0, false
+		if len(l.entries) >= maxEntries {
+			l.forget(now)
+		}
+		e = &entry{}
+		l.entries[digest] = e
 	}
-	left = e.left(l.timer.Now())
-	return left, left > 0
+	return e
 }
 
 // Sources of changes besides peers, which stand by their names.
--- a/internal/serve/hgsuspect/row.go
+++ b/internal/serve/hgsuspect/row.go
@@ -17,6 +17,8 @@
 type RowBreak struct {
 	ID uint64 `json:"id"`
 	At int64  `json:"at"`
+	// Excused says that the break is not held against the request.
+	Excused bool `json:"excused,omitempty"`
 }
 
 // RowProof is the proof of a row; Seq is 0 if there is none.
@@ -31,7 +33,7 @@
 	at := func(age time.Duration) int64 { return now.Add(-age).UnixMilli() }
 	return Row{
 		Digest: r.Digest,
-		Breaks: lo.Map(r.Breaks, func(b Break, _ int) RowBreak { return RowBreak{ID: b.ID, At: at(b.Age)} }),
+		Breaks: lo.Map(r.Breaks, func(b Break, _ int) RowBreak { return RowBreak{ID: b.ID, At: at(b.Age), Excused: b.Excused} }),
 		Proof:  RowProof{Seq: r.Proof.Seq, ID: r.Proof.ID, At: at(r.Proof.Age)},
 	}
 }
@@ -41,7 +43,7 @@
 	age := func(at int64) time.Duration { return max(now.Sub(time.UnixMilli(at)), 0) }
 	return Record{
 		Digest: r.Digest,
-		Breaks: lo.Map(r.Breaks, func(b RowBreak, _ int) Break { return Break{ID: b.ID, Age: age(b.At)} }),
+		Breaks: lo.Map(r.Breaks, func(b RowBreak, _ int) Break { return Break{ID: b.ID, Age: age(b.At), Excused: b.Excused} }),
 		Proof:  Proof{Seq: r.Proof.Seq, ID: r.Proof.ID, Age: age(r.Proof.At)},
 	}
 }
