Count a replica's silent end against the request that it ran

What callers saw: a request under which replicas fall silent reached a replica with each try: 12 runs of 6 allowed. Cause: a break counted only while the caller's time was not over, as a time that is up says nothing of the replica; what says it, the end of the registration or a start anew, came later and was not looked at. The class: evidence that comes after the decision is thrown away. Ruled out: counting every time-out (a slow service would have its callers refused). Change: a run without an answer is kept for ten seconds, the time of a registration to lapse and more; when its replica has ended or started anew without having said that it leaves, it counts as a break. One whose replica had ended before the time was up counts at once. Runs whose caller left count the same way. Evidence: TestCrashingRequestThatEndsReplicasSilently, red before with 12 runs, green after. Conclusion: silent ends count, as soon as the store tells of them; a replica that is only slow counts nothing.

--- a/internal/operate/hgedge/node.go
+++ b/internal/operate/hgedge/node.go
@@ -104,6 +104,7 @@
 		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithComplete(cfg.VM.FirstStart), hgledger.WithMarkers())
 	n.set = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
 	n.suspects = &suspects{List: hgsuspect.NewList(n.timer, log), node: n}
+	n.set.OnEnd(n.suspects.replicaEnded)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.set, n.timer), n.set, n.members, n.client, log)
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.set, n.timer, log, n.figures, n.suspects,
--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -53,6 +53,14 @@
 	s.node.timer.After(pause, s.spread)
 }
 
+// replicaEnded counts breaks of the requests that a replica has not answered before its end.
+func (s *suspects) replicaEnded(id string) {
+	for _, r := range s.TakeUnanswered(id) {
+		s.node.log.Info("replica ended under a request without an answer", "replica", id, "digest", r.Caller)
+		s.Broke(r)
+	}
+}
+
 func (s *suspects) spread(time.Duration) {
 	s.told.Store(int64(s.node.timer.Now()))
 	s.spreading.Store(false)
@@ -115,6 +123,7 @@
 // forgetSuspects removes rows that count no longer, at one VM of the site, and forgets the lists of peers that are gone.
 func (n *Node) forgetSuspects() {
 	n.suspects.Retain(lo.SliceToMap(n.members.All(), func(i hgpeer.Info) (string, bool) { return i.Name, true }))
+	n.suspects.ForgetUnanswered()
 	if live := n.members.Live(); len(live) > 0 && live[0].Name < n.cfg.VM.Name {
 		return
 	}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -52,6 +52,8 @@
 type Suspects interface {
 	// Broke tells that a replica broke off while it ran a request.
 	Broke(r hgsuspect.Request)
+	// Unanswered tells of a run without an answer until its time was over, at a replica that may have ended.
+	Unanswered(r hgsuspect.Request, replica string)
 	// Ended tells that a replica ran a request to its end.
 	Ended(r hgsuspect.Request)
 	// Refused says whether a request is not to be run, and for how much longer.
@@ -301,11 +303,6 @@
 	x.entry.log.Info("request", args...)
 }
 
-// reportUncounted logs a break that is not held against the request.
-func (x *exchange) reportUncounted(reason string) {
-	x.entry.log.Info("break not counted", "digest", x.suspect.Caller, "attempt", x.attempt.ID, "replica", x.replica, "reason", reason)
-}
-
 func (x *exchange) version() uint64 {
 	if x.state == nil {
 		return 0
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -45,7 +45,7 @@
 	}
 	if err != nil {
 		t.lease.Failed()
-		x.broke()
+		x.broke(t)
 		return errors.Join(errBroken, err)
 	}
 	defer answer.Release()
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -111,7 +111,7 @@
 		}
 		if wrote.Load() {
 			x.sent++
-			x.broke()
+			x.broke(t)
 			return errors.Join(errBroken, err)
 		}
 		return errors.Join(errNotSent, err)
@@ -123,13 +123,13 @@
 	return x.check(t)
 }
 
-// broke tells that the replica broke off, unless the caller left or the time was up.
-func (x *exchange) broke() {
-	if x.ctx.Err() != nil {
-		x.reportUncounted("time is up or the caller left")
+// broke tells that the replica broke off. Once the time is up or the caller has left, only the replica's end shows that.
+func (x *exchange) broke(t *try) {
+	if x.ctx.Err() == nil || t.lease.HasEnded() {
+		x.entry.suspects.Broke(x.suspect)
 		return
 	}
-	x.entry.suspects.Broke(x.suspect)
+	x.entry.suspects.Unanswered(x.suspect, t.lease.ID)
 }
 
 // check sorts out answers of other requests and refusals.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -86,10 +86,13 @@
 		return x.passFailure(t, s)
 	}
 	if err := x.copyEvents(s, t); err != nil {
-		if !errors.Is(err, errCaller) && !errors.Is(err, errLimit) && x.r.Context().Err() == nil {
+		if errors.Is(err, errCaller) || errors.Is(err, errLimit) {
+			return err
+		}
+		if x.r.Context().Err() == nil {
 			t.lease.Failed()
-			x.broke()
 		}
+		x.broke(t)
 		return err
 	}
 	x.entry.suspects.Ended(x.suspect)
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -52,6 +52,13 @@
 	}, true
 }
 
+// HasEnded says whether the replica has ended or started again since the lease was given.
+func (l *Lease) HasEnded() bool {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	return l.set.replicas[l.ID] != l.replica
+}
+
 // OnRelease sets what is called when the lease ends, in the place of what was set before.
 func (l *Lease) OnRelease(released func(o Outcome)) { l.released = released }
 
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -63,6 +63,8 @@
 	replicas map[string]*replica
 	// byService holds the same replicas by service.
 	byService map[string][]*replica
+	// onEnd is called for each replica that has ended without having said that it leaves.
+	onEnd func(id string)
 	// holds is how long requests of each service held a slot lately, in nanoseconds.
 	holds map[string]float64
 }
@@ -72,13 +74,28 @@
 	return &Set{timer: timer, domain: domain, newClient: newClient, replicas: map[string]*replica{}, holds: map[string]float64{}}
 }
 
+// OnEnd sets what is called for each replica that has ended, or started again, without having said that it leaves. It is
+// to be called before the first registrations.
+func (s *Set) OnEnd(fn func(id string)) { s.onEnd = fn }
+
 // Apply replaces the registrations. After an outage of the store missing ones stay for the time that is left to come back.
 func (s *Set) Apply(entries map[string]Entry, lapse time.Duration) {
+	for _, id := range s.replace(entries, lapse) {
+		if s.onEnd != nil {
+			s.onEnd(id)
+		}
+	}
+}
+
+// replace takes over the registrations and returns the replicas that have ended without having said that they leave.
+func (s *Set) replace(entries map[string]Entry, lapse time.Duration) (ended []string) {
 	now := s.timer.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range entries {
-		s.apply(id, e)
+		if s.apply(id, e) {
+			ended = append(ended, id)
+		}
 	}
 	for id, r := range s.replicas {
 		if _, ok := entries[id]; ok {
@@ -90,22 +107,28 @@
 		if lapse == 0 && (r.lapsed == 0 || now >= r.lapsed) {
 			r.client.CloseIdleConnections()
 			delete(s.replicas, id)
+			if !r.Leaving {
+				ended = append(ended, id)
+			}
 		}
 	}
 	s.byService = lo.GroupBy(lo.Values(s.replicas), func(r *replica) string { return r.Service })
+	return ended
 }
 
-func (s *Set) apply(id string, e Entry) {
+// apply takes over a registration and says whether the replica has started again without having said that it leaves.
+func (s *Set) apply(id string, e Entry) (again bool) {
 	r, ok := s.replicas[id]
 	if !ok || r.Born != e.Born || r.Address != e.Address || r.Service != e.Service {
 		if ok {
 			r.client.CloseIdleConnections()
 		}
 		s.replicas[id] = &replica{Entry: e, client: s.newClient(defaultIdle), idle: defaultIdle}
-		return
+		return ok && !r.Leaving
 	}
 	r.Entry = e
 	r.lapsed = 0
+	return false
 }
 
 const (
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -41,11 +41,15 @@
 	peers map[string]*peer
 	// outcomes are how runs of each service ended lately at this VM.
 	outcomes map[string]outcomes
+	// unanswered are the last runs without an answer at each replica.
+	unanswered map[string][]unanswered
 }
 
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer, log *slog.Logger) *List {
-	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{}}
+	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{},
+		unanswered: map[string][]unanswered{},
+	}
 }
 
 // Broke tells that a replica broke off while it ran a request.
