Check a request again before each send to a replica

What callers saw: copies of a request that were let in before the third replica ended went on to a second one each: 8 copies, 16 runs. Cause: the list was asked once, when the request came; one that waits for a place or for its next try acted on an answer that had run out meanwhile. The class: a decision used long after it was made. Ruled out: asking only before the second try (a request of an engine waits up to 1.8 s for its first place). Change: the list is asked again after a place was found, with nothing between that and the send; the place is given back. A request that no replica may have run gets 503 with the time to come back, another 502. Evidence: TestCrashingCopiesUnderWayAreCheckedAgain, red before with 16 runs, green after. Conclusion: a break that is known at a VM stops all that has not left it.

--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -190,8 +190,8 @@
 	defer cancel()
 	x.ctx = ctx
 	x.suspect = hgsuspect.NewRequest(x.service(), x.caller(), x.r.Method, x.r.RequestURI, x.attempt.Object, x.body)
-	if left, refused := x.entry.suspects.Refused(x.suspect); refused {
-		x.answer(http.StatusServiceUnavailable, "replicas broke off under this request", left.Seconds())
+	if _, refused := x.entry.suspects.Refused(x.suspect); refused {
+		x.giveUp(errSuspect)
 		return
 	}
 	x.forward()
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -51,6 +51,8 @@
 	errNoReplica = errors.New("no replica is left")
 	// errFull means that a new program has to wait for those under way.
 	errFull = errors.New("replicas are busy with programs under way")
+	// errSuspect means that replicas broke off under requests with this content.
+	errSuspect = errors.New("replicas broke off under this request")
 	// errNoPlace means that no replica had room in time.
 	errNoPlace = errors.New("no replica had room in time")
 )
@@ -82,6 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// Replicas may have broken off under copies while this one waited.
+	if _, refused := x.entry.suspects.Refused(x.suspect); refused {
+		lease.Release()
+		return nil, errSuspect
+	}
 	x.tries++
 	x.replica, x.why = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
@@ -167,7 +174,7 @@
 // again says whether the request may go to another replica after an error.
 func (x *exchange) again(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errFull), errors.Is(err, errNoPlace), errors.Is(err, errCaller), errors.Is(err, errLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errFull), errors.Is(err, errNoPlace), errors.Is(err, errSuspect), errors.Is(err, errCaller), errors.Is(err, errLimit):
 		return false
 	case errors.Is(err, errBroken):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -180,6 +187,9 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
+	case errors.Is(err, errSuspect) && x.sent == 0:
+		left, _ := x.entry.suspects.Refused(x.suspect)
+		x.answer(http.StatusServiceUnavailable, err.Error(), left.Seconds())
 	case errors.Is(err, errFull):
 		x.answer(http.StatusServiceUnavailable, err.Error(), comeBackFull*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil:
