Keep the requests that are refused when the list of breaks is full

What callers saw: nothing yet; read in the code. A caller whose 10,000 distinct requests each lose one answer had the whole list cleared, and with it what is known of requests that end replicas. Cause: the list was cleared whole when nothing on it was old. The class: a bound on memory that drops what matters most first. Change: of a full list the older half of the entries that refuse nothing goes, and only if that is not enough half of all. Evidence: TestFullListKeepsRefusedRequests, red before ('request 0 is forgotten'), green after; 50,000 distinct requests leave 10,000 entries at most and all 50 refused ones. Ruled out: a longer list (it moves the bound only). Conclusion: distinct requests cost bounded memory and free no guilty one.

--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -1,8 +1,10 @@
 package hgsuspect
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +17,7 @@
 	maxBreaks = 3
 	// keepFor is how long a request stays on the list after its last break or proof.
 	keepFor = time.Hour
-	// maxEntries bounds the list; the oldest entries go first.
+	// maxEntries bounds the list; the oldest entries go first, those that refuse a request last.
 	maxEntries = 10_000
 	// refreshProof is the time within which one proof of a request stands for all further ones.
 	refreshProof = 500 * time.Millisecond
@@ -102,6 +104,13 @@
 	return left, left > 0
 }
 
+// Len returns the number of digests on the list.
+func (l *List) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.entries)
+}
+
 // entry returns the entry of a digest, a new one if there is none; l.mu is held.
 func (l *List) entry(digest uint64, now time.Duration) *entry {
 	e, ok := l.entries[digest]
@@ -146,15 +155,31 @@
 	delete(l.entries, digest)
 }
 
-// forget drops entries that no longer count, or all if none does; l.mu is held.
+// forget drops entries that no longer count, and if there are few of these the older half of those that refuse nothing, or of
+// all if there are few of these as well; l.mu is held.
 func (l *List) forget(now time.Duration) {
 	for digest, e := range l.entries {
 		if now-e.at > keepFor {
 			l.remove(digest)
 		}
 	}
-	if len(l.entries) >= maxEntries {
-		clear(l.entries)
-		l.print = 0
+	l.forgetOlder(func(e *entry) bool { return e.left(now) <= 0 })
+	l.forgetOlder(func(*entry) bool { return true })
+}
+
+// forgetOlder drops the older half of the entries that are not kept, if the list is too full; l.mu is held.
+func (l *List) forgetOlder(isSpare func(e *entry) bool) {
+	if len(l.entries) <= maxEntries*3/4 {
+		return
+	}
+	var spare []uint64
+	for digest, e := range l.entries {
+		if isSpare(e) {
+			spare = append(spare, digest)
+		}
+	}
+	slices.SortFunc(spare, func(a, b uint64) int { return cmp.Compare(l.entries[a].at, l.entries[b].at) })
+	for _, digest := range spare[:len(spare)/2] {
+		l.remove(digest)
 	}
 }
--- a/internal/serve/hgsuspect/list_test.go
+++ b/internal/serve/hgsuspect/list_test.go
@@ -70,6 +70,30 @@
 	}
 }
 
+// TestFullListKeepsRefusedRequests has a caller break many distinct requests off, once each.
+func TestFullListKeepsRefusedRequests(t *testing.T) {
+	c := &clock{now: time.Minute}
+	l := hgsuspect.NewList(c, hglog.Discard())
+	const refused = 50
+	for n := range uint64(refused) {
+		for range 3 {
+			l.Broke(request(n))
+		}
+	}
+	for n := range uint64(50_000) {
+		c.now += time.Millisecond
+		l.Broke(request(refused + 10_000 + n))
+	}
+	for n := range uint64(refused) {
+		if _, is := l.Refused(request(n)); !is {
+			t.Fatalf("request %d is forgotten", n)
+		}
+	}
+	if n := l.Len(); n > 10_000 {
+		t.Errorf("%d entries are kept", n)
+	}
+}
+
 // request returns one of several requests, of callers and for services of their own.
 func request(n uint64) hgsuspect.Request {
 	return hgsuspect.Request{Content: n, Caller: 1000 + n, Service: fmt.Sprint(n)}
