Let a failure that is passed on clear nothing

What callers saw: nothing yet; read in the code. A request that ended two replicas and was failed by a third one began to count anew. Cause: each answer that was passed on counted as a run to its end, a replica's own 500 too; and a failure that broke off while it was passed on counted as nothing. The class: 'answered' taken for 'harmless'. Change: only answers below 500 prove a request; a failure that breaks off is a break. Ruled out: counting a 500 as a break (the replica goes on). Evidence: TestFailureDoesNotClearCrashingRequest, red before (502 after three breaks and a failure), green after. Conclusion: what clears a request is a replica that ran it and was well.

--- a/internal/proof/hgsite/crashing_test.go
+++ b/internal/proof/hgsite/crashing_test.go
@@ -235,3 +235,20 @@
 		r.SetFault(hgsite.Fault{Left: 1000, Lose: true, Only: guilty})
 	}
 }
+
+// A replica that answers that it failed has not ended, but the request has not proved harmless either.
+func TestFailureDoesNotClearCrashingRequest(t *testing.T) {
+	s := newSite(t, 1)
+	crashAll(s)
+	sendAgain(t, s, 2, crashingCharge)
+	for _, r := range s.Replicas {
+		r.SetFault(hgsite.Fault{Left: 1, Error: true})
+	}
+	if reply := call(t, s, 0, crashingCharge); reply.Status != http.StatusInternalServerError {
+		t.Fatalf("status %d, want the replica's failure", reply.Status)
+	}
+	crashAll(s)
+	if status := sendAgain(t, s, 2, crashingCharge); status != http.StatusServiceUnavailable {
+		t.Errorf("after three breaks and a failure: status %d", status)
+	}
+}
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -53,7 +53,9 @@
 	if t.resp.StatusCode >= http.StatusInternalServerError && x.again(errBroken) {
 		return errBroken
 	}
-	x.entry.suspects.Ended(x.suspect)
+	if !t.answer.Failed {
+		x.entry.suspects.Ended(x.suspect)
+	}
 	x.copyHead(t.resp)
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgreplica"
 )
 
@@ -103,6 +104,9 @@
 func (x *exchange) passFailure(t *try, s *stream) error {
 	answer, err := x.entry.memory.Read(t.resp.Body, maxEventBytes)
 	if err != nil {
+		if !errors.Is(err, hgmemory.ErrFull) {
+			x.broke(t)
+		}
 		return errors.Join(errBroken, err)
 	}
 	defer answer.Release()
