Leave out what an exchange of breaks has no need to say

Change: a cursor is sent only if it moves, an empty list names none. Ruled out: a message of its own (a connection more for each pair).

--- a/internal/serve/hgsuspect/exchange.go
+++ b/internal/serve/hgsuspect/exchange.go
@@ -43,7 +43,8 @@
 type Exchange struct {
 	// Known is how far the sender of an offer knows the receiver's list, and Taken, in an answer, what it has taken of the offer.
 	Known, Taken Cursor
-	// Now is how far the receiver knows the sender's list with this message, of an offer only the sender's own changes.
+	// Now is how far the receiver knows the sender's list with this message, of an offer only the sender's own changes; without
+	// a run no further than before.
 	Now Cursor
 	// Print is the fingerprint of the sender's list.
 	Print   uint64
@@ -71,7 +72,11 @@
 	defer l.mu.Unlock()
 	p := l.peer(name)
 	records, now := l.since(p.acked, func(e *entry) uint64 { return e.own })
-	return Exchange{Known: p.known, Now: now, Print: l.print, Records: records}
+	offer := Exchange{Known: p.known, Print: l.print, Records: records}
+	if len(records) > 0 {
+		offer.Now = now
+	}
+	return offer
 }
 
 // Answer takes a peer's offer and returns the answer.
@@ -79,9 +84,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.merge(name, offer.Records)
-	answer := Exchange{Taken: offer.Now, Now: Cursor{l.run, l.last}, Print: l.print}
+	answer := Exchange{Taken: offer.Now, Print: l.print}
+	now := Cursor{l.run, l.last}
 	if offer.Print != l.print {
-		answer.Records, answer.Now = l.since(offer.Known, func(e *entry) uint64 { return e.number })
+		answer.Records, now = l.since(offer.Known, func(e *entry) uint64 { return e.number })
+	}
+	if now != offer.Known && l.last > 0 {
+		answer.Now = now
 	}
 	return answer
 }
@@ -92,7 +101,9 @@
 	defer l.mu.Unlock()
 	p := l.peer(name)
 	l.merge(name, answer.Records)
-	p.known = p.known.advance(answer.Now)
+	if answer.Now.Run != 0 {
+		p.known = p.known.advance(answer.Now)
+	}
 	if answer.Taken.Run == l.run {
 		p.acked = p.acked.advance(answer.Taken)
 	}
