Hold a silent VM for one that may have a part in a program

What callers saw: a program got 927 tokens of 576 and one turn of 288, around a cut of three of nine VMs. Cause: silence taken for an end. What is taken without a row rests on the word of all VMs that may have a part; those that had not been heard for 2.7 s were asked no more, so that the VMs of a cut took a turn's tokens for programs which the other side served. Ruled out: a connection that is refused as a sign of death (a cut may refuse too). Change: a peer stays concerned for a minute after it was heard, unless it stops. Log lines name the grounds of each grant. Conclusion: only what all may have said is taken for all.

--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -27,6 +27,8 @@
 	suspectFor = 700 * time.Millisecond
 	// forgetAfter is the time after which a silent peer is asked no more, unless the store names it.
 	forgetAfter = time.Minute
+	// concernFor is how long a silent peer that has not stopped may have a part in programs, longer than cuts usually last.
+	concernFor = time.Minute
 	// viewFor is how long what follows from the members is used before it is worked out again.
 	viewFor = 25 * time.Millisecond
 )
@@ -314,16 +316,19 @@
 	return &m.last
 }
 
-// Concerned returns the peers that may have a part in programs: those that answered lately, and those that have not
-// been known for long enough to tell that they do not answer.
+// Concerned returns the peers that may have a part in programs. Silence is no sign of a peer's end: one that is cut off may
+// serve callers, so that it stays concerned for concernFor unless it has said that it stops.
 func (m *Members) Concerned() (peers []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.look()
 	now := m.timer.Now()
-	silent := silentBeats * farBeats * m.period()
 	for _, p := range m.members {
-		if p.answered && now-p.heard < silent || p.claimed > 0 && now-p.claimed < silent || now-p.since < silent {
+		limit := concernFor
+		if p.info.Stopping {
+			limit = silentBeats * farBeats * m.period()
+		}
+		if p.answered && now-p.heard < limit || p.claimed > 0 && now-p.claimed < limit || now-p.since < limit {
 			peers = append(peers, p.info)
 		}
 	}
--- a/internal/peer/hgpeer/members_test.go
+++ b/internal/peer/hgpeer/members_test.go
@@ -24,6 +24,13 @@
 	return hgpeer.Info{Name: name, Boot: "1", Domain: domain, StoreOK: true, Ready: true}
 }
 
+// stopped returns what a node says of itself while it stops.
+func stopped(name, domain string) hgpeer.Info {
+	i := info(name, domain)
+	i.Stopping, i.Revision = true, 1
+	return i
+}
+
 func names(peers []hgpeer.Info) []string {
 	all := lo.Map(peers, func(i hgpeer.Info, _ int) string { return i.Name })
 	sort.Strings(all)
@@ -48,8 +55,11 @@
 		}, []string{"b", "c"}, []string{"b", "c"}},
 		{"suspected", 200 * time.Millisecond, func() { m.Suspect("b") }, []string{"c"}, []string{"b", "c"}},
 		{"near one silent", 1500 * time.Millisecond, func() {}, []string{"c"}, []string{"b", "c"}},
-		{"both silent", 4 * time.Second, func() {}, []string{}, []string{}},
-		{"restarted", 5 * time.Second, func() { m.Heard(hgpeer.Beat{Info: info("b", "north")}) }, []string{"b"}, []string{"b"}},
+		{"both silent, as in a cut", 4 * time.Second, func() {}, []string{}, []string{"b", "c"}},
+		{"restarted", 5 * time.Second, func() { m.Heard(hgpeer.Beat{Info: info("b", "north")}) }, []string{"b"}, []string{"b", "c"}},
+		{"one stops", 6 * time.Second, func() { m.Heard(hgpeer.Beat{Info: stopped("b", "north")}) }, []string{"b"}, []string{"b", "c"}},
+		{"it has stopped", 10 * time.Second, func() {}, []string{}, []string{"c"}},
+		{"silent for long", 2 * time.Minute, func() {}, []string{}, []string{}},
 	}
 	for _, s := range steps {
 		c.now = time.Minute + s.at
--- /dev/null
+++ b/internal/state/hgledger/cut_test.go
@@ -0,0 +1,218 @@
+package hgledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/state/hgledger"
+)
+
+var errCut = errors.New("cut off")
+
+// cutTable is the store as one VM reaches it.
+type cutTable struct {
+	hgstore.Table
+	isCut func() bool
+}
+
+func (c cutTable) Get(ctx context.Context, key string) (hgstore.Row, error) {
+	if c.isCut() {
+		return hgstore.Row{}, errCut
+	}
+	return c.Table.Get(ctx, key)
+}
+
+func (c cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]hgstore.Row, error) {
+	if c.isCut() {
+		return nil, errCut
+	}
+	return c.Table.Scan(ctx, prefix, after, limit)
+}
+
+func (c cutTable) Commit(ctx context.Context, t hgstore.Txn) (uint64, error) {
+	if c.isCut() {
+		return 0, errCut
+	}
+	return c.Table.Commit(ctx, t)
+}
+
+// network is VMs with a ledger each, some of which are cut off from the store and from those on the other side.
+type network struct {
+	t     *testing.T
+	store *hgstore.Memory
+	// side is the side of a cut that each VM is on; the store is on side 0.
+	side    []int
+	starts  []int
+	ledgers []*hgledger.Ledger
+	// forgets says that VMs which do not answer are no more asked, as if they were dead.
+	forgets bool
+	// handed is what the callers of a program got, and log what happened.
+	handed int
+	log    []string
+}
+
+const (
+	cutBudget = 500
+	cutMost   = 200
+	cutVMs    = 6
+	// cutDomains is the number of failure domains that the VMs lie in.
+	cutDomains = 2
+)
+
+func newNetwork(t *testing.T, forgets bool) *network {
+	n := &network{t: t, store: hgstore.NewMemory(), forgets: forgets}
+	for i := range cutVMs {
+		n.side = append(n.side, 0)
+		n.starts = append(n.starts, 0)
+		n.ledgers = append(n.ledgers, nil)
+		n.start(i)
+	}
+	return n
+}
+
+// start starts the ledger of a VM, which knows all programs at the first start of the site only.
+func (n *network) start(i int) {
+	timer := hgtimer.NewService()
+	n.t.Cleanup(timer.Close)
+	n.starts[i]++
+	n.ledgers[i] = hgledger.NewLedger(fmt.Sprintf("vm-%d/%d", i, n.starts[i]), cutTable{n.store, func() bool { return n.side[i] > 0 }}, timer, hglog.Discard(),
+		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(&cutPeers{n, i}), hgledger.WithComplete(n.starts[i] == 1))
+}
+
+// cutPeers are the other VMs as one of them reaches them.
+type cutPeers struct {
+	n    *network
+	self int
+}
+
+func (p *cutPeers) each(ask func(i int, l *hgledger.Ledger)) (silent int) {
+	for i, l := range p.n.ledgers {
+		switch {
+		case i == p.self:
+		case p.n.side[i] == p.n.side[p.self]:
+			ask(i, l)
+		default:
+			silent++
+		}
+	}
+	return silent
+}
+
+func (p *cutPeers) Ask(ctx context.Context, q hgledger.SoleRequest) (a hgledger.Answers) {
+	silent := p.each(func(_ int, l *hgledger.Ledger) { a.Add(l.Part(ctx, q)) })
+	if !p.n.forgets {
+		a.None = silent
+	}
+	return a
+}
+
+func (p *cutPeers) Copy(ctx context.Context, c hgledger.Copy) (copies int) {
+	p.each(func(_ int, l *hgledger.Ledger) {
+		if l.TakeCopy(ctx, c) {
+			copies++
+		}
+	})
+	return copies
+}
+
+func (p *cutPeers) Troubled() bool {
+	for i := range p.n.ledgers {
+		if p.n.side[i] == p.n.side[p.self] && p.n.ledgers[i].Unsaved() {
+			return true
+		}
+	}
+	return p.n.side[p.self] > 0
+}
+
+// turn has a VM serve a turn of the program, of which the caller gets some tokens.
+func (n *network) turn(r *rand.Rand, i int) {
+	q := hgledger.OpenRequest{
+		Program: "p", Attempt: fmt.Sprint(len(n.log)), Budget: cutBudget, Most: cutMost, HasBudget: true, Offline: n.side[i] > 0,
+	}
+	reply := n.ledgers[i].Open(context.Background(), q)
+	n.note("turn at %d: %s %d", i, reply.Verdict, reply.Most)
+	if reply.Verdict != hgledger.Granted {
+		return
+	}
+	used := reply.Most
+	if r.IntN(3) == 0 {
+		used = r.IntN(reply.Most + 1)
+	}
+	n.handed += used
+	if err := n.ledgers[i].Close(context.Background(), hgledger.CloseRequest{Program: q.Program, Attempt: q.Attempt, Holder: reply.Holder, Used: used}); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+func (n *network) note(format string, args ...any) {
+	n.log = append(n.log, fmt.Sprintf(format, args...)+fmt.Sprintf(" [sides %v, handed %d]", n.side, n.handed))
+}
+
+// step does something at random.
+func (n *network) step(r *rand.Rand) {
+	i := r.IntN(cutVMs)
+	switch r.IntN(12) {
+	case 0:
+		n.side[i] = 1 + r.IntN(2)
+		n.note("cut %d", i)
+	case 1:
+		n.side = make([]int, cutVMs)
+		n.note("heal")
+	case 2:
+		n.start(i)
+		n.note("restart %d", i)
+	case 3:
+		if n.side[i] == 0 {
+			saved, left := n.ledgers[i].Save(context.Background())
+			n.note("save at %d: %d, %d left", i, saved, left)
+		}
+	default:
+		n.turn(r, i)
+	}
+	// What a ledger has begun to serve is told once, to those of its failure domain that it reaches.
+	for i, l := range n.ledgers {
+		begun := l.Seen()
+		(&cutPeers{n, i}).each(func(k int, peer *hgledger.Ledger) {
+			if k%cutDomains == i%cutDomains {
+				peer.Learn(begun, false)
+			}
+		})
+	}
+}
+
+// The budget holds to one turn's most whatever is cut off, together or apart, and whenever it heals.
+func TestBudgetHoldsInCuts(t *testing.T) {
+	tests := map[string]struct{ forgets, holds bool }{
+		"silent VMs count":         {false, true},
+		"silent VMs are forgotten": {true, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(400) {
+				n := newNetwork(t, tc.forgets)
+				r := rand.New(rand.NewPCG(seed, 7))
+				for range 30 {
+					n.step(r)
+				}
+				if n.handed <= cutBudget+cutMost {
+					continue
+				}
+				if tc.holds {
+					t.Fatalf("seed %d: %d tokens of %d and %d:\n%s", seed, n.handed, cutBudget, cutMost, strings.Join(n.log, "\n"))
+				}
+				return
+			}
+			if !tc.holds {
+				t.Error("no seed shows what the guard is for")
+			}
+		})
+	}
+}
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -80,11 +80,12 @@
 		a.Mine = q.Most
 		ctx, cancel := context.WithTimeout(ctx, peerTime)
 		defer cancel()
-		if l.backup.Copy(ctx, Copy{Program: p.id, Ledger: l.id, Taken: a.Mine}) == 0 {
+		copies := l.backup.Copy(ctx, Copy{Program: p.id, Ledger: l.id, Taken: a.Mine})
+		if copies == 0 {
 			return 0, Outage
 		}
 		l.markUnsaved(p, true)
-		l.log.Info("taken without a row", "program", p.id, "taken", a.Mine)
+		l.log.Info("taken without a row", "program", p.id, "attempt", q.Attempt, "taken", a.Mine, "copies", copies)
 	}
 	most = min(q.Most, a.Left())
 	if most < min(q.Most, max(q.Estimate, minCap)) || q.Whole && most < q.Most {
@@ -103,6 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	a := l.backup.Ask(ctx, SoleRequest{Program: p.id, New: true})
+	l.log.Info("peers asked for a part", "program", p.id, "without", a.Sole, "with", a.Part, "silent", a.None)
 	return a.Sole > 0 && a.Part == 0 && a.None == 0
 }
 
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -116,6 +116,7 @@
 	if err == nil {
 		l.markUnsaved(p, false)
 		l.reload(p, row, version, true)
+		l.log.Info("budget taken", "program", p.id, "mine", a.Mine, "others", a.Others, "strict", row.Strict, "version", version)
 		return true, nil
 	}
 	p.known = false
