Send nothing more to a replica that says in an answer that it leaves

The header was read nowhere, so that a VM that had lost the store, or heard late, went on sending. Cause: only the list said that a replica leaves. Ruled out: trusting the list again later (a late list is why the header exists). Change: each head of an answer but a 421 is looked at; the word holds for that run of the replica, also when its entry goes and comes back, until a newer one is listed. The placer hears of it with the place that is given back. When no replica is left, requests that wait are refused at once, like new ones, to come back in 0.35 to 1.05 s. Not built: other VMs hear of it from nobody but the replica; moved memory. Conclusion: no rule rests on what a VM has not been told itself.

--- a/internal/proof/hgsite/crashing_test.go
+++ b/internal/proof/hgsite/crashing_test.go
@@ -130,7 +130,6 @@
 // The replicas that run the request fall silent and start again some time later, as the store tells.
 func TestCrashingRequestThatEndsReplicasSilently(t *testing.T) {
 	s := newSite(t, 3)
-	var starts int
 	for i := range 12 {
 		for _, r := range s.Replicas {
 			r.SetFault(hgsite.Fault{Left: 1000, Hang: true})
@@ -143,8 +142,7 @@
 			if run.Attempt != q.ID {
 				continue
 			}
-			starts++
-			if err := s.Rebirth(run.Replica, starts); err != nil {
+			if err := s.Rebirth(run.Replica); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -62,10 +62,16 @@
 	events int
 	pause  time.Duration
 	srv    *http.Server
+	// starts is the number of the replica's last start.
+	starts int
 
 	mu    sync.Mutex
 	fault Fault
-	runs  []Run
+	// leaving says that all answers tell that the replica leaves.
+	leaving bool
+	// arrivals is the number of requests that have come, those that were refused included.
+	arrivals int
+	runs     []Run
 	// left holds when the senders of requests in progress went away.
 	left []time.Time
 }
@@ -77,7 +83,7 @@
 		return nil, err
 	}
 	e.Address = l.Addr().String()
-	r = &Replica{Entry: e, engine: engine, events: events, pause: pause}
+	r = &Replica{Entry: e, starts: firstStart, engine: engine, events: events, pause: pause}
 	r.srv = &http.Server{Handler: r}
 	go func() { _ = r.srv.Serve(l) }()
 	return r, nil
@@ -106,6 +112,28 @@
 	r.fault = f
 }
 
+// SetLeaving sets whether all answers tell that the replica leaves.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// Arrivals returns the number of requests that have come, those that were refused included.
+func (r *Replica) Arrivals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals
+}
+
+// arrive counts a request and says whether its answer tells that the replica leaves.
+func (r *Replica) arrive() (leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals++
+	return r.leaving
+}
+
 // SetPause changes the time before each event.
 func (r *Replica) SetPause(d time.Duration) {
 	r.mu.Lock()
@@ -151,6 +179,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	answer.Leaving = r.arrive()
 	run := Run{
 		Replica: r.Entry.ID, Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
 		LastEvent: a.LastEvent, Deadline: a.Deadline, FetchFrom: hgplatform.FetchFrom(q.Header),
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -30,6 +30,8 @@
 	ThreadPath = "/thread/"
 	CheckPath  = "/check/"
 	ChargePath = "/charge/"
+	// firstStart numbers the first start of a replica.
+	firstStart = 1
 	// TokensPerEvent is what each event of a stream counts.
 	TokensPerEvent = 10
 	// Events is the number of events of a stream.
@@ -100,7 +102,7 @@
 	for i, e := range []hgreplica.Entry{
 		{ID: "engine-0", Service: Engines}, {ID: "engine-1", Service: Engines}, {ID: "tool-0", Service: Tools}, {ID: "tool-1", Service: Tools},
 	} {
-		e.Domain, e.Slots = Domains[i%len(Domains)], 8
+		e.Domain, e.Slots, e.Born = Domains[i%len(Domains)], 8, strconv.Itoa(firstStart)
 		r, err := newReplica(e, e.Service == Engines, Events, 2*time.Millisecond)
 		if err != nil {
 			return nil, err
@@ -137,10 +139,11 @@
 }
 
 // Rebirth tells of a replica's next start, under its old identifier and address.
-func (s *Site) Rebirth(id string, start int) (err error) {
-	e := s.Replicas[id].Entry
-	e.Born = strconv.Itoa(start)
-	return s.Register(e)
+func (s *Site) Rebirth(id string) (err error) {
+	r := s.Replicas[id]
+	r.starts++
+	r.Entry.Born = strconv.Itoa(r.starts)
+	return s.Register(r.Entry)
 }
 
 type slowTable struct {
@@ -209,6 +212,12 @@
 	return s.put(hgplatform.ReplicaTable+"//"+e.ID, value)
 }
 
+// Unregister removes a replica's registration.
+func (s *Site) Unregister(id string) (err error) {
+	_, err = s.Store.Commit(context.Background(), hgstore.Txn{Deletes: []string{hgplatform.ReplicaTable + "//" + id}})
+	return err
+}
+
 // SetDesired writes a desired state.
 func (s *Site) SetDesired(d *hgdesired.State) (err error) {
 	value, err := hgplatform.EncodeDesired(d)
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -58,6 +58,8 @@
 	NotRun bool
 	// Failed says that the replica ran the request and failed it.
 	Failed bool
+	// Leaving says that the replica will end soon and is to get no new requests.
+	Leaving bool
 	// KeepsIdle is how long the replica keeps an unused connection; 0 if it does not say.
 	KeepsIdle time.Duration
 	// HasLoad says that Running, Waiting and Slots are known.
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -250,12 +250,13 @@
 // left returns the time until the caller or the route gives up.
 func (x *exchange) left() time.Duration { return x.limit - x.entry.timer.Now() }
 
-// Times to come back, in seconds: after a refusal for load, for a new program while others are under way, when another
-// node steps in, and for a store that no node reaches. The last one is long, so that the few tries that a caller has are
+// Times to come back, in seconds: after a refusal for load, for a new program while others are under way, for a service
+// without a replica, when another node steps in, and for a store that no node reaches. The last one is long, so that the few tries that a caller has are
 // spread over an outage of seconds.
 const (
 	comeBackBusy   = 0.15
 	comeBackFull   = 0.7
+	comeBackNone   = 0.7
 	comeBackStepIn = 0.3
 	comeBackOutage = 1.2
 )
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -127,6 +127,9 @@
 	x.headTook = x.entry.timer.Now() - t.began
 	x.entry.figures.Observe(string(x.route.Kind)+"Head", x.headTook)
 	t.lease.Answered(t.answer, x.headTook)
+	if t.answer.Leaving && t.lease.Leaves() {
+		x.entry.log.Info("replica says that it leaves", "replica", t.lease.ID, "attempt", x.attempt.ID, "status", t.resp.StatusCode)
+	}
 	return x.check(t)
 }
 
@@ -192,6 +195,8 @@
 		x.answer(http.StatusServiceUnavailable, err.Error(), left.Seconds())
 	case errors.Is(err, errFull):
 		x.answer(http.StatusServiceUnavailable, err.Error(), comeBackFull*(0.5+rand.Float64()))
+	case x.sent == 0 && x.ctx.Err() == nil && !x.entry.replicas.HasAny(hgreplica.Want{Service: x.service()}):
+		x.answer(http.StatusServiceUnavailable, "the service has no replica", comeBackNone*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil:
 		x.answer(http.StatusServiceUnavailable, err.Error(), comeBackBusy*(0.5+rand.Float64()))
 	case x.sent == 0 && !errors.Is(err, errBroken):
--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -87,6 +87,9 @@
 	p.serve(a.Want.Service)
 	select {
 	case l = <-granted:
+		if l == nil {
+			return nil, NoReplica
+		}
 	case <-ctx.Done():
 		if l = p.withdraw(a, granted); l == nil {
 			return nil, Expired
@@ -145,10 +148,20 @@
 	return l
 }
 
-// serve grants places to the first requests of a service for which there is room.
+// serve grants places to the first requests of a service for which there is room. When no replica is left for any request,
+// none waits on.
 func (p *Placer) serve(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.set.HasAny(hgreplica.Want{Service: service}) {
+		for _, id := range p.queue(service).Clear() {
+			if granted, ok := p.waiting[id]; ok {
+				granted <- nil
+				delete(p.waiting, id)
+			}
+		}
+		return
+	}
 	for {
 		r, l, ok := p.queue(service).Next(p.set.Pick)
 		if !ok {
--- a/internal/serve/hgplacer/queue.go
+++ b/internal/serve/hgplacer/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"hyssopgrade/internal/serve/hgreplica"
@@ -71,6 +73,13 @@
 	return ok
 }
 
+// Clear takes out all requests and returns their identifiers.
+func (q *Queue) Clear() (ids []string) {
+	ids = slices.Collect(maps.Keys(q.byID))
+	*q = *NewQueue()
+	return ids
+}
+
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int { return len(q.waiting) }
 
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -37,6 +37,8 @@
 	Took, Held time.Duration
 	// Errored says that the replica answered that it failed; Failed and Misdirected are as the methods of Lease.
 	Errored, Failed, Misdirected bool
+	// Leaving says that the replica told that it leaves.
+	Leaving bool
 }
 
 // Adopt returns a lease of a place that another node has given; it counts the request, and released tells it the end.
@@ -44,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.replicas[id]
-	if !ok || r.Leaving || r.misdirected {
+	if !ok || r.leaves() || r.misdirected {
 		return nil, false
 	}
 	return &Lease{
@@ -74,6 +76,9 @@
 	if o.Misdirected {
 		l.Misdirected()
 	}
+	if o.Leaving {
+		l.Leaves()
+	}
 	l.Release()
 }
 
@@ -140,6 +145,15 @@
 	l.replica.failed(now, 1)
 }
 
+// Leaves tells that the replica said that it leaves, so that it gets no new requests until it has started again; news says
+// that this was not known.
+func (l *Lease) Leaves() (news bool) {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.outcome.Leaving = true
+	return l.set.noteLeaving(l.replica)
+}
+
 // Misdirected tells that another replica has the address; this one is not used again.
 func (l *Lease) Misdirected() {
 	l.set.mu.Lock()
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -49,6 +49,8 @@
 	failedAt time.Duration
 	// streak is the number of failures since the last answer.
 	streak int
+	// saidLeaving says that the replica itself has told that it leaves.
+	saidLeaving bool
 	// misdirected says that another replica has the address.
 	misdirected bool
 }
@@ -63,6 +65,8 @@
 	replicas map[string]*replica
 	// byService holds the same replicas by service.
 	byService map[string][]*replica
+	// left holds the runs of replicas that have told that they leave, with the time of that.
+	left map[lifetime]time.Duration
 	// onEnd is called for each replica that has ended without having said that it leaves.
 	onEnd func(id string)
 	// holds is how long requests of each service held a slot lately, in nanoseconds.
@@ -71,7 +75,7 @@
 
 // NewSet returns an empty set for a node in a failure domain; newClient makes the client of each replica.
 func NewSet(timer hgtimer.Timer, domain string, newClient func(idle time.Duration) *http.Client) *Set {
-	return &Set{timer: timer, domain: domain, newClient: newClient, replicas: map[string]*replica{}, holds: map[string]float64{}}
+	return &Set{timer: timer, domain: domain, newClient: newClient, replicas: map[string]*replica{}, left: map[lifetime]time.Duration{}, holds: map[string]float64{}}
 }
 
 // OnEnd sets what is called for each replica that has ended, or started again, without having said that it leaves. It is
@@ -107,7 +111,7 @@
 		if lapse == 0 && (r.lapsed == 0 || now >= r.lapsed) {
 			r.client.CloseIdleConnections()
 			delete(s.replicas, id)
-			if !r.Leaving {
+			if !r.leaves() {
 				ended = append(ended, id)
 			}
 		}
@@ -123,8 +127,8 @@
 		if ok {
 			r.client.CloseIdleConnections()
 		}
-		s.replicas[id] = &replica{Entry: e, client: s.newClient(defaultIdle), idle: defaultIdle}
-		return ok && !r.Leaving
+		s.replicas[id] = &replica{Entry: e, client: s.newClient(defaultIdle), idle: defaultIdle, saidLeaving: s.hasLeft(e)}
+		return ok && !r.leaves()
 	}
 	r.Entry = e
 	r.lapsed = 0
@@ -226,7 +230,7 @@
 func (s *Set) usual(service string) time.Duration {
 	least := math.MaxFloat64
 	for _, r := range s.byService[service] {
-		if !r.Leaving && r.delay > 0 {
+		if !r.leaves() && r.delay > 0 {
 			least = min(least, r.delay)
 		}
 	}
@@ -333,7 +337,7 @@
 	defer s.mu.Unlock()
 	requests, slots := 0, 0
 	for _, r := range s.byService[service] {
-		if !r.Leaving {
+		if !r.leaves() {
 			requests += r.inFlight + r.elsewhere(now)
 			slots += r.Slots
 		}
@@ -375,6 +379,8 @@
 	switch {
 	case r.Leaving:
 		return "leaving"
+	case r.saidLeaving:
+		return "leaving, as it says itself"
 	case r.misdirected:
 		return "another replica has its address"
 	case r.lapsed > 0 && now >= r.lapsed:
