Soak requests that end replicas, and replicas that say they leave

Change: four requests, two of them without a body, break off every replica that runs them, and are sent all the while through VMs that are killed, stopped, frozen and cut from the store; four seconds after the last fault each may run three times more. Replicas say that they leave and start again; a request sent through a VM later than a second after that VM passed on the word must not reach that run of the replica. Restarts and freezes of the VM excuse it. Ruled out: a bound under faults, where no VM is in touch for four seconds.

--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -44,10 +44,12 @@
 // Run is a request that a replica ran.
 type Run struct {
 	Replica, Attempt, URI, Body string
-	Program                     string
-	At                          time.Time
-	Forged                      []string
-	LastEvent                   string
+	// Born is the number of the replica's start.
+	Born      string
+	Program   string
+	At        time.Time
+	Forged    []string
+	LastEvent string
 	// FetchFrom is the address from which to fetch what is kept of the prompt.
 	FetchFrom string
 	// Deadline is the time that the replica was given.
@@ -67,6 +69,8 @@
 
 	mu    sync.Mutex
 	fault Fault
+	// guilty says which requests break the replica off whenever they come.
+	guilty func(r Run) bool
 	// leaving says that all answers tell that the replica leaves.
 	leaving bool
 	// arrivals is the number of requests that have come, those that were refused included.
@@ -112,6 +116,13 @@
 	r.fault = f
 }
 
+// SetGuilty sets which requests break the replica off whenever they come.
+func (r *Replica) SetGuilty(guilty func(r Run) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.guilty = guilty
+}
+
 // SetLeaving sets whether all answers tell that the replica leaves.
 func (r *Replica) SetLeaving(leaving bool) {
 	r.mu.Lock()
@@ -119,6 +130,12 @@
 	r.leaving = leaving
 }
 
+func (r *Replica) born() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Entry.Born
+}
+
 // Arrivals returns the number of requests that have come, those that were refused included.
 func (r *Replica) Arrivals() int {
 	r.mu.Lock()
@@ -159,6 +176,9 @@
 func (r *Replica) nextFault(run Run) Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.guilty != nil && r.guilty(run) {
+		return Fault{Lose: true}
+	}
 	if r.fault.Left == 0 || r.fault.Only != nil && !r.fault.Only(run) {
 		return Fault{}
 	}
@@ -181,7 +201,7 @@
 	}
 	answer.Leaving = r.arrive()
 	run := Run{
-		Replica: r.Entry.ID, Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
+		Replica: r.Entry.ID, Born: r.born(), Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
 		LastEvent: a.LastEvent, Deadline: a.Deadline, FetchFrom: hgplatform.FetchFrom(q.Header),
 	}
 	f := r.nextFault(run)
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -141,9 +141,12 @@
 // Rebirth tells of a replica's next start, under its old identifier and address.
 func (s *Site) Rebirth(id string) (err error) {
 	r := s.Replicas[id]
+	r.mu.Lock()
 	r.starts++
 	r.Entry.Born = strconv.Itoa(r.starts)
-	return s.Register(r.Entry)
+	e := r.Entry
+	r.mu.Unlock()
+	return s.Register(e)
 }
 
 type slowTable struct {
@@ -212,6 +215,16 @@
 	return s.put(hgplatform.ReplicaTable+"//"+e.ID, value)
 }
 
+// SetListedLeaving sets whether a replica's registration says that it leaves.
+func (s *Site) SetListedLeaving(id string, leaving bool) (err error) {
+	r := s.Replicas[id]
+	r.mu.Lock()
+	e := r.Entry
+	r.mu.Unlock()
+	e.Leaving = leaving
+	return s.Register(e)
+}
+
 // Unregister removes a replica's registration.
 func (s *Site) Unregister(id string) (err error) {
 	_, err = s.Store.Commit(context.Background(), hgstore.Txn{Deletes: []string{hgplatform.ReplicaTable + "//" + id}})
--- a/internal/proof/hgsoak/caller.go
+++ b/internal/proof/hgsoak/caller.go
@@ -94,7 +94,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
-	reply, err := s.site.Call(ctx, r.IntN(len(s.procs)), q)
+	vm := r.IntN(len(s.procs))
+	way := way{vm: vm, run: s.procs[vm].run.Load(), sent: time.Now()}
+	reply, err := s.site.Call(ctx, vm, q)
 	s.check.answered(q, repeatable, reply, err)
+	s.check.passed(q.ID, way, reply, err)
 	return reply, err == nil && reply.Status == http.StatusOK && reply.Whole
 }
--- a/internal/proof/hgsoak/check.go
+++ b/internal/proof/hgsoak/check.go
@@ -20,12 +20,15 @@
 	// handed counts the tokens of each program, and allowed is its budget and one turn's most.
 	handed, allowed map[string]int
 	counts          map[string]int
+	// ways says through which VM each attempt went, and words which answers told that their replica leaves.
+	ways  map[string]way
+	words map[string]time.Time
 }
 
 func newChecker() *checker {
 	return &checker{
 		once: map[string]bool{}, never: map[string]bool{}, want: map[string]string{}, handed: map[string]int{},
-		allowed: map[string]int{}, counts: map[string]int{},
+		allowed: map[string]int{}, counts: map[string]int{}, ways: map[string]way{}, words: map[string]time.Time{},
 	}
 }
 
@@ -116,6 +119,7 @@
 			c.violate("attempt %s ran %d times", attempt, n)
 		}
 	}
+	c.checkLeaving(runs)
 	for program, n := range c.handed {
 		if program != "" && n > c.allowed[program] {
 			c.violate("program %s got %d tokens, at most %d", program, n, c.allowed[program])
--- a/internal/proof/hgsoak/fault.go
+++ b/internal/proof/hgsoak/fault.go
@@ -53,6 +53,7 @@
 	}},
 	{"freeze", func(s *soak, r *rand.Rand) func() {
 		p := s.procs[r.IntN(len(s.procs))]
+		p.run.Add(1)
 		p.signal(syscall.SIGSTOP)
 		return func() { p.signal(syscall.SIGCONT) }
 	}},
@@ -83,15 +84,19 @@
 		}[r.IntN(5)])
 		return func() { rep.SetFault(hgsite.Fault{}) }
 	}},
-	{"leaving replica", func(s *soak, r *rand.Rand) func() {
-		e := s.site.Replicas[[]string{"engine-0", "tool-0"}[r.IntN(2)]].Entry
-		e.Leaving = true
-		s.note(s.site.Register(e))
+	{"replica that says it leaves", func(s *soak, r *rand.Rand) func() {
+		id := []string{"engine-0", "tool-0"}[r.IntN(2)]
+		s.site.Replicas[id].SetLeaving(true)
 		return func() {
-			e.Leaving = false
-			s.note(s.site.Register(e))
+			s.site.Replicas[id].SetLeaving(false)
+			s.note(s.site.Rebirth(id))
 		}
 	}},
+	{"leaving replica", func(s *soak, r *rand.Rand) func() {
+		id := []string{"engine-0", "tool-0"}[r.IntN(2)]
+		s.note(s.site.SetListedLeaving(id, true))
+		return func() { s.note(s.site.SetListedLeaving(id, false)) }
+	}},
 }
 
 // note counts what could not be set up, as a store that is down refuses the operators as well.
--- a/internal/proof/hgsoak/process.go
+++ b/internal/proof/hgsoak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,9 @@
 	// onOwnEnd is told when the process ends by itself, and after what time; it is then started again.
 	onOwnEnd func(ran time.Duration)
 
+	// run counts starts and freezes, after which the process may have forgotten what it knew.
+	run atomic.Int64
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	done   chan struct{}
@@ -54,6 +58,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	p.run.Add(1)
 	p.cmd, p.done, p.ending = cmd, make(chan struct{}), false
 	go p.wait(cmd, out, p.done)
 	return nil
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -67,10 +67,15 @@
 	for i := range o.Callers {
 		callers.Go(func() { s.caller(calling, rand.New(rand.NewPCG(o.Seed, uint64(i+1)))) })
 	}
+	for _, r := range s.site.Replicas {
+		r.SetGuilty(isGuilty)
+	}
+	callers.Go(func() { s.guilty(calling, rand.New(rand.NewPCG(o.Seed, guiltyStream))) })
 	s.inject(faulty, rand.New(rand.NewPCG(o.Seed, 0)))
 	stopCalling()
 	callers.Wait()
 	s.recovered(ctx)
+	s.checkGuilty(ctx)
 	return Report{
 		Violations: s.check.finish(append(s.site.Runs(hgsite.Engines), s.site.Runs(hgsite.Tools)...)),
 		Counts:     s.check.counts, Faults: s.faults, Programs: s.programs,
