--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -104,6 +104,20 @@
   internal/state/hghedge/table.go 's/maxSends = 4/maxSends = 1/'
 red crash TestCrashingRequest internal/proof/hgsite \
   internal/serve/hgsuspect/list.go 's/maxBreaks = 3/maxBreaks = 1000/'
+red crashExchange TestFleetLearnsOfCrashingRequest internal/peer/hgpeer \
+  internal/serve/hgsuspect/exchange.go 's/if offer\.Print != l\.print \{/if false {/'
+red crashRows TestCrashingRequestOverTotalLoss internal/proof/hgsite \
+  internal/operate/hgedge/suspect.go 's/s\.Load\(records\)/_ = records/'
+red crashCaller TestInnocentsBesideCrashingRequestAreServed internal/proof/hgsite \
+  internal/serve/hgsuspect/request.go 's/return \[\]uint64\{r\.Content, r\.Caller\}/return []uint64{r.Content}/'
+red crashAgain TestCrashingCopiesUnderWayAreCheckedAgain internal/proof/hgsite \
+  internal/serve/hgentry/send.go 's/refused := x\.entry\.suspects\.Refused\(x\.suspect\); refused/refused := x.entry.suspects.Refused(x.suspect); refused \&\& false/'
+red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
+  internal/operate/hgedge/node.go 's/n\.set\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
+red silentPeers TestMembers internal/peer/hgpeer \
+  internal/peer/hgpeer/members.go 's/limit := concernFor/limit := silentBeats * farBeats * m.period()/'
+red saysLeaving TestLeavingReplicaSaysSoInAnswers internal/proof/hgsite \
+  internal/serve/hgreplica/leaving.go 's/r\.saidLeaving = true/r.saidLeaving = false/'
 red lapse TestWatchOutage internal/state/hgfeed \
   internal/state/hgfeed/feed.go 's/return max\(w\.regained\+lapseTime-w\.timer\.Now\(\), 0\)/return lapseTime/'
 red full TestNewProgramsWait internal/proof/hgsite \
