Write breaks at a rate bounded by the site's size; blame the replica that spoke

Cause: (1) each round of heartbeats about breaks, up to 20 a second, also wrote rows, at every VM; (2) the soak's new check held the word that a replica leaves against all replicas that ran the attempt, though a stream that goes on elsewhere bears the head of the first one. Change: a write each half second and 10 ms for each peer at most; the check takes the word only of the run whose answer told it, and is as strict on that one. Conclusion: one fault of the check, one of cost, none of the product.

--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +21,10 @@
 	suspectPrefix = nodeTable + "//suspect-"
 	// spreadPause is the least time between two rounds of heartbeats that tell of breaks.
 	spreadPause = 50 * time.Millisecond
-	// suspectPeriod is the time between two tries to make requests durable that broke off replicas.
-	suspectPeriod = 500 * time.Millisecond
+	// suspectPeriod is the least time between two writes of requests that broke off replicas, and suspectPerPeer what each
+	// peer adds to it, so that the writes of all VMs are bounded at any size of the site.
+	suspectPeriod  = 500 * time.Millisecond
+	suspectPerPeer = 10 * time.Millisecond
 	// maxSuspects bounds the rows that one transaction writes or removes; the store takes 100 entries.
 	maxSuspects = 50
 )
@@ -37,6 +40,10 @@
 	spreading atomic.Bool
 	// told is when the last one went out, in nanoseconds of the timer.
 	told atomic.Int64
+
+	// mu is held while rows are written, and saved is when that was last begun.
+	mu    sync.Mutex
+	saved time.Duration
 }
 
 // Broke counts a break and has peers and the store told.
@@ -68,12 +75,19 @@
 	s.save(0)
 }
 
-// save writes what the store does not hold yet.
+// save writes what the store does not hold yet, if the last write was long enough ago.
 func (s *suspects) save(time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	period := suspectPeriod + time.Duration(len(s.node.members.All()))*suspectPerPeer
+	if s.saved > 0 && s.node.timer.Now()-s.saved < period {
+		return
+	}
 	records := s.Unsaved(s.node.isApart(), maxSuspects)
 	if len(records) == 0 {
 		return
 	}
+	s.saved = s.node.timer.Now()
 	now := time.Now()
 	var txn hgstore.Txn
 	for _, r := range records {
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -44,8 +44,9 @@
 // Run is a request that a replica ran.
 type Run struct {
 	Replica, Attempt, URI, Body string
-	// Born is the number of the replica's start.
+	// Born is the number of the replica's start, and Leaving says whether its answer told that it leaves.
 	Born      string
+	Leaving   bool
 	Program   string
 	At        time.Time
 	Forged    []string
@@ -201,7 +202,7 @@
 	}
 	answer.Leaving = r.arrive()
 	run := Run{
-		Replica: r.Entry.ID, Born: r.born(), Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
+		Replica: r.Entry.ID, Born: r.born(), Leaving: answer.Leaving, Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.Forged(q.Header),
 		LastEvent: a.LastEvent, Deadline: a.Deadline, FetchFrom: hgplatform.FetchFrom(q.Header),
 	}
 	f := r.nextFault(run)
--- a/internal/proof/hgsoak/leaving.go
+++ b/internal/proof/hgsoak/leaving.go
@@ -44,7 +44,8 @@
 		return told{w.vm, w.run, r.Replica, r.Born}
 	}
 	for _, r := range runs {
-		if at, ok := c.words[r.Attempt]; ok && (words[of(r)].IsZero() || at.Before(words[of(r)])) {
+		// A stream that went on at another replica bears the head of the first one.
+		if at, ok := c.words[r.Attempt]; ok && r.Leaving && (words[of(r)].IsZero() || at.Before(words[of(r)])) {
 			words[of(r)] = at
 		}
 	}
