Tell of a served request only when it breaks a replica off

What callers saw: nothing; found in reading the change as a newcomer. Cause: once a request that many callers share had broken a replica off, each VM renewed its proof, and told all peers, twice a second for an hour; on a large site each break had a round of heartbeats at once, up to twenty a second from each VM to its hubs. Change: a proof is renewed only if breaks came since; on a large site breaks go with the next heartbeat; writes that wait for a slow store do not queue up. Evidence: TestServedRequestIsNotToldWithEachRun, red before with 200 records in 100 s, green after. Names: lostRun and digests. Ruled out: no proofs for shared requests (one grey replica would have them refused).

--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -68,16 +68,21 @@
 	}
 }
 
+// spread tells peers and the store of breaks. On a large site the next heartbeat is soon enough: a hub hears many VMs.
 func (s *suspects) spread(time.Duration) {
 	s.told.Store(int64(s.node.timer.Now()))
 	s.spreading.Store(false)
-	s.node.beatAll()
+	if !s.node.members.IsLarge() {
+		s.node.beatAll()
+	}
 	s.save(0)
 }
 
 // save writes what the store does not hold yet, if the last write was long enough ago.
 func (s *suspects) save(time.Duration) {
-	s.mu.Lock()
+	if !s.mu.TryLock() {
+		return
+	}
 	defer s.mu.Unlock()
 	period := suspectPeriod + time.Duration(len(s.node.members.All()))*suspectPerPeer
 	if s.saved > 0 && s.node.timer.Now()-s.saved < period {
--- a/internal/proof/hgsite/crashing_test.go
+++ b/internal/proof/hgsite/crashing_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// loseAll kills all VMs at once and starts them again.
+func loseAll(t *testing.T, s *hgsite.Site) {
+	t.Helper()
+	for i := range s.Nodes {
+		s.Kill(i)
+	}
+	for i := range s.Nodes {
+		if err := s.RestartNode(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.WaitReady(readyLimit); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func restart(t *testing.T, s *hgsite.Site, i int) {
 	t.Helper()
 	if err := s.RestartNode(i); err != nil {
@@ -111,17 +127,7 @@
 	for range 3 {
 		sendAgain(t, s, 6, crashingCharge)
 		time.Sleep(time.Second)
-		for i := range s.Nodes {
-			s.Kill(i)
-		}
-		for i := range s.Nodes {
-			if err := s.RestartNode(i); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := s.WaitReady(readyLimit); err != nil {
-			t.Fatal(err)
-		}
+		loseAll(t, s)
 	}
 	sendAgain(t, s, 6, crashingCharge)
 	wantBounded(t, s, hgsite.Tools)
--- a/internal/proof/hgsite/path_test.go
+++ b/internal/proof/hgsite/path_test.go
@@ -255,17 +255,7 @@
 	if reply := call(t, s, 2, stopped()); reply.Status != http.StatusPaymentRequired {
 		t.Fatalf("the budget is not spent: status %d", reply.Status)
 	}
-	for i := range s.Nodes {
-		s.Kill(i)
-	}
-	for i := range s.Nodes {
-		if err := s.RestartNode(i); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := s.WaitReady(readyLimit); err != nil {
-		t.Fatal(err)
-	}
+	loseAll(t, s)
 	if reply := call(t, s, 0, stopped()); reply.Status != http.StatusPaymentRequired {
 		t.Errorf("a stopped program that comes back: status %d", reply.Status)
 	}
--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -17,8 +17,8 @@
 	proofFor = 2 * time.Second
 )
 
-// brk is a replica that broke off under a request.
-type brk struct {
+// lostRun is a run of a request under which its replica broke off.
+type lostRun struct {
 	// id names the break among all.
 	id uint64
 	at time.Duration
@@ -39,7 +39,7 @@
 // entry is what is known of a request. Merging two in any order, also again, gives the same.
 type entry struct {
 	// breaks are the newest ones, the oldest first.
-	breaks []brk
+	breaks []lostRun
 	proof  proof
 	// at is the time of the last change and number its number; own is the number of the last one made at this list itself.
 	at          time.Duration
@@ -48,11 +48,11 @@
 	saved uint64
 }
 
-func (e *entry) addBreak(b brk) {
-	if slices.ContainsFunc(e.breaks, func(have brk) bool { return have.id == b.id }) {
+func (e *entry) addBreak(b lostRun) {
+	if slices.ContainsFunc(e.breaks, func(have lostRun) bool { return have.id == b.id }) {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(e.breaks, b, func(have, b brk) int { return int(have.at - b.at) })
+	at, _ := slices.BinarySearchFunc(e.breaks, b, func(have, b lostRun) int { return int(have.at - b.at) })
 	e.breaks = slices.Insert(e.breaks, at, b)
 	if len(e.breaks) > maxKept {
 		e.breaks = slices.Delete(e.breaks, 0, 1)
@@ -64,12 +64,12 @@
 
 // count returns the number of breaks since the last proof that are held against the request.
 func (e *entry) count(now time.Duration) int {
-	return lo.CountBy(e.since(now), func(b brk) bool { return !b.excused })
+	return lo.CountBy(e.since(now), func(b lostRun) bool { return !b.excused })
 }
 
 // since returns the breaks since the last proof.
-func (e *entry) since(now time.Duration) []brk {
-	return lo.Filter(e.breaks, func(b brk, _ int) bool { return now-b.at <= keepFor && (e.proof.seq == 0 || b.at > e.proof.at) })
+func (e *entry) since(now time.Duration) []lostRun {
+	return lo.Filter(e.breaks, func(b lostRun, _ int) bool { return now-b.at <= keepFor && (e.proof.seq == 0 || b.at > e.proof.at) })
 }
 
 // left returns how much longer the request is refused.
--- a/internal/serve/hgsuspect/exchange.go
+++ b/internal/serve/hgsuspect/exchange.go
@@ -168,7 +168,7 @@
 // merge takes over what a record says.
 func (e *entry) merge(r Record, now time.Duration) {
 	for _, b := range r.Breaks {
-		e.addBreak(brk{id: b.ID, at: now - b.Age, excused: b.Excused})
+		e.addBreak(lostRun{id: b.ID, at: now - b.Age, excused: b.Excused})
 	}
 	if p := (proof{seq: r.Proof.Seq, id: r.Proof.ID, at: now - r.Proof.Age}); p.isNewer(e.proof) {
 		e.proof = p
@@ -178,7 +178,7 @@
 func (e *entry) record(digest uint64, now time.Duration) Record {
 	return Record{
 		Digest: digest,
-		Breaks: lo.Map(e.breaks, func(b brk, _ int) Break { return Break{ID: b.id, Age: now - b.at, Excused: b.excused} }),
+		Breaks: lo.Map(e.breaks, func(b lostRun, _ int) Break { return Break{ID: b.id, Age: now - b.at, Excused: b.excused} }),
 		Proof:  Proof{Seq: e.proof.seq, ID: e.proof.id, Age: lo.Ternary(e.proof.seq > 0, now-e.proof.at, 0)},
 	}
 }
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -19,7 +19,7 @@
 	keepFor = time.Hour
 	// maxEntries bounds the list; the oldest entries go first, those that refuse a request last.
 	maxEntries = 10_000
-	// refreshProof is the time within which one proof of a request stands for all further ones.
+	// refreshProof is the least time between two proofs of a request, which are told to all VMs.
 	refreshProof = 500 * time.Millisecond
 )
 
@@ -65,11 +65,11 @@
 	// and again is told by its own digest.
 	digests := []uint64{r.Caller}
 	if !isFailing {
-		digests = r.keys()
+		digests = r.digests()
 	}
 	for _, digest := range digests {
 		e := l.entry(digest, now)
-		l.change(digest, e, now, here, func() { e.addBreak(brk{id: rand.Uint64(), at: now, excused: isFailing}) })
+		l.change(digest, e, now, here, func() { e.addBreak(lostRun{id: rand.Uint64(), at: now, excused: isFailing}) })
 		l.log.Info("break counted", "digest", digest, "caller", digest == r.Caller, "breaks", e.count(now), "excused", isFailing)
 	}
 }
@@ -80,9 +80,9 @@
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, false, now)
-	for _, digest := range r.keys() {
+	for _, digest := range r.digests() {
 		e, ok := l.entries[digest]
-		if ok && (e.proof.seq == 0 || now-e.proof.at >= refreshProof) {
+		if ok && (e.proof.seq == 0 || e.all(now) > 0 && now-e.proof.at >= refreshProof) {
 			l.change(digest, e, now, here, func() { e.proof = proof{seq: e.proof.seq + 1, id: rand.Uint64(), at: now} })
 		}
 	}
@@ -93,7 +93,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	for _, digest := range r.keys() {
+	for _, digest := range r.digests() {
 		if e, ok := l.entries[digest]; ok {
 			left = max(left, e.left(now))
 		}
--- a/internal/serve/hgsuspect/list_test.go
+++ b/internal/serve/hgsuspect/list_test.go
@@ -98,3 +98,21 @@
 func request(n uint64) hgsuspect.Request {
 	return hgsuspect.Request{Content: n, Caller: 1000 + n, Service: fmt.Sprint(n)}
 }
+
+// A request that is served all the while is told to peers when it breaks a replica off, not with each run.
+func TestServedRequestIsNotToldWithEachRun(t *testing.T) {
+	c := &clock{now: time.Minute}
+	l := hgsuspect.NewList(c, hglog.Discard())
+	l.Broke(request(1))
+	told := 0
+	for range 100 {
+		c.now += time.Second
+		l.Ended(request(1))
+		offer := l.Offer("peer")
+		told += len(offer.Records)
+		l.Take("peer", hgsuspect.Exchange{Taken: offer.Now})
+	}
+	if told > 2 {
+		t.Errorf("%d records are told, want those of content and caller", told)
+	}
+}
--- a/internal/serve/hgsuspect/request.go
+++ b/internal/serve/hgsuspect/request.go
@@ -26,5 +26,5 @@
 	return r
 }
 
-// keys returns the digests under which the request counts.
-func (r Request) keys() []uint64 { return []uint64{r.Content, r.Caller} }
+// digests returns the digests under which the request counts.
+func (r Request) digests() []uint64 { return []uint64{r.Content, r.Caller} }
--- a/internal/serve/hgsuspect/saved.go
+++ b/internal/serve/hgsuspect/saved.go
@@ -1,5 +1,7 @@
 package hgsuspect
 
+import "time"
+
 // savedBreaks is the number of breaks from which on a request is worth a row: most never get a second one.
 const savedBreaks = 2
 
@@ -27,10 +29,8 @@
 	now := l.timer.Now()
 	for _, r := range records {
 		// The entry may have changed meanwhile; then it is saved once more.
-		var saved entry
-		saved.merge(r, now)
 		if e, ok := l.entries[r.Digest]; ok {
-			e.saved = saved.print(r.Digest)
+			e.saved = r.print(now)
 		}
 	}
 }
@@ -41,8 +41,13 @@
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	for _, r := range records {
-		var saved entry
-		saved.merge(r, now)
-		l.mergeOne(store, r, now).saved = saved.print(r.Digest)
+		l.mergeOne(store, r, now).saved = r.print(now)
 	}
 }
+
+// print returns the fingerprint of an entry that says just what the record does.
+func (r Record) print(now time.Duration) uint64 {
+	var e entry
+	e.merge(r, now)
+	return e.print(r.Digest)
+}
