--- a/internal/serve/hgsuspect/exchange_test.go
+++ b/internal/serve/hgsuspect/exchange_test.go
@@ -1,6 +1,7 @@
 package hgsuspect_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -159,3 +160,29 @@
 		t.Errorf("refused %v for %v", refused, left)
 	}
 }
+
+// BenchmarkExchange is an offer and its answer between lists that hold some requests, and of which some have changed since.
+func BenchmarkExchange(b *testing.B) {
+	for name, changed := range map[string]int{"agree": 0, "10 changed": 10} {
+		for _, requests := range []uint64{0, 1000, 5000} {
+			b.Run(fmt.Sprintf("%s of %d", name, requests), func(b *testing.B) {
+				c := &clock{now: time.Minute}
+				from, to := hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())
+				for n := range requests {
+					from.Broke(request(n))
+				}
+				for range 1 + 2*requests/100 {
+					exchange(from, to, "from", "to", false, false)
+					exchange(to, from, "to", "from", false, false)
+				}
+				b.ResetTimer()
+				for range b.N {
+					for n := range changed {
+						from.Broke(request(uint64(n)))
+					}
+					exchange(from, to, "from", "to", false, false)
+				}
+			})
+		}
+	}
+}
