Let a majority hold silent VMs for gone, and ask before a budget is exceeded

Cause: a VM that is gone looks like one that is cut off; for a minute nothing was taken without a row ('silent: 1' in 375 questions). Change: after five seconds a majority of all known VMs goes on without the silent ones, so that two sides of a cut never both do; a VM that hears no majority grants nothing that may exceed a budget (503, no 402, as the budget may hold the turn); and such a grant asks all peers what was taken without a row, also when the row is known. Ruled out: a connection that is refused, or time alone, as a sign of death.

--- a/internal/peer/hgpeer/backup.go
+++ b/internal/peer/hgpeer/backup.go
@@ -42,9 +42,15 @@
 			a.Add(answer.reply)
 		}
 	}
+	if !b.members.IsMajority(a.Sole + a.Part) {
+		a.None++
+	}
 	return a
 }
 
+// IsApart says whether this node hears no majority of all nodes.
+func (b *Backup) IsApart() bool { return b.members.IsApart() }
+
 // Troubled says whether this node or a peer has lately been without the store, or has taken tokens without a row.
 func (b *Backup) Troubled() bool { return b.members.Troubled() }
 
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -27,8 +27,9 @@
 	suspectFor = 700 * time.Millisecond
 	// forgetAfter is the time after which a silent peer is asked no more, unless the store names it.
 	forgetAfter = time.Minute
-	// concernFor is how long a silent peer that has not stopped may have a part in programs, longer than cuts usually last.
-	concernFor = time.Minute
+	// concernFor is how long a silent peer that has not stopped may have a part in programs, whoever asks. After that a
+	// majority holds it for gone.
+	concernFor = 5 * time.Second
 	// viewFor is how long what follows from the members is used before it is worked out again.
 	viewFor = 25 * time.Millisecond
 )
@@ -335,6 +336,25 @@
 	return peers
 }
 
+// IsMajority says whether a node and some of its peers are most of all nodes that are known and have not stopped.
+func (m *Members) IsMajority(peers int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isMajority(peers)
+}
+
+func (m *Members) isMajority(peers int) bool {
+	known := lo.CountBy(lo.Values(m.members), func(p *member) bool { return !p.info.Stopping })
+	return 2*(peers+1) > known+1
+}
+
+// IsApart says whether this node hears no majority of all nodes, so that others may hold it for gone.
+func (m *Members) IsApart() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.isMajority(len(m.live()))
+}
+
 // HeardWithin says whether a peer was itself heard within a time.
 func (m *Members) HeardWithin(name string, d time.Duration) bool {
 	m.mu.Lock()
--- a/internal/state/hgaccount/account.go
+++ b/internal/state/hgaccount/account.go
@@ -53,6 +53,11 @@
 	return Grant{Account: a, Durable: true}
 }
 
+// IsBeyond says whether a grant may exceed the budget, if others have used all that they have taken.
+func (a Account) IsBeyond(g Grant, budget int) bool {
+	return !g.Spent && g.Durable && g.Account.Mine+a.Others > budget
+}
+
 // SpentForGood says whether no turn fits any more, whatever becomes of open ones and of what other nodes have taken.
 func (a Account) SpentForGood(budget, most int) bool {
 	return !a.Closed && a.Others == 0 && a.Open == 0 && a.Used+most > budget
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -203,9 +203,15 @@
 			return Unsure, err
 		}
 	}
-	for {
+	for asked := false; ; {
 		g := p.account.Reserve(budget, most)
+		beyond := l.backup != nil && p.account.IsBeyond(g, budget)
 		switch {
+		case beyond && l.backup.IsApart():
+			return Unsure, trace.LimitExceeded("a majority may serve the program without a row")
+		case beyond && !asked:
+			asked = true
+			l.askTaken(ctx, p)
 		case g.Spent && l.stale(p):
 			p.checked = l.timer.Now()
 			if err := l.readAccount(ctx, p); err != nil {
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -14,6 +14,8 @@
 	Ask(ctx context.Context, q SoleRequest) Answers
 	// Troubled says whether a peer has lately been without the store, or has taken tokens without a row.
 	Troubled() bool
+	// IsApart says whether this ledger hears no majority of all nodes, so that the others may hold it for gone.
+	IsApart() bool
 	// Copy returns how many peers hold a copy.
 	Copy(ctx context.Context, c Copy) (copies int)
 }
@@ -111,9 +113,13 @@
 // learnTaken asks peers what they have taken of a program of which this ledger knows no row, if they may not yet have
 // written what they took while the store was out of reach.
 func (l *Ledger) learnTaken(ctx context.Context, p *program) {
-	if p.known || l.backup == nil || !l.backup.Troubled() {
-		return
+	if !p.known && l.backup != nil && l.backup.Troubled() {
+		l.askTaken(ctx, p)
 	}
+}
+
+// askTaken asks peers what they have taken of a program.
+func (l *Ledger) askTaken(ctx context.Context, p *program) {
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	if a := l.backup.Ask(ctx, SoleRequest{Program: p.id}); len(a.Taken) > 0 {
--- a/internal/state/hgledger/outage_test.go
+++ b/internal/state/hgledger/outage_test.go
@@ -53,6 +53,8 @@
 
 func (p *peers) Troubled() bool { return true }
 
+func (p *peers) IsApart() bool { return false }
+
 func newPeered(t *testing.T, id string, store hgstore.Table, p *peers) *hgledger.Ledger {
 	timer := hgtimer.NewService()
 	t.Cleanup(timer.Close)
