Ask the members whether a VM is apart; show the number of suspects

Cause: two answers to the question whether a VM hears few others, from the reading of the diff. Change: the one of the members, a majority of the known VMs, decides when single breaks are saved as well; the length of the list is a gauge. Ruled out: two limits (they differed by one VM). Conclusion: one notion of being apart.

--- a/internal/operate/hgedge/directory.go
+++ b/internal/operate/hgedge/directory.go
@@ -54,6 +54,7 @@
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.figures.Set("running", float64(n.entry.Running()))
 		n.figures.Set("programs", float64(n.ledger.Programs()))
+		n.figures.Set("suspects", float64(n.suspects.Len()))
 		if err := n.figures.Write(w); err != nil {
 			n.log.Debug("figures not written", "error", err)
 		}
--- a/internal/operate/hgedge/suspect.go
+++ b/internal/operate/hgedge/suspect.go
@@ -88,7 +88,7 @@
 	if s.saved > 0 && s.node.timer.Now()-s.saved < period {
 		return
 	}
-	records := s.Unsaved(s.node.isApart(), maxSuspects)
+	records := s.Unsaved(s.node.members.IsApart(), maxSuspects)
 	if len(records) == 0 {
 		return
 	}
@@ -136,9 +136,6 @@
 
 func isSuspect(row hgstore.Row) bool { return strings.HasPrefix(row.Key, suspectPrefix) }
 
-// isApart says whether this VM hears from so few others that most may not learn from it what it has seen.
-func (n *Node) isApart() bool { return 2*len(n.members.Live()) < len(n.members.All()) }
-
 // forgetSuspects removes rows that count no longer, at one VM of the site, and forgets the lists of peers that are gone.
 func (n *Node) forgetSuspects() {
 	n.suspects.Retain(lo.SliceToMap(n.members.All(), func(i hgpeer.Info) (string, bool) { return i.Name, true }))
--- a/internal/serve/hgsuspect/saved.go
+++ b/internal/serve/hgsuspect/saved.go
@@ -6,8 +6,8 @@
 const savedBreaks = 2
 
 // Unsaved returns records that are to be made durable, of requests that broke replicas here: those that others may not know of
-// after a loss of all lists. A list that hears from no peer has all of its own saved.
-func (l *List) Unsaved(isAlone bool, most int) (records []Record) {
+// after a loss of all lists. A list that is apart from most others has all of its own saved.
+func (l *List) Unsaved(isApart bool, most int) (records []Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
@@ -15,7 +15,7 @@
 		if len(records) == most {
 			break
 		}
-		if e.own > 0 && e.saved != e.print(digest) && (e.saved != 0 || isAlone || e.count(now) >= savedBreaks) {
+		if e.own > 0 && e.saved != e.print(digest) && (e.saved != 0 || isApart || e.count(now) >= savedBreaks) {
 			records = append(records, e.record(digest, now))
 		}
 	}
