--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -251,8 +251,8 @@
 func (x *exchange) left() time.Duration { return x.limit - x.entry.timer.Now() }
 
 // Times to come back, in seconds: after a refusal for load, for a new program while others are under way, for a service
-// without a replica, when another node steps in, and for a store that no node reaches. The last one is long, so that the few tries that a caller has are
-// spread over an outage of seconds.
+// without a replica, when another node steps in, and for a store that no node reaches. The last one is long, so that the
+// few tries that a caller has are spread over an outage of seconds.
 const (
 	comeBackBusy   = 0.15
 	comeBackFull   = 0.7
