Show in 'hyssopgrade loss' which programs were lost in which second, and why

The time per prompt token is the tenth percentile of what the replicas took. Checked: TestSeconds, TestPrograms (its expected prefill is now the observed one).

--- a/cmd/hyssopgrade/explain.go
+++ b/cmd/hyssopgrade/explain.go
@@ -29,13 +29,18 @@
 	return &cli.Command{
 		Name: "loss", Usage: "split the time of programs by route and end, from the logs of all VMs",
 		ArgsUsage: "[LOG…] (standard input without one)",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "seconds", Usage: "print the ends of programs by second, with the causes of late and failed ones"}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			return withLogs(c.Args().Slice(), func(logs io.Reader) error {
 				lines, err := hgexplain.Read(logs)
 				if err != nil {
 					return err
 				}
-				return hgloss.Write(os.Stdout, hgloss.Groups(hgloss.Programs(lines)))
+				programs := hgloss.Programs(lines)
+				if c.Bool("seconds") {
+					return hgloss.WriteSeconds(os.Stdout, hgloss.Seconds(programs))
+				}
+				return hgloss.Write(os.Stdout, hgloss.Groups(programs))
 			})
 		},
 	}
--- a/internal/operate/hgloss/loss.go
+++ b/internal/operate/hgloss/loss.go
@@ -65,6 +65,10 @@
 	// Route is the route of the first turn, or of the last request if there was no turn.
 	Route   string
 	Outcome Outcome
+	// Cause says why the program was late or failed; it is empty for other outcomes.
+	Cause Cause
+	// Began is when the first request of the program began.
+	Began time.Time
 	// Overrun is the time by which the program missed its deadline; negative if it was in time.
 	Overrun time.Duration
 	Turns   int
@@ -73,23 +77,43 @@
 	Times    Times
 }
 
-// prefillPerToken is the time in which an idle engine reads one prompt token; the engines in use read about 59 a
-// millisecond.
-const prefillPerToken = 17 * time.Microsecond
+const (
+	// prefillQuantile is the quantile of the times per prompt token that stands for an idle engine.
+	prefillQuantile = 0.1
+	// minPrefill is the least number of prompt tokens to read for which the time to the head of the answer tells how
+	// fast the engine reads.
+	minPrefill = 500
+)
+
+// prefillPerToken estimates the time in which an idle engine reads one prompt token, from the fastest requests that had
+// many to read; 0 if there are none.
+func prefillPerToken(requests []request) time.Duration {
+	perToken := lo.FilterMap(requests, func(r request, _ int) (time.Duration, bool) {
+		return r.head / time.Duration(max(r.miss, 1)), r.status == http.StatusOK && r.miss >= minPrefill && r.head > 0
+	})
+	if len(perToken) == 0 {
+		return 0
+	}
+	slices.Sort(perToken)
+	return perToken[int(prefillQuantile*float64(len(perToken)))]
+}
 
 // Programs returns the summaries of all programs in the log lines, sorted by identifier.
 func Programs(lines []hgexplain.Line) (programs []Program) {
-	byID := lo.GroupBy(lo.FilterMap(lines, parseRequest), func(r request) string { return r.program })
+	requests := lo.FilterMap(lines, parseRequest)
+	perToken := prefillPerToken(requests)
+	byID := lo.GroupBy(requests, func(r request) string { return r.program })
 	for _, id := range slices.Sorted(maps.Keys(byID)) {
-		programs = append(programs, summarize(id, byID[id]))
+		programs = append(programs, summarize(id, byID[id], perToken))
 	}
+	setLateCauses(programs)
 	return programs
 }
 
-// summarize returns the summary of the program to which the requests belong.
-func summarize(id string, requests []request) (p Program) {
+// summarize returns the summary of the program to which the requests belong. Engines read a prompt token in perToken.
+func summarize(id string, requests []request, perToken time.Duration) (p Program) {
 	slices.SortFunc(requests, func(a, b request) int { return cmp.Compare(a.end.UnixNano(), b.end.UnixNano()) })
-	p = Program{ID: id}
+	p = Program{ID: id, Began: slices.MinFunc(requests, func(a, b request) int { return a.start().Compare(b.start()) }).start()}
 	refusedAt := map[string]time.Time{} // by session
 	for _, r := range requests {
 		if at, ok := refusedAt[r.session]; ok && r.start().After(at) {
@@ -105,11 +129,13 @@
 			p.Turns++
 			p.Route = cmp.Or(p.Route, r.route)
 		}
-		p.Times = p.Times.plus(r.times())
+		p.Times = p.Times.plus(r.times(perToken))
 	}
 	last := requests[len(requests)-1]
 	p.Overrun = last.took - last.deadlineLeft
-	p.Outcome = last.outcome()
+	if p.Outcome = last.outcome(); p.Outcome == Failed {
+		p.Cause = last.failureCause()
+	}
 	p.Route = cmp.Or(p.Route, last.route)
 	return p
 }
--- a/internal/operate/hgloss/request.go
+++ b/internal/operate/hgloss/request.go
@@ -9,10 +9,10 @@
 
 // request is the log line that an entry VM writes at the end of a request of a program.
 type request struct {
-	program, session, route string
-	status                  int
-	end                     time.Time
-	took, deadlineLeft      time.Duration
+	program, session, route, reason string
+	status                          int
+	end                             time.Time
+	took, deadlineLeft              time.Duration
 	// open and save are the time for the turn in the ledger before and after the request, place the wait for a replica,
 	// and head the time from the dispatch to the head of the last answer.
 	open, place, head, save time.Duration
@@ -29,6 +29,7 @@
 	}
 	r.session, _ = l.Fields["session"].(string)
 	r.route, _ = l.Fields["route"].(string)
+	r.reason, _ = l.Fields["reason"].(string)
 	r.status = int(number(l, "status"))
 	r.end = l.Time
 	r.took, r.deadlineLeft = millis(l, "ms"), millis(l, "aimLeftMs")
@@ -50,12 +51,12 @@
 
 func (r request) start() time.Time { return r.end.Add(-r.took) }
 
-// times returns the time of the request by phase.
-func (r request) times() Times {
+// times returns the time of the request by phase. Engines read a prompt token in perToken.
+func (r request) times(perToken time.Duration) Times {
 	if !r.isTurn {
 		return Times{Tools: r.took}
 	}
-	prefill := min(time.Duration(r.miss)*prefillPerToken, r.head)
+	prefill := min(time.Duration(r.miss)*perToken, r.head)
 	return Times{
 		StateOpen: r.open, Placement: r.place, StateSave: r.save, Prefill: prefill, Queue: r.head - prefill,
 		Decode: max(r.took-r.open-r.place-r.head-r.save, 0),
