Keep a slow or silent store out of the path of turns

Cause: turns found out one by one that the store does not answer. Change: - hgreach: a monitor of the store (reachable, slow, unreachable), fed by every call; entry VMs probe while it is not reachable or a peer has lost it, and tell peers at once. Unreachable after 400 ms without an answer (was up to 2.2 s). - hgledger: a turn that the store has not granted after 50 ms (at once if it is slow) is granted from the share that is held or, for a new program, by peers; a ledger without a share names the one that has one. Reservations without the store are of the expected tokens and are extended while the turn runs. Claims are saved without holding up turns. Up to six transactions of a partition at once in a slow store; a turn is written to a second partition beside the first. A conflict's rows are used instead of reading them again. Failover of partitions is for partial silence only. - hgfeed: watches call again at once when the store is back. VMs without a desired state say 0.8 to 1.2 s as time to come back.

--- a/hgstore/memory.go
+++ b/hgstore/memory.go
@@ -15,6 +15,8 @@
 type Fault struct {
 	// Down fails every operation without executing it.
 	Down bool `json:"down"`
+	// Hang leaves every operation without an answer until its context ends.
+	Hang bool `json:"hang"`
 	// DelayMs delays every operation, in milliseconds.
 	DelayMs int `json:"delayMs"`
 	// LoseReplies is the number of following commits that take effect but return an error.
@@ -85,11 +87,14 @@
 	m.mu.Lock()
 	f := m.fault
 	m.mu.Unlock()
+	hangs := f.Hang
 	for _, key := range keys {
-		if name := strings.SplitN(key, "/", 3); len(name) == 3 && slices.Contains(f.Silent, name[1]) {
-			<-ctx.Done()
-			return ctx.Err()
-		}
+		name := strings.SplitN(key, "/", 3)
+		hangs = hangs || len(name) == 3 && slices.Contains(f.Silent, name[1])
+	}
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
 	}
 	if f.DelayMs > 0 {
 		select {
--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -25,6 +25,7 @@
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hghedge"
 	"hyssopgrade/internal/state/hgledger"
+	"hyssopgrade/internal/state/hgreach"
 	hgplatform "hyssopgrade/platform"
 )
 
@@ -52,7 +53,7 @@
 	log     *slog.Logger
 	timer   *hgtimer.Service
 	store   *hgplatform.Store
-	health  health
+	reach   reach
 	members *hgpeer.Members
 	client  *hgpeer.Client
 	// tlsConfig secures the connections between nodes; nil if they are not encrypted.
@@ -77,6 +78,8 @@
 	public    *http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
+	// probedAt is when the store was last probed; only watchStore uses it.
+	probedAt time.Duration
 	// desiredAt is when the current desired state took effect, in nanoseconds of the timer.
 	desiredAt atomic.Int64
 }
@@ -95,8 +98,8 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	boot := cfg.VM.Name + "/" + uuid.NewString()
-	n.health.timer = n.timer
-	n.store = hgplatform.NewStore(cfg.Store.Address, storeTimeout, n.health.observe)
+	n.reach = reach{monitor: hgreach.NewMonitor(), timer: n.timer}
+	n.store = hgplatform.NewStore(cfg.Store.Address, storeTimeout, n.reach)
 	n.metrics = hgtelemetry.NewRecorder(log)
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
@@ -104,7 +107,8 @@
 	}, cfg.VM.Domains...)
 	n.client = hgpeer.NewClient(n.tlsConfig)
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
-		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithAllProgramsKnown(cfg.VM.FirstStart), hgledger.WithMarkers())
+		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithAllProgramsKnown(cfg.VM.FirstStart), hgledger.WithMarkers(),
+		hgledger.WithReachability(n.reach.state))
 	n.replicas = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
 	n.suspects = &suspects{List: hgsuspect.NewList(n.timer, log), node: n}
 	n.replicas.OnEnd(n.suspects.replicaEnded)
@@ -149,6 +153,7 @@
 	n.wg.Go(n.runHeartbeats)
 	n.timer.Every(minRetention/4, n.evict)
 	n.timer.Every(savePeriod, n.saveBudgets)
+	n.timer.Every(reachPeriod, n.watchStore)
 	n.timer.Every(suspectPeriod, n.suspects.save)
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgcodec"
 	"hyssopgrade/hgstore"
-	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
@@ -89,6 +87,13 @@
 	return h.ledger.Close(ctx, q)
 }
 
+// Extend adds tokens to the reservation of a turn that was opened for a peer.
+func (h *peerHandler) Extend(q hgledger.ExtendRequest) hgledger.ExtendReply {
+	ctx, cancel := context.WithTimeout(h.ctx, heartbeatTimeout)
+	defer cancel()
+	return h.ledger.Extend(ctx, q)
+}
+
 // closeTimeout bounds settling a turn or keeping a copy for a peer, which waits no longer for the answer, and each attempt to
 // save budgets.
 const closeTimeout = 3 * time.Second
@@ -188,7 +193,7 @@
 	if unsaved := n.ledger.Unsaved(); unsaved != n.members.Self().Unsaved {
 		n.broadcastHeartbeat()
 	}
-	if !n.health.ok() {
+	if !n.reach.ok() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, closeTimeout)
@@ -240,38 +245,6 @@
 	}
 }
 
-// health tracks whether the store answers this node.
-type health struct {
-	timer *hgtimer.Service
-
-	mu sync.Mutex
-	// lastOK is the time of the last answer, and failingSince that of the first failure after it; 0 if there is none.
-	lastOK, failingSince time.Duration
-}
-
-// outageAfter is how long the store may fail until it counts as unreachable.
-const outageAfter = 400 * time.Millisecond
-
-// observe records the result of a call to the store.
-func (h *health) observe(err error) {
-	now := h.timer.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch {
-	case err == nil:
-		h.lastOK, h.failingSince = now, 0
-	case h.failingSince == 0:
-		h.failingSince = now
-	}
-}
-
-// ok says whether the store is reachable: it has answered before and has not failed for outageAfter since.
-func (h *health) ok() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.lastOK > 0 && (h.failingSince == 0 || h.timer.Now()-h.failingSince < outageAfter)
-}
-
 // knowsTables says whether the node has read all watched tables, from the store or from a peer.
 func (n *Node) knowsTables() bool {
 	return lo.EveryBy(lo.Values(n.watches), func(w *hgfeed.Watch) bool { return w.Changed() > 0 })
@@ -280,7 +253,7 @@
 // updateReady updates what this node tells peers of its state. The node is ready for callers if it has a desired state, has read
 // all watched tables, is not stopping, and reaches the store or has live peers.
 func (n *Node) updateReady() {
-	storeOK := n.health.ok()
+	storeOK := n.reach.ok()
 	ready := n.entry.Desired() != nil && n.knowsTables() && !n.stopping.Load()
 	if !storeOK && ready {
 		ready = len(n.members.Live()) > 0
--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -19,7 +19,7 @@
 	self := n.members.Self()
 	placer, _ := n.members.Placer()
 	s := hgstatus.Status{
-		VM: self.Name, Domain: self.Domain, Ready: self.Ready, Stopping: self.Stopping, StoreOK: n.health.ok(),
+		VM: self.Name, Domain: self.Domain, Ready: self.Ready, Stopping: self.Stopping, StoreOK: n.reach.ok(),
 		Running: n.entry.Running(), Programs: n.ledger.Programs(), Placer: placer.Name,
 	}
 	if d := n.entry.Desired(); d != nil {
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -73,6 +73,8 @@
 	// Open and Close open and settle a turn of a program for a peer.
 	Open(q hgledger.OpenRequest) hgledger.OpenReply
 	Close(q hgledger.CloseRequest) error
+	// Extend adds tokens to the reservation of a turn that was opened for a peer.
+	Extend(q hgledger.ExtendRequest) hgledger.ExtendReply
 	// Copy stores a copy of the peer's claim on a program's budget.
 	Copy(c hgledger.Copy) OKReply
 	// Part returns the claims on a program's budget that this node knows of.
--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -41,6 +41,17 @@
 	return owner, owner.Name == m.self.Name, owner.Name != "" && !owner.StoreOK
 }
 
+// ByBoot returns the live node whose process has an identifier; self says that it is this node.
+func (m *Members) ByBoot(boot string) (node Info, self, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if boot == m.self.Boot {
+		return m.self, true, true
+	}
+	node, ok = lo.Find(m.live(), func(i Info) bool { return i.Boot == boot })
+	return node, false, ok
+}
+
 // inOwnDomain returns the nodes that are in this node's failure domain.
 func (m *Members) inOwnDomain(nodes []Info) []Info {
 	return lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -16,6 +16,8 @@
 	// openTimeout and closeTimeout bound the calls to a peer whose heartbeats go on, for example while the store is slow.
 	openTimeout  = 1500 * time.Millisecond
 	closeTimeout = 3 * time.Second
+	// extendTimeout bounds a call for more tokens. The turn has a few more events to deliver meanwhile.
+	extendTimeout = 300 * time.Millisecond
 )
 
 // Programs opens and closes turns at the node that owns a program, and at this node's own ledger if the owner does not
@@ -46,6 +48,21 @@
 			return reply, server
 		}
 	}
+	reply, server := p.openAt(ctx, owner, self, q)
+	if reply.Verdict != hgledger.Outage || reply.Elsewhere == "" {
+		return reply, server
+	}
+	if holder, isSelf, ok := p.members.ByBoot(reply.Elsewhere); ok {
+		known := q
+		known.Offline, known.KnownOnly = true, true
+		if r, server := p.openAt(ctx, holder, isSelf, known); r.Verdict == hgledger.Granted || r.Verdict == hgledger.Spent {
+			return r, server
+		}
+	}
+	if offline {
+		return reply, server
+	}
+	q.Here = true
 	return p.openAt(ctx, owner, self, q)
 }
 
@@ -91,6 +108,21 @@
 	return p.ledger.Close(ctx, q)
 }
 
+// Extend asks the node that opened a turn for more tokens, and returns how many were added to its reservation. A node that does
+// not answer adds none as far as the turn is concerned.
+func (p *Programs) Extend(ctx context.Context, owner Info, q hgledger.ExtendRequest) (tokens int) {
+	ctx, cancel := context.WithTimeout(ctx, extendTimeout)
+	defer cancel()
+	if owner.Name == p.members.Self().Name {
+		return p.ledger.Extend(ctx, q).Tokens
+	}
+	reply, err := p.client.Extend(ctx, owner.Peer, q)
+	if err != nil {
+		p.log.Warn("peer did not extend the reservation", "peer", owner.Name, "attempt", q.Attempt, "error", err)
+	}
+	return reply.Tokens
+}
+
 // waitPolicy returns a policy that waits up to timeout while the peer shows signs of life, for example while the store is
 // slow.
 func (p *Programs) waitPolicy(peer Info, timeout time.Duration) waitPolicy {
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -47,6 +47,12 @@
 // Close settles a turn that this node opened.
 func (s service) Close(q hgledger.CloseRequest, _ *Empty) error { return s.h.Close(q) }
 
+// Extend adds tokens to the reservation of a turn that this node opened.
+func (s service) Extend(q hgledger.ExtendRequest, reply *hgledger.ExtendReply) error {
+	*reply = s.h.Extend(q)
+	return nil
+}
+
 // Copy stores a copy of the calling node's claim on a program's budget.
 func (s service) Copy(c hgledger.Copy, reply *OKReply) error {
 	*reply = s.h.Copy(c)
@@ -229,6 +235,11 @@
 	return err
 }
 
+// Extend asks the peer that opened a turn for more tokens.
+func (c *Client) Extend(ctx context.Context, address string, q hgledger.ExtendRequest) (hgledger.ExtendReply, error) {
+	return call[hgledger.ExtendRequest, hgledger.ExtendReply](ctx, c, address, "Extend", q)
+}
+
 // Copy asks a peer to hold a copy of this node's claim on a program's budget.
 func (c *Client) Copy(ctx context.Context, address string, q hgledger.Copy) (OKReply, error) {
 	return call[hgledger.Copy, OKReply](ctx, c, address, "Copy", q)
--- a/internal/proof/hgsite/caller.go
+++ b/internal/proof/hgsite/caller.go
@@ -36,6 +36,15 @@
 	Took     time.Duration
 }
 
+// RetryAfter returns the time after which the VM asks the caller to come back; 0 if it names none.
+func (r Reply) RetryAfter() time.Duration {
+	d, err := time.ParseDuration(r.Header.Get("Retry-After") + "s")
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 var callerClient = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}
 
 // NewAttempt returns a unique attempt identifier.
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -160,6 +160,19 @@
 	r.pause = d
 }
 
+// SetEvents sets the number of events of a stream.
+func (r *Replica) SetEvents(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = n
+}
+
+func (r *Replica) eventCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events
+}
+
 func (r *Replica) sleep() {
 	r.mu.Lock()
 	d := r.pause
@@ -271,7 +284,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	for i := first; i <= r.events; i++ {
+	for i := first; i <= r.eventCount(); i++ {
 		r.sleep()
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, Event(i))
 		cut := f.CutAfterEvents > 0 && i > f.CutAfterEvents
@@ -293,7 +306,7 @@
 // Output returns the text of a complete stream, in the form in which it becomes part of the next prompt.
 func (r *Replica) Output() string {
 	var b strings.Builder
-	for i := 1; i <= r.events; i++ {
+	for i := 1; i <= r.eventCount(); i++ {
 		b.WriteString(Event(i) + "\n")
 	}
 	return b.String()
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,8 @@
 	Open(ctx context.Context, q hgledger.OpenRequest) (reply hgledger.OpenReply, owner hgpeer.Info)
 	// Close releases what is left of the turn's reservation. If the turn is to be retained, Close returns once it is durable.
 	Close(ctx context.Context, owner hgpeer.Info, q hgledger.CloseRequest) (err error)
+	// Extend adds tokens to the turn's reservation and returns how many.
+	Extend(ctx context.Context, owner hgpeer.Info, q hgledger.ExtendRequest) (tokens int)
 }
 
 // Placer queues requests for engines and grants them leases on replicas.
@@ -173,7 +176,7 @@
 		return
 	}
 	if x.state == nil {
-		x.refuse(http.StatusServiceUnavailable, "no desired state yet")
+		x.respond(http.StatusServiceUnavailable, "no desired state yet", retryAfterNotReady*(0.8+0.4*rand.Float64()))
 		return
 	}
 	route, ok := x.state.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath())
@@ -269,6 +272,9 @@
 	// retryAfterOutage is sent when no node reaches the store. It is long because callers make few attempts: these have to
 	// span an outage of several seconds.
 	retryAfterOutage = 1.2
+	// retryAfterNotReady is sent by a node that has just started and does not know the desired state yet. All nodes may have
+	// been lost at once, during an outage of the store.
+	retryAfterNotReady = 1.0
 )
 
 // refuse responds with an error to a request that was not run.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -143,7 +143,7 @@
 	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	events.Split(splitEvent)
 	for events.Scan() {
-		if !x.withinReservation(s) {
+		if !x.fitsReservation(s) {
 			return errTokenLimit
 		}
 		x.writeHead(s, t)
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -22,6 +22,8 @@
 	retained bool
 	// closed says that the turn is being closed or was closed.
 	closed bool
+	// extension delivers the result of a request for more tokens; nil if none is in flight.
+	extension chan int
 }
 
 // openTurn asks x.entry.programs whether the turn may run, and reports the answer. If it may not, openTurn has responded to
@@ -29,7 +31,7 @@
 func (x *exchange) openTurn() bool {
 	a := x.attempt
 	q := hgledger.OpenRequest{
-		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate,
+		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate, Extendable: true,
 	}
 	q.NoNew = x.entry.placer.IsFull(x.service(), x.route.Priority)
 	if x.route.Retain {
@@ -93,11 +95,6 @@
 	}
 }
 
-// withinReservation reports whether one more event fits the turn's token reservation. The first event always does.
-func (x *exchange) withinReservation(s *stream) bool {
-	return x.turn == nil || !x.attempt.HasBudget || (s.events+1)*x.tokensPerEvent() <= max(x.turn.open.Most, x.tokensPerEvent())
-}
-
 // tokensPerEvent returns the number of tokens that one event of the route's engines stands for.
 func (x *exchange) tokensPerEvent() int {
 	for _, s := range x.route.Shares {
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -62,6 +62,8 @@
 	// wait returns how long the store may hold a poll for which it has no changes.
 	wait func() time.Duration
 	poll longPoll
+	// wake ends the pause between two calls.
+	wake chan struct{}
 	// peerVersion is the first version beyond the snapshot's that a peer has reported, and peerVersionAt when it did.
 	peerVersion   uint64
 	peerVersionAt time.Duration
@@ -71,7 +73,7 @@
 func NewWatch(store hgstore.Feed, table string, timer hgtimer.Timer, log *slog.Logger, onChange func(rows map[string]hgstore.Row, grace time.Duration), opts ...Option) *Watch {
 	w := &Watch{
 		store: store, table: table, timer: timer, log: log, onChange: onChange, snapshot: Snapshot{Rows: map[string]hgstore.Row{}},
-		wait: func() time.Duration { return DefaultWait },
+		wait: func() time.Duration { return DefaultWait }, wake: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -89,25 +91,43 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-w.wake:
 		case <-time.After(pause):
 		}
 	}
 }
 
+// Retry makes a watch that is failing call the store at once, instead of after its pause or the timeout of the call in flight.
+// It is called when the store is known to answer again.
+func (w *Watch) Retry() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listed {
+		return
+	}
+	if w.poll.cancel != nil {
+		w.poll.cancel()
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
 // step makes one call to the store: a list if there is no base for changes, otherwise a poll for changes.
 func (w *Watch) step(ctx context.Context) error {
 	w.mu.Lock()
 	listed, after := w.listed, w.snapshot.Version
 	w.mu.Unlock()
+	pollCtx, wait, end := w.beginPoll(ctx)
+	defer end()
 	if !listed {
-		rows, version, err := w.store.List(ctx, w.table+"//")
+		rows, version, err := w.store.List(pollCtx, w.table+"//")
 		if err == nil {
 			w.applyList(rows, version)
 		}
 		return err
 	}
-	pollCtx, wait, end := w.beginPoll(ctx)
-	defer end()
 	changes, version, err := w.store.Changes(pollCtx, w.table, after, wait)
 	if err != nil && pollCtx.Err() != nil && ctx.Err() == nil {
 		// This node cancelled the poll to start a new one; that is no failure of the store.
--- a/internal/state/hgfeed/poll.go
+++ b/internal/state/hgfeed/poll.go
@@ -15,7 +15,7 @@
 // maxLag is how long a peer may know of a newer version before an extended poll for it is cancelled.
 const maxLag = 250 * time.Millisecond
 
-// longPoll is a call to the store that is waiting for changes.
+// longPoll is a call to the store that is waiting for changes, or for a list of the table.
 type longPoll struct {
 	// cancel ends the call; nil if none is in flight.
 	cancel context.CancelFunc
--- a/internal/state/hgledger/committer.go
+++ b/internal/state/hgledger/committer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
 )
 
 const (
@@ -41,22 +42,31 @@
 	return n
 }
 
-// committer batches changes: those that arrive while a transaction of their partition is in flight share the next one.
+// committer batches changes: those that arrive while a transaction of their partition is in flight share the next one. In a
+// slow store several transactions of a partition are in flight at once, so that a change does not wait for those before it.
 type committer struct {
 	table hgstore.Table
+	timer hgtimer.Timer
 	opts  options
 
-	mu      sync.Mutex
-	waiting [numPartitions][]change
-	running [numPartitions]bool
-	// failures counts the consecutive failures of a partition's transactions; a failure without a reply counts twice.
-	// lastFailure is the time of the last one.
-	failures    [numPartitions]int
-	lastFailure [numPartitions]time.Time
+	mu         sync.Mutex
+	partitions [numPartitions]partition
 	// duration is the moving average of the duration of transactions.
 	duration time.Duration
 }
 
+// partition is the state of one partition of the store.
+type partition struct {
+	waiting []change
+	// running is the number of transactions in flight, and lastStart the time at which the last one was started.
+	running   int
+	lastStart time.Duration
+	// failures counts the consecutive failures of transactions; a failure without a reply counts twice. lastFailure is the
+	// time of the last one.
+	failures    int
+	lastFailure time.Duration
+}
+
 // durationWeight is the weight of a new observation in the moving average of the duration of transactions.
 const durationWeight = 0.2
 
@@ -83,7 +93,20 @@
 func (c *committer) isUnreachable(partition int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failures[partition] >= unreachableAfter && time.Since(c.lastFailure[partition]) < probeAfter
+	p := &c.partitions[partition]
+	return p.failures >= unreachableAfter && c.timer.Now()-p.lastFailure < probeAfter
+}
+
+const (
+	// slowTransaction is the duration from which a transaction no longer holds up the next one of its partition.
+	slowTransaction = 50 * time.Millisecond
+	// maxConcurrent bounds the transactions of a partition in flight in a slow store.
+	maxConcurrent = 6
+)
+
+// mayStart reports whether another transaction of a partition may be started; c.mu is held.
+func (c *committer) mayStart(p *partition) bool {
+	return p.running == 0 || p.running < maxConcurrent && c.timer.Now()-p.lastStart >= slowTransaction
 }
 
 // record records the end of a transaction: decided means that it was applied or refused by a condition, not that it
@@ -91,22 +114,23 @@
 func (c *committer) record(partition int, decided bool, took time.Duration) (failures int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	failures = c.failures[partition]
+	p := &c.partitions[partition]
+	failures = p.failures
 	if decided {
-		c.failures[partition] = 0
+		p.failures = 0
 		c.duration += time.Duration(durationWeight * float64(took-c.duration))
 		return failures
 	}
-	c.failures[partition]++
+	p.failures++
 	if took >= noReplyTime {
-		c.failures[partition]++
+		p.failures++
 	}
-	c.lastFailure[partition] = time.Now()
+	p.lastFailure = c.timer.Now()
 	return failures
 }
 
-func newCommitter(table hgstore.Table, o options) *committer {
-	return &committer{table: table, opts: o}
+func newCommitter(table hgstore.Table, timer hgtimer.Timer, o options) *committer {
+	return &committer{table: table, timer: timer, opts: o}
 }
 
 // commit applies a change and returns the version of the rows it wrote. It retries until the change is applied, a
@@ -114,9 +138,11 @@
 func (c *committer) commit(ctx context.Context, partition int, ch change) (version uint64, err error) {
 	ch.ctx, ch.done = ctx, make(chan outcome, 1)
 	c.mu.Lock()
-	c.waiting[partition] = append(c.waiting[partition], ch)
-	if !c.running[partition] {
-		c.running[partition] = true
+	p := &c.partitions[partition]
+	p.waiting = append(p.waiting, ch)
+	if c.mayStart(p) {
+		p.running++
+		p.lastStart = c.timer.Now()
 		go c.run(partition)
 	}
 	c.mu.Unlock()
@@ -139,12 +165,14 @@
 	}
 }
 
-// nextBatch removes the changes of the next transaction from the queue, and discards those whose context has ended.
+// nextBatch removes the changes of the next transaction from the queue, and discards those whose context has ended. Without
+// any left, the transactions of this goroutine end.
 func (c *committer) nextBatch(partition int) (batch []change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	p := &c.partitions[partition]
 	entries, bytes := 0, 0
-	queue := c.waiting[partition]
+	queue := p.waiting
 	for len(queue) > 0 {
 		ch := queue[0]
 		if ch.ctx.Err() != nil {
@@ -159,8 +187,11 @@
 		batch = append(batch, ch)
 		queue = queue[1:]
 	}
-	c.waiting[partition] = queue
-	c.running[partition] = len(batch) > 0
+	p.waiting = queue
+	if len(batch) == 0 {
+		p.running--
+	}
+	p.lastStart = c.timer.Now()
 	return batch
 }
 
@@ -172,12 +203,12 @@
 		t.Conditions = append(t.Conditions, ch.conditions...)
 		t.Puts = append(t.Puts, ch.puts...)
 	}
-	began := time.Now()
+	began := c.timer.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	version, err := c.table.Commit(ctx, t)
 	conflict := conflictOf(err)
-	failures := c.record(partition, err == nil || conflict != nil, time.Since(began))
+	failures := c.record(partition, err == nil || conflict != nil, c.timer.Now()-began)
 	if err == nil {
 		for _, ch := range batch {
 			ch.done <- outcome{version: version}
@@ -224,7 +255,8 @@
 func (c *committer) requeue(partition int, batch []change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting[partition] = append(batch, c.waiting[partition]...)
+	p := &c.partitions[partition]
+	p.waiting = append(batch, p.waiting...)
 }
 
 // conflictOf returns the conflict that err reports, or nil.
--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"time"
@@ -43,37 +44,76 @@
 	return puts, nil
 }
 
-// storeTimeout is how long a write of a turn to one partition may take before the next partition is tried. In a slow
+// storeTimeout is how long a write of a turn to one partition may take before another partition is tried as well. In a slow
 // store it is storeTimeoutFactor times the average duration of a write.
 const (
 	storeTimeout       = 300 * time.Millisecond
 	storeTimeoutFactor = 3
+	// maxStoreWrites is the number of partitions to which a turn is written at the same time.
+	maxStoreWrites = 2
 )
 
-// storeTurn makes a turn durable, in the program's home partition or, while that is unreachable, in an alternate one.
-// It tries them in turn until the context ends.
+// storeTurn makes a turn durable, in the program's home partition or, while that does not answer, in an alternate one. It
+// tries them one after the other until the context ends. A write goes on beside the next one, as it may only be slow.
 func (l *Ledger) storeTurn(ctx context.Context, program string, t hgturn.Turn) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	home := homePartition(program)
+	results := make(chan error)
+	var writes []context.CancelFunc
 	for i := 0; ; i = (i + 1) % (alternates + 1) {
 		partition := alternatePartition(home, i)
 		puts, err := turnPuts(partition, program, t)
 		if err != nil {
 			return err
 		}
-		if err = l.putRows(ctx, partition, puts); err == nil || ctx.Err() != nil {
+		if len(writes) == maxStoreWrites {
+			writes[0]()
+			writes = writes[1:]
+		}
+		writeCtx, cancelWrite := context.WithCancel(ctx)
+		writes = append(writes, cancelWrite)
+		go func() {
+			select {
+			case results <- l.putRows(writeCtx, partition, puts):
+			case <-ctx.Done():
+			}
+		}()
+		if done, err := l.awaitWrite(ctx, results); done {
 			return err
 		}
 	}
 }
 
+// awaitWrite waits for the result of a write, for as long as a write should take. It returns false if the write failed or is
+// late, so that another one is to be tried.
+func (l *Ledger) awaitWrite(ctx context.Context, results <-chan error) (done bool, err error) {
+	late := time.After(max(storeTimeout, storeTimeoutFactor*l.committer.averageDuration()))
+	for {
+		select {
+		case err := <-results:
+			switch {
+			case err == nil:
+				return true, nil
+			case ctx.Err() != nil:
+				return true, ctx.Err()
+			case !errors.Is(err, context.Canceled):
+				return false, nil
+			}
+		case <-late:
+			return false, nil
+		case <-ctx.Done():
+			return true, ctx.Err()
+		}
+	}
+}
+
 // putRows writes rows to a partition. It fails after a pause if the partition counts as unreachable.
 func (l *Ledger) putRows(ctx context.Context, partition int, puts []hgstore.Put) (err error) {
 	if l.committer.isUnreachable(partition) {
 		// The pause keeps storeTurn from spinning while all partitions are unreachable.
 		return sleep(ctx, retryAfter, trace.ConnectionProblem(nil, "part %d is out of reach", partition))
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(storeTimeout, storeTimeoutFactor*l.committer.averageDuration()))
-	defer cancel()
 	_, err = l.committer.commit(ctx, partition, change{puts: puts})
 	return err
 }
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -12,6 +12,7 @@
 	"hyssopgrade/hgstore"
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/serve/hgattempt"
+	"hyssopgrade/internal/state/hgreach"
 	"hyssopgrade/internal/state/hgturn"
 )
 
@@ -57,6 +58,10 @@
 	KnownOnly bool
 	// Whole is set if an offline ledger must not grant fewer tokens than Most.
 	Whole bool
+	// Here is set if the ledger must not name another one in Elsewhere before it has waited for the store.
+	Here bool
+	// Extendable is set if the asking node extends a reservation that is smaller than Most while the turn runs.
+	Extendable bool
 }
 
 // OpenReply is the decision on a turn. Peers exchange it with encoding/gob under its Go field names.
@@ -72,6 +77,24 @@
 	Most   int
 	// New is set if the ledger has served no turn of the program before.
 	New bool
+	// Elsewhere names a ledger with a share of the budget, if the store is unreachable or slow and this ledger has none.
+	Elsewhere string
+}
+
+// ExtendRequest asks for more tokens for a turn whose reservation is smaller than its maximum output. Peers exchange it with
+// encoding/gob under its Go field names.
+type ExtendRequest struct {
+	Program, Attempt string
+	// Holder is the Holder of the OpenReply.
+	Holder string
+	// Budget is the program's budget and Tokens the number of tokens to add.
+	Budget, Tokens int
+}
+
+// ExtendReply is the answer to an ExtendRequest. Peers exchange it with encoding/gob under its Go field names.
+type ExtendReply struct {
+	// Tokens is the number of tokens that were added to the reservation; 0 if there are none to be had.
+	Tokens int
 }
 
 // CloseRequest settles a turn. Peers exchange it with encoding/gob under its Go field names.
@@ -93,9 +116,6 @@
 	// openTimeout bounds Open, and the wait for the program's lock when a turn is settled. An attempt that waits longer
 	// for its opening is of little use to the caller.
 	openTimeout = 1200 * time.Millisecond
-	// reserveTimeout bounds a reservation through the store. After it the program's partition of the store counts as
-	// unreachable for this turn. It is longer than a write takes in a slow store.
-	reserveTimeout = 800 * time.Millisecond
 	// numShards is the number of shards of the map of programs, each with its own lock.
 	numShards = 16
 )
@@ -108,6 +128,7 @@
 	timer     hgtimer.Timer
 	log       *slog.Logger
 	committer *committer
+	reach     func() hgreach.State
 	backup    Backup
 	known     knownPrograms
 	// unsaved is the number of programs of which this ledger has claimed more than their rows record.
@@ -125,7 +146,7 @@
 // earlier process of the same node, as claims in rows are recorded under it.
 func NewLedger(id string, table hgstore.Table, timer hgtimer.Timer, log *slog.Logger, opts ...Option) *Ledger {
 	o := newOptions(opts)
-	l := &Ledger{id: id, table: table, timer: timer, log: log, committer: newCommitter(table, o), backup: o.backup, known: knownPrograms{lastSeen: map[uint64]time.Duration{}, complete: o.complete}}
+	l := &Ledger{id: id, table: table, timer: timer, log: log, committer: newCommitter(table, timer, o), reach: o.reach, backup: o.backup, known: knownPrograms{lastSeen: map[uint64]time.Duration{}, complete: o.complete}}
 	l.markersRead.Store(!o.awaitMarkers)
 	for i := range l.shards {
 		l.shards[i].programs = map[string]*program{}
@@ -162,7 +183,11 @@
 	}
 	if reply.Most, verdict, err = l.reserve(ctx, p, q, isNew); verdict != Granted {
 		l.logRefusal("turn not granted", q, verdict, err)
-		return OpenReply{Verdict: verdict}
+		reply = OpenReply{Verdict: verdict}
+		if verdict == Outage && l.needsHolder(p, q) {
+			reply.Elsewhere = l.holder(ctx, p)
+		}
+		return reply
 	}
 	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] = reply.Most
@@ -173,97 +198,11 @@
 	return reply
 }
 
-// reserve reserves tokens for a turn and returns their number. The reservation goes through the program's row if its
-// partition of the store is reachable.
-func (l *Ledger) reserve(ctx context.Context, p *program, q OpenRequest, isNew bool) (reserved int, v Verdict, err error) {
-	if !p.rowKnown && !l.markersRead.Load() {
-		return 0, Undecided, trace.NotFound("failover markers have not been read yet")
-	}
-	if q.Offline || l.committer.isUnreachable(p.partition) && !l.failOver(ctx, p, isNew) {
-		reserved, v = l.reserveOffline(ctx, p, q, isNew)
-		return reserved, v, nil
-	}
-	l.fetchUnsavedClaims(ctx, p)
-	online, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	if v, err = l.reserveOnline(online, p, q.Budget, q.Most); v != Undecided || ctx.Err() != nil {
-		return q.Most, v, err
-	}
-	if reserved, v = l.reserveOffline(ctx, p, q, isNew); v == Granted {
-		return reserved, Granted, nil
-	}
-	return 0, Undecided, err
-}
-
 func (l *Ledger) logRefusal(msg string, q OpenRequest, v Verdict, err error) {
 	l.log.Info(msg, "attempt", q.Attempt, "program", q.Program, "previous", q.Previous, "budget", q.Budget, "most", q.Most,
 		"verdict", v, "error", err)
 }
 
-// recheckAfter is the age of the last read after which the row is read again before a turn is refused because of the
-// shares of other nodes.
-const recheckAfter = 500 * time.Millisecond
-
-// reserveOnline reserves tokens of the budget. It writes the row if this ledger's share is too small.
-func (l *Ledger) reserveOnline(ctx context.Context, p *program, budget, maxTokens int) (v Verdict, err error) {
-	if !p.rowKnown && l.failedOver[p.partition].Load() {
-		if err := l.readAccount(ctx, p); err != nil {
-			return Undecided, err
-		}
-	}
-	for fetched := false; ; {
-		g := p.account.Reserve(budget, maxTokens)
-		mayOverrun := l.backup != nil && p.account.MayOverrun(g, budget)
-		switch {
-		case mayOverrun && l.backup.LacksMajority():
-			return Undecided, trace.LimitExceeded("no majority of the nodes is heard; other nodes may serve the program without a durable row")
-		case mayOverrun && !fetched:
-			fetched = true
-			l.fetchClaims(ctx, p)
-		case g.Spent && l.mayBeStale(p):
-			p.checkedAt = l.timer.Now()
-			if err := l.readAccount(ctx, p); err != nil {
-				p.rowKnown = false
-				return Undecided, err
-			}
-		case g.Spent:
-			l.closeAccount(ctx, p, budget, maxTokens)
-			return Spent, nil
-		case !g.NeedsWrite:
-			p.account = g.Account
-			return Granted, nil
-		default:
-			written, err := l.writeAccount(ctx, p, g.Account)
-			if err != nil {
-				return Undecided, err
-			}
-			if written {
-				p.account.Open += maxTokens
-				return Granted, nil
-			}
-		}
-	}
-}
-
-// closeAccount records in the row that a budget is exhausted, once. If the write fails, other nodes find out by
-// themselves.
-func (l *Ledger) closeAccount(ctx context.Context, p *program, budget, maxTokens int) {
-	if !p.account.IsExhausted(budget, maxTokens) {
-		return
-	}
-	closed := p.account
-	closed.Closed = true
-	if _, err := l.writeAccount(ctx, p, closed); err != nil {
-		l.log.Debug("exhausted account not closed", "program", p.id, "error", err)
-	}
-}
-
-// mayBeStale reports whether the row has to be read again before a turn is refused, as other nodes may have returned
-// unused tokens since.
-func (l *Ledger) mayBeStale(p *program) bool {
-	return !p.rowKnown || p.account.Others > 0 && l.timer.Now()-p.checkedAt > recheckAfter
-}
-
 // Close settles a turn. If the request holds a turn to store, Close returns once that is durable, or with the error.
 func (l *Ledger) Close(ctx context.Context, q CloseRequest) (err error) {
 	defer func() { err = trace.Wrap(err, "turn %s of program %s", q.Attempt, q.Program) }()
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -6,6 +6,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
+
+	"hyssopgrade/internal/state/hgreach"
 )
 
 // Backup gives a ledger access to its peers, which hold copies of its claims while it cannot write them to the store.
@@ -79,6 +81,26 @@
 // A turn with fewer tokens is not worth running if the caller gives no estimate. An estimate raises the bound only.
 const minReservation = 100
 
+// offlineNeed returns the number of tokens to reserve for a turn without the store: the expected ones if the reservation can
+// be extended, so that turns that run at the same time fit into the share, and the maximum otherwise.
+func (q OpenRequest) offlineNeed() int {
+	if q.Extendable && !q.Whole {
+		return min(q.Most, max(q.Estimate, minReservation))
+	}
+	return q.Most
+}
+
+// leastReservation returns the number of tokens below which a turn is not granted without the store.
+func (q OpenRequest) leastReservation() int {
+	switch {
+	case q.Whole:
+		return q.Most
+	case q.Extendable:
+		return min(q.Most, minReservation)
+	}
+	return min(q.Most, max(q.Estimate, minReservation))
+}
+
 // reserveOffline reserves tokens for a turn while the store, or the program's partition of it, is unreachable, and
 // returns their number. It uses the share that this ledger has claimed before.
 //
@@ -101,8 +123,7 @@
 		l.setUnsaved(p, true)
 		l.log.Info("budget claimed without a durable row", "program", p.id, "attempt", q.Attempt, "taken", a.Mine, "copies", copies)
 	}
-	reserved = min(q.Most, a.Available())
-	if reserved < min(q.Most, max(q.Estimate, minReservation)) || q.Whole && reserved < q.Most {
+	if reserved = min(q.offlineNeed(), a.Available()); reserved < q.leastReservation() {
 		return 0, Outage
 	}
 	a.Open += reserved
@@ -120,9 +141,30 @@
 	defer cancel()
 	a := l.backup.Ask(ctx, SoleRequest{Program: p.id, New: true})
 	l.log.Info("peers asked for shares of the budget", "program", p.id, "without", a.Sole, "with", a.Holding, "silent", a.Unanswered)
+	if len(a.Taken) > 0 {
+		l.mergeCopies(p, a.Taken)
+	}
 	return a.Sole > 0 && a.Holding == 0 && a.Unanswered == 0
 }
 
+// holder returns the ledger with the largest share of a program's budget, other than this one, as far as the row and peers
+// tell; it is empty if there is none.
+func (l *Ledger) holder(ctx context.Context, p *program) (ledger string) {
+	if l.backup == nil {
+		return ""
+	}
+	if len(l.claims(p)) == 0 {
+		l.fetchClaims(ctx, p)
+	}
+	most := 0
+	for id, claim := range l.claims(p) {
+		if id != l.id && claim > most {
+			ledger, most = id, claim
+		}
+	}
+	return ledger
+}
+
 // fetchUnsavedClaims asks peers for their claims on a program whose row this ledger does not know, if peers may hold
 // claims from an outage of the store that they have not yet written.
 func (l *Ledger) fetchUnsavedClaims(ctx context.Context, p *program) {
@@ -196,18 +238,35 @@
 // copyGrace is how long the holder of a copy leaves it to the claiming ledger to write the row.
 const copyGrace = 2 * time.Second
 
-// SaveClaims writes claims that were made while the store was unreachable: those of this ledger, and copies of claims that
-// peers have not written within copyGrace. It returns the numbers of programs that were saved and that failed.
+const (
+	// saveTimeout bounds saving the claims on one program while the store answers as usual, as the program's turns wait for
+	// the lock meanwhile.
+	saveTimeout = 100 * time.Millisecond
+	// saveIdle is how long a program must not have been used before its claims are saved in a slow store.
+	saveIdle = time.Second
+)
+
+// SaveClaims writes claims that were made while the store was unreachable or slow: those of this ledger, and copies of claims
+// that peers have not written within copyGrace. It returns the numbers of programs that were saved and that failed.
 func (l *Ledger) SaveClaims(ctx context.Context) (saved, left int) {
 	return l.forEachProgram(func(p *program) (done bool, err error) {
-		if l.committer.isUnreachable(p.partition) {
+		state := l.reach()
+		if state == hgreach.Unreachable || l.committer.isUnreachable(p.partition) {
 			return false, nil
 		}
 		if !p.lock(ctx) {
 			return false, ctx.Err()
 		}
 		defer p.unlock()
-		return l.saveProgram(ctx, p)
+		if state == hgreach.Slow {
+			if l.timer.Now()-p.lastUsed < saveIdle {
+				return false, nil
+			}
+			return l.saveProgram(ctx, p)
+		}
+		limited, cancel := l.cancelAfter(ctx, saveTimeout)
+		defer cancel()
+		return l.saveProgram(limited, p)
 	})
 }
 
--- a/internal/state/hgledger/options.go
+++ b/internal/state/hgledger/options.go
@@ -1,6 +1,10 @@
 package hgledger
 
-import "time"
+import (
+	"time"
+
+	"hyssopgrade/internal/state/hgreach"
+)
 
 // retryAfter is the base pause before a failed write is retried. The store refuses writes that exceed its rate limit,
 // and during an outage.
@@ -11,6 +15,7 @@
 	backup       Backup
 	complete     bool
 	awaitMarkers bool
+	reach        func() hgreach.State
 }
 
 // Option configures a ledger.
@@ -31,8 +36,11 @@
 // been read.
 func WithMarkers() Option { return func(o *options) { o.awaitMarkers = true } }
 
+// WithReachability tells the ledger how the store answers this node. Without it the store counts as reachable.
+func WithReachability(state func() hgreach.State) Option { return func(o *options) { o.reach = state } }
+
 func newOptions(opts []Option) options {
-	o := options{retryAfter: retryAfter}
+	o := options{retryAfter: retryAfter, reach: func() hgreach.State { return hgreach.Reachable }}
 	for _, set := range opts {
 		set(&o)
 	}
--- /dev/null
+++ b/internal/state/hgledger/reserve.go
@@ -0,0 +1,194 @@
+package hgledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hyssopgrade/internal/state/hgreach"
+)
+
+const (
+	// reserveTimeout bounds a reservation through the store. After it the program's partition of the store counts as
+	// unreachable for this turn. It is longer than a write takes in a slow store.
+	reserveTimeout = 800 * time.Millisecond
+	// hedgeDelay is the wait for the store after which a turn is granted without it, if possible. A write usually takes 5 to
+	// 10 ms.
+	hedgeDelay = 50 * time.Millisecond
+	// reachCheckPeriod is the time between two looks at the state of the store while a turn waits for it.
+	reachCheckPeriod = 50 * time.Millisecond
+)
+
+// reserve reserves tokens for a turn and returns their number. The reservation goes through the program's row if its
+// partition of the store is reachable. In a slow store the turn does not wait for the row if it can be granted without.
+func (l *Ledger) reserve(ctx context.Context, p *program, q OpenRequest, isNew bool) (reserved int, v Verdict, err error) {
+	if !p.rowKnown && !l.markersRead.Load() {
+		return 0, Undecided, trace.NotFound("failover markers have not been read yet")
+	}
+	if q.Offline || l.isUnreachable(ctx, p, isNew) {
+		reserved, v = l.reserveOffline(ctx, p, q, isNew)
+		return reserved, v, nil
+	}
+	l.fetchUnsavedClaims(ctx, p)
+	if v, err = l.reserveOnlineWithin(ctx, p, q, l.hedgeDelay()); v != Undecided || ctx.Err() != nil {
+		return q.Most, v, err
+	}
+	if reserved, v = l.reserveOffline(ctx, p, q, isNew); v == Granted {
+		return reserved, Granted, nil
+	}
+	if !q.Here && l.needsHolder(p, q) && l.holder(ctx, p) != "" {
+		return 0, Outage, nil
+	}
+	if v, err = l.reserveOnlineWithin(ctx, p, q, reserveTimeout); v != Undecided || ctx.Err() != nil {
+		return q.Most, v, err
+	}
+	reserved, v = l.reserveOffline(ctx, p, q, isNew)
+	if v == Granted || l.reach() == hgreach.Unreachable {
+		return reserved, v, nil
+	}
+	return 0, Undecided, err
+}
+
+// needsHolder reports whether another ledger, which holds a share of the budget, may be able to grant a turn that this one
+// cannot grant without the store.
+func (l *Ledger) needsHolder(p *program, q OpenRequest) bool {
+	return !q.KnownOnly && p.account.Mine == 0
+}
+
+// isUnreachable reports whether neither the program's partition of the store nor, for a new program, an alternate one is
+// reachable.
+func (l *Ledger) isUnreachable(ctx context.Context, p *program, isNew bool) bool {
+	switch {
+	case l.reach() == hgreach.Unreachable:
+		return true
+	case !l.committer.isUnreachable(p.partition):
+		return false
+	}
+	return l.reach() != hgreach.Reachable || !l.failOver(ctx, p, isNew)
+}
+
+// hedgeDelay returns how long a turn waits for the store before it is granted without, if possible. The write goes on
+// meanwhile; if it is applied later, the row records no less than what peers hold.
+func (l *Ledger) hedgeDelay() time.Duration {
+	if l.reach() != hgreach.Reachable {
+		return 0
+	}
+	return hedgeDelay
+}
+
+// cancelAfter returns a context that is cancelled after a limit. Unlike the end of a deadline, that does not count as a failure
+// of the store.
+func (l *Ledger) cancelAfter(ctx context.Context, limit time.Duration) (limited context.Context, cancel context.CancelFunc) {
+	limited, end := context.WithCancel(ctx)
+	stop := l.timer.After(limit, func(time.Duration) { end() })
+	return limited, func() {
+		stop()
+		end()
+	}
+}
+
+// reserveOnlineWithin is reserveOnline with a limit to its duration; it also ends when the store turns out to be unreachable.
+func (l *Ledger) reserveOnlineWithin(ctx context.Context, p *program, q OpenRequest, limit time.Duration) (v Verdict, err error) {
+	if limit <= 0 {
+		return Undecided, trace.ConnectionProblem(nil, "store is slow")
+	}
+	ctx, cancel := l.cancelAfter(ctx, limit)
+	defer cancel()
+	if limit > reachCheckPeriod {
+		defer l.timer.Every(reachCheckPeriod, func(time.Duration) {
+			if l.reach() == hgreach.Unreachable {
+				cancel()
+			}
+		})()
+	}
+	return l.reserveOnline(ctx, p, q.Budget, q.Most)
+}
+
+// recheckAfter is the age of the last read after which the row is read again before a turn is refused because of the
+// shares of other nodes.
+const recheckAfter = 500 * time.Millisecond
+
+// reserveOnline reserves tokens of the budget. It writes the row if this ledger's share is too small.
+func (l *Ledger) reserveOnline(ctx context.Context, p *program, budget, maxTokens int) (v Verdict, err error) {
+	if !p.rowKnown && l.failedOver[p.partition].Load() {
+		if err := l.readAccount(ctx, p); err != nil {
+			return Undecided, err
+		}
+	}
+	for fetched := false; ; {
+		g := p.account.Reserve(budget, maxTokens)
+		mayOverrun := l.backup != nil && p.account.MayOverrun(g, budget)
+		switch {
+		case mayOverrun && l.backup.LacksMajority():
+			return Undecided, trace.LimitExceeded("no majority of the nodes is heard; other nodes may serve the program without a durable row")
+		case mayOverrun && !fetched:
+			fetched = true
+			l.fetchClaims(ctx, p)
+		case g.Spent && l.mayBeStale(p):
+			p.checkedAt = l.timer.Now()
+			if err := l.readAccount(ctx, p); err != nil {
+				p.rowKnown = false
+				return Undecided, err
+			}
+		case g.Spent:
+			l.closeAccount(ctx, p, budget, maxTokens)
+			return Spent, nil
+		case !g.NeedsWrite:
+			p.account = g.Account
+			return Granted, nil
+		default:
+			written, err := l.writeAccount(ctx, p, g.Account)
+			if err != nil {
+				return Undecided, err
+			}
+			if written {
+				p.account.Open += maxTokens
+				return Granted, nil
+			}
+		}
+	}
+}
+
+// closeAccount records in the row that a budget is exhausted, once. If the write fails, other nodes find out by
+// themselves.
+func (l *Ledger) closeAccount(ctx context.Context, p *program, budget, maxTokens int) {
+	if !p.account.IsExhausted(budget, maxTokens) {
+		return
+	}
+	closed := p.account
+	closed.Closed = true
+	if _, err := l.writeAccount(ctx, p, closed); err != nil {
+		l.log.Debug("exhausted account not closed", "program", p.id, "error", err)
+	}
+}
+
+// mayBeStale reports whether the row has to be read again before a turn is refused, as other nodes may have returned
+// unused tokens since.
+func (l *Ledger) mayBeStale(p *program) bool {
+	return !p.rowKnown || p.account.Others > 0 && l.timer.Now()-p.checkedAt > recheckAfter
+}
+
+// Extend adds tokens to the reservation of a turn, from this ledger's share of the budget or, while the store answers as
+// usual, from the rest of the budget.
+func (l *Ledger) Extend(ctx context.Context, q ExtendRequest) (reply ExtendReply) {
+	p, ok := l.find(q.Program)
+	if !ok || q.Holder != l.id || q.Tokens <= 0 || !p.lock(ctx) {
+		return reply
+	}
+	defer p.unlock()
+	if _, open := p.reservations[q.Attempt]; !open {
+		return reply
+	}
+	reply.Tokens = max(min(q.Tokens, p.account.Available()), 0)
+	p.account.Open += reply.Tokens
+	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() == hgreach.Reachable {
+		if v, err := l.reserveOnline(ctx, p, q.Budget, rest); v == Granted {
+			reply.Tokens += rest
+		} else if err != nil {
+			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
+		}
+	}
+	p.reservations[q.Attempt] += reply.Tokens
+	return reply
+}
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -128,12 +128,27 @@
 		return true, nil
 	}
 	p.rowKnown = false
-	if _, conflict := hgstore.IsConflict(err); !conflict {
+	conflict := conflictOf(err)
+	if conflict == nil {
 		return false, err
 	}
+	for _, r := range conflict.Rows {
+		if r.Key == key {
+			return false, l.reloadRow(p, r)
+		}
+	}
 	return false, l.readAccount(ctx, p)
 }
 
+// reloadRow sets a program's account from a row of the store.
+func (l *Ledger) reloadRow(p *program, r hgstore.Row) error {
+	row, err := accountCodec.Decode(r.Value)
+	if err == nil {
+		l.reload(p, row, r.Version, true)
+	}
+	return err
+}
+
 // readAccount reads a program's row. If the program's home partition has failed over, it looks in the alternate
 // partitions as well.
 func (l *Ledger) readAccount(ctx context.Context, p *program) (err error) {
@@ -151,11 +166,7 @@
 	if err != nil {
 		return err
 	}
-	row, err := accountCodec.Decode(r.Value)
-	if err == nil {
-		l.reload(p, row, r.Version, true)
-	}
-	return err
+	return l.reloadRow(p, r)
 }
 
 // loadProgram reads all rows of a program in its home partition.
