--- a/internal/state/hghedge/table.go
+++ b/internal/state/hghedge/table.go
@@ -71,6 +71,14 @@
 	t.latency.Store(latency + int64(latencyWeight*float64(int64(took)-latency)))
 }
 
+// observeAtLeast takes account of an operation that has had no answer for a time. In a store that has become slow, the first
+// answers come long after the first operations were sent again.
+func (t *Table) observeAtLeast(waited time.Duration) {
+	if waited > time.Duration(t.latency.Load()) {
+		t.observe(waited)
+	}
+}
+
 // hedge runs an operation, starts it again when its answer is late or an error, and returns the first final answer. The
 // other attempts are cancelled.
 func hedge[R any](ctx context.Context, t *Table, run func(ctx context.Context) (R, error)) (result R, err error) {
@@ -94,6 +102,7 @@
 			answers <- answer{result, err}
 		}()
 	}
+	began := time.Now()
 	send()
 	nextSend := time.NewTimer(t.hedgeDelay(sends))
 	defer nextSend.Stop()
@@ -113,6 +122,7 @@
 				return result, err
 			}
 		case <-nextSend.C:
+			t.observeAtLeast(time.Since(began))
 			if sends < maxSends {
 				send()
 				nextSend.Reset(t.hedgeDelay(sends))
--- a/internal/state/hgledger/committer.go
+++ b/internal/state/hgledger/committer.go
@@ -42,8 +42,8 @@
 	return n
 }
 
-// committer batches changes: those that arrive while a transaction of their partition is in flight share the next one. In a
-// slow store several transactions of a partition are in flight at once, so that a change does not wait for those before it.
+// committer batches changes: those that arrive while a transaction of their partition is in flight share the next one. The
+// store applies the transactions of a partition one after the other, so that more of them at once would only wait there.
 type committer struct {
 	table hgstore.Table
 	timer hgtimer.Timer
@@ -58,9 +58,8 @@
 // partition is the state of one partition of the store.
 type partition struct {
 	waiting []change
-	// running is the number of transactions in flight, and lastStart the time at which the last one was started.
-	running   int
-	lastStart time.Duration
+	// running says that a transaction is in flight.
+	running bool
 	// failures counts the consecutive failures of transactions; a failure without a reply counts twice. lastFailure is the
 	// time of the last one.
 	failures    int
@@ -97,18 +96,6 @@
 	return p.failures >= unreachableAfter && c.timer.Now()-p.lastFailure < probeAfter
 }
 
-const (
-	// slowTransaction is the duration from which a transaction no longer holds up the next one of its partition.
-	slowTransaction = 50 * time.Millisecond
-	// maxConcurrent bounds the transactions of a partition in flight in a slow store.
-	maxConcurrent = 6
-)
-
-// mayStart reports whether another transaction of a partition may be started; c.mu is held.
-func (c *committer) mayStart(p *partition) bool {
-	return p.running == 0 || p.running < maxConcurrent && c.timer.Now()-p.lastStart >= slowTransaction
-}
-
 // record records the end of a transaction: decided means that it was applied or refused by a condition, not that it
 // failed. It returns the number of consecutive failures before it.
 func (c *committer) record(partition int, decided bool, took time.Duration) (failures int) {
@@ -116,9 +103,11 @@
 	defer c.mu.Unlock()
 	p := &c.partitions[partition]
 	failures = p.failures
+	if decided || took > c.duration {
+		c.duration += time.Duration(durationWeight * float64(took-c.duration))
+	}
 	if decided {
 		p.failures = 0
-		c.duration += time.Duration(durationWeight * float64(took-c.duration))
 		return failures
 	}
 	p.failures++
@@ -140,9 +129,8 @@
 	c.mu.Lock()
 	p := &c.partitions[partition]
 	p.waiting = append(p.waiting, ch)
-	if c.mayStart(p) {
-		p.running++
-		p.lastStart = c.timer.Now()
+	if !p.running {
+		p.running = true
 		go c.run(partition)
 	}
 	c.mu.Unlock()
@@ -165,8 +153,7 @@
 	}
 }
 
-// nextBatch removes the changes of the next transaction from the queue, and discards those whose context has ended. Without
-// any left, the transactions of this goroutine end.
+// nextBatch removes the changes of the next transaction from the queue, and discards those whose context has ended.
 func (c *committer) nextBatch(partition int) (batch []change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -188,10 +175,7 @@
 		queue = queue[1:]
 	}
 	p.waiting = queue
-	if len(batch) == 0 {
-		p.running--
-	}
-	p.lastStart = c.timer.Now()
+	p.running = len(batch) > 0
 	return batch
 }
 
