Let the programs of a partition have one owner in each failure domain

Cause: hypothesis: changes of a partition that come from one VM of a failure domain instead of all share transactions, which counts where a partition applies them one after the other. Change: rendezvous hashing takes the program's partition instead of the program. No rule rests on who owns a program.

--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -3,13 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
+
+	"hyssopgrade/internal/state/hgledger"
 )
 
-// Owner returns the node that owns a program, by rendezvous hashing over the nodes that reach the store. Nodes of this
+// Owner returns the node that owns a program, by rendezvous hashing of the program's partition over the nodes that reach the
+// store. The programs of a partition have one owner, so that their changes share transactions. Nodes of this
 // failure domain are preferred, because the callers of a domain mostly enter in it. Self says that the owner is this node.
 // Offline says that no node reaches the store: the owner can then use only what it has in memory, and is selected from all
 // domains, so that all nodes select the same one.
@@ -61,8 +65,9 @@
 // one.
 func rendezvous(nodes []Info, program string) (owner Info) {
 	var most uint64
+	key := "\x00" + strconv.Itoa(hgledger.Partition(program))
 	for _, i := range ServingNodes(nodes) {
-		if h := xxhash.Sum64String(i.Name + "\x00" + program); h >= most {
+		if h := xxhash.Sum64String(i.Name + key); h >= most {
 			owner, most = i, h
 		}
 	}
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -82,6 +82,9 @@
 	return "~" + hex.EncodeToString(sum[:16])
 }
 
+// Partition returns the number of the partition of the store that holds a program's rows unless it is unreachable.
+func Partition(program string) int { return homePartition(program) }
+
 // homePartition returns the partition of the store that holds a program's rows unless it is unreachable.
 func homePartition(program string) int { return int(hash(program) % numPartitions) }
 
