Let settled VMs own programs, and dead or starting ones hold up none

Change: VMs say when they know their peers and programs ('settled'); owners are chosen among these while they are half or more. A peer whose host refuses the connection counts like one that has restarted. A request waits up to 300 ms for the desired state of a VM that has just started. Test: TestAskPeerThatHasEnded, red without the change (Unanswered 1).

--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -262,6 +262,7 @@
 	was := n.members.Self()
 	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
 		i.StoreOK, i.Ready, i.KnowsAll, i.Unsaved = storeOK, ready, knowsAll, n.ledger.Unsaved()
+		i.Settled = knowsAll && n.members.Age() >= hgpeer.DiscoveryTime
 		return i
 	})
 	if was.Ready != ready || was.StoreOK != storeOK {
--- a/internal/peer/hgpeer/backup.go
+++ b/internal/peer/hgpeer/backup.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/samber/lo"
@@ -15,9 +17,9 @@
 // maxCopies is the number of peers that hold a copy of a claim made while the store is unreachable.
 const maxCopies = 3
 
-// discoveryTime is the time after the start within which a node has had a heartbeat from every peer, also from those in
+// DiscoveryTime is the time after the start within which a node has had a heartbeat from every peer, also from those in
 // other failure domains.
-const discoveryTime = 3 * time.Second
+const DiscoveryTime = 3 * time.Second
 
 // Backup gives the ledger of a node access to the peers, which stand in for the store while it is unreachable. It
 // implements hgledger.Backup.
@@ -31,18 +33,20 @@
 
 // Ask asks all peers that may have taken part in a program for the claims on its budget that they know of. Each of these
 // adds one to Answers.Unanswered: a peer that does not answer, a failure domain without a known live node, a node
-// too young to know all peers, and the lack of a majority.
+// too young to know all peers, and the lack of a majority. A peer whose process has ended serves no program any more, and
+// other peers have the copies of its claims, so that it counts as if it had restarted.
 func (b *Backup) Ask(ctx context.Context, q hgledger.SoleRequest) (a hgledger.Answers) {
-	if b.members.Age() < discoveryTime {
+	if b.members.Age() < DiscoveryTime {
 		a.Unanswered++
 	}
 	a.Unanswered += b.members.UnreachableDomains()
-	answers := callAll(b.members.PossibleParticipants(), func(p Info) (hgledger.SoleReply, error) { return b.client.Part(ctx, p.Peer, q) })
+	answers := callAll(b.members.PossibleParticipants(), func(p Info) (hgledger.SoleReply, error) { return b.part(ctx, p, q) })
 	for _, answer := range answers {
-		if answer.err != nil {
-			a.Unanswered++
-		} else {
+		switch {
+		case answer.err == nil:
 			a.Add(answer.reply)
+		case !hasEnded(answer.err):
+			a.Unanswered++
 		}
 	}
 	if !b.members.IsMajority(a.Sole + a.Holding) {
@@ -51,6 +55,19 @@
 	return a
 }
 
+// part asks one peer. A connection that breaks is tried once more, as the new one shows whether the peer's process has ended.
+func (b *Backup) part(ctx context.Context, p Info, q hgledger.SoleRequest) (reply hgledger.SoleReply, err error) {
+	reply, err = b.client.Part(ctx, p.Peer, q)
+	if err == nil || hasEnded(err) || ctx.Err() != nil {
+		return reply, err
+	}
+	return b.client.Part(ctx, p.Peer, q)
+}
+
+// hasEnded reports whether a call failed because the host of the peer says that nobody listens at its address. A peer that is
+// cut off, frozen or without power does not answer at all.
+func hasEnded(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // LacksMajority reports whether this node reaches no majority of the nodes, as on the minority side of a network partition.
 func (b *Backup) LacksMajority() bool { return b.members.LacksMajority() }
 
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -30,6 +30,9 @@
 	Unsaved bool
 	// KnowsAll says that the node knows all programs of its failure domain within the retention time.
 	KnowsAll bool
+	// Settled says that the node has run for long enough to know its peers and the programs of its failure domain, so that it
+	// can grant turns of new programs without the store.
+	Settled bool
 }
 
 // Beat is a heartbeat, and the reply to one.
--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -31,7 +31,7 @@
 	if local := m.inOwnDomain(nodes); len(local) > 0 && !offline {
 		nodes = local
 	}
-	owner = rendezvous(nodes, program)
+	owner = rendezvous(preferSettled(nodes), program)
 	return owner, owner.Name == m.self.Name, offline
 }
 
@@ -41,7 +41,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	local := lo.Reject(append(m.inOwnDomain(m.live()), m.self), func(i Info, _ int) bool { return i.Stopping })
-	owner = rendezvous(local, program)
+	owner = rendezvous(preferSettled(local), program)
 	return owner, owner.Name == m.self.Name, owner.Name != "" && !owner.StoreOK
 }
 
@@ -61,6 +61,16 @@
 	return lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
 }
 
+// preferSettled returns the settled nodes if they are at least half of all, and otherwise all: few of them could not carry the
+// programs of the rest.
+func preferSettled(nodes []Info) []Info {
+	settled := lo.Filter(nodes, func(i Info, _ int) bool { return i.Settled })
+	if 2*len(settled) < len(nodes) {
+		return nodes
+	}
+	return settled
+}
+
 // rendezvous returns the strong node with the highest hash for a program. Nodes that know the same members select the same
 // one.
 func rendezvous(nodes []Info, program string) (owner Info) {
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -81,16 +81,21 @@
 	metrics  Metrics
 	suspects Suspects
 	// memory bounds the bytes of all responses that are buffered until they are complete.
-	memory   *hgmemory.Pool
-	desired  atomic.Pointer[hgdesired.State]
-	stopping atomic.Bool
+	memory  *hgmemory.Pool
+	desired atomic.Pointer[hgdesired.State]
+	// hasDesired is closed when the first desired state is known.
+	hasDesired chan struct{}
+	stopping   atomic.Bool
 	// running is the number of requests in progress.
 	running atomic.Int64
 }
 
 // NewEntry returns a handler that rejects all requests until SetDesired has been called.
 func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool) *Entry {
-	return &Entry{dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m}
+	return &Entry{
+		dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m,
+		hasDesired: make(chan struct{}),
+	}
 }
 
 // SetDesired applies a desired state unless the current one has the same or a newer version, and reports whether it did.
@@ -101,6 +106,9 @@
 			return false
 		}
 		if e.desired.CompareAndSwap(have, s) {
+			if have == nil {
+				close(e.hasDesired)
+			}
 			return true
 		}
 	}
@@ -175,6 +183,9 @@
 	if !x.readBody() {
 		return
 	}
+	if x.state == nil {
+		x.awaitDesired()
+	}
 	if x.state == nil {
 		x.respond(http.StatusServiceUnavailable, "no desired state yet", retryAfterNotReady*(0.8+0.4*rand.Float64()))
 		return
@@ -204,6 +215,20 @@
 	x.forward()
 }
 
+// startWait is how long a request waits for the desired state of a node that has just started. A start takes about 10 ms if
+// the store answers.
+const startWait = 300 * time.Millisecond
+
+// awaitDesired waits for the first desired state for up to startWait.
+func (x *exchange) awaitDesired() {
+	select {
+	case <-x.entry.hasDesired:
+		x.state = x.entry.desired.Load()
+	case <-time.After(startWait):
+	case <-x.r.Context().Done():
+	}
+}
+
 // caller identifies who sends the request: the program that it belongs to, or the IP address if it names no program.
 func (x *exchange) caller() string {
 	if x.attempt.Program != "" {
