Bound the extension of a reservation, and check short reservations in the models

Cause: the simulation of cuts, extended by VMs that find the store slow and by turns that are extended while they run, hung: a VM that was cut off waited for the store without an end to extend a turn (in the product the peer's call ended after 0.3 s, the ledger's after 0.6 s).

--- a/internal/state/hgledger/cut_test.go
+++ b/internal/state/hgledger/cut_test.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgledger"
+	"hyssopgrade/internal/state/hgreach"
 )
 
 var errCut = errors.New("VM is cut off from the store")
@@ -52,7 +53,9 @@
 	t     *testing.T
 	store *hgstore.Memory
 	// side is the side of the network partition that each VM is on; the store is on side 0.
-	side    []int
+	side []int
+	// slow is set for VMs that find the store slow, so that they grant turns without waiting for it.
+	slow    []bool
 	starts  []int
 	ledgers []*hgledger.Ledger
 	// forgets is set if a VM takes those that do not answer for dead. With majority, it does so only if it reaches a
@@ -75,6 +78,7 @@
 	n := &network{t: t, store: hgstore.NewMemory(), forgets: forgets, majority: majority}
 	for i := range cutVMs {
 		n.side = append(n.side, 0)
+		n.slow = append(n.slow, false)
 		n.starts = append(n.starts, 0)
 		n.ledgers = append(n.ledgers, nil)
 		n.start(i)
@@ -88,7 +92,13 @@
 	n.t.Cleanup(timer.Close)
 	n.starts[i]++
 	n.ledgers[i] = hgledger.NewLedger(fmt.Sprintf("vm-%d/%d", i, n.starts[i]), cutTable{n.store, func() bool { return n.side[i] > 0 }}, timer, hglog.Discard(),
-		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(&cutPeers{n, i}), hgledger.WithAllProgramsKnown(n.starts[i] == 1))
+		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(&cutPeers{n, i}), hgledger.WithAllProgramsKnown(n.starts[i] == 1),
+		hgledger.WithReachability(func() hgreach.State {
+			if n.slow[i] {
+				return hgreach.Slow
+			}
+			return hgreach.Reachable
+		}))
 }
 
 // cutPeers is the Backup of one VM: the other VMs as it reaches them.
@@ -146,15 +156,24 @@
 func (n *network) turn(r *rand.Rand, i int) {
 	q := hgledger.OpenRequest{
 		Program: "p", Attempt: fmt.Sprint(len(n.log)), Budget: cutBudget, Most: cutMost, HasBudget: true, Offline: n.side[i] > 0,
+		Estimate: cutMost / 2, Extendable: r.IntN(2) == 0,
 	}
 	reply := n.ledgers[i].Open(context.Background(), q)
 	n.note("turn at %d: %s %d", i, reply.Verdict, reply.Most)
 	if reply.Verdict != hgledger.Granted {
 		return
 	}
-	used := reply.Most
+	reserved := reply.Most
+	if reserved < cutMost {
+		more := n.ledgers[i].Extend(context.Background(), hgledger.ExtendRequest{
+			Program: q.Program, Attempt: q.Attempt, Holder: reply.Holder, Budget: cutBudget, Tokens: cutMost - reserved,
+		})
+		n.note("extended by %d", more.Tokens)
+		reserved += more.Tokens
+	}
+	used := reserved
 	if r.IntN(3) == 0 {
-		used = r.IntN(reply.Most + 1)
+		used = r.IntN(reserved + 1)
 	}
 	n.delivered += used
 	if err := n.ledgers[i].Close(context.Background(), hgledger.CloseRequest{Program: q.Program, Attempt: q.Attempt, Holder: reply.Holder, Used: used}); err != nil {
@@ -167,10 +186,13 @@
 	n.log = append(n.log, fmt.Sprintf(format, args...)+fmt.Sprintf(" [sides %v, delivered %d]", n.side, n.delivered))
 }
 
-// step takes a random step: it cuts off a VM, heals the network, restarts a VM, saves its claims or serves a turn.
+// step takes a random step: it cuts off a VM, makes the store slow for one, heals the network, restarts a VM, saves its claims or serves a turn.
 func (n *network) step(r *rand.Rand) {
 	i := r.IntN(cutVMs)
-	switch r.IntN(12) {
+	switch r.IntN(13) {
+	case 12:
+		n.slow[i] = !n.slow[i]
+		n.note("slow at %d: %t", i, n.slow[i])
 	case 0:
 		n.side[i] = 1 + r.IntN(2)
 		n.note("cut %d", i)
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -16,6 +16,9 @@
 	// hedgeDelay is the wait for the store after which a turn is granted without it, if possible. A write usually takes 5 to
 	// 10 ms.
 	hedgeDelay = 50 * time.Millisecond
+	// extendTimeout bounds the extension of a reservation through the store. The turn has a few more events to deliver
+	// meanwhile.
+	extendTimeout = 200 * time.Millisecond
 	// reachCheckPeriod is the time between two looks at the state of the store while a turn waits for it.
 	reachCheckPeriod = 50 * time.Millisecond
 )
@@ -183,6 +186,8 @@
 	reply.Tokens = max(min(q.Tokens, p.account.Available()), 0)
 	p.account.Open += reply.Tokens
 	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() == hgreach.Reachable {
+		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
+		defer cancel()
 		if v, err := l.reserveOnline(ctx, p, q.Budget, rest); v == Granted {
 			reply.Tokens += rest
 		} else if err != nil {
