Let the soak's store hang as a whole and answer slowly

Cause: the soak had a store that refuses, is very slow, loses replies or is silent in part; not one that is silent as a whole or slow by ten times. Change: two more faults of the store. The product is unchanged.

--- a/internal/proof/hgsoak/fault.go
+++ b/internal/proof/hgsoak/fault.go
@@ -68,9 +68,9 @@
 	}},
 	{"store", func(s *soak, r *rand.Rand) func() {
 		s.site.Store.SetFault([]hgstore.Fault{
-			{Down: true}, {DelayMs: 300}, {LoseReplies: 20},
+			{Down: true}, {Hang: true}, {DelayMs: 60}, {DelayMs: 300}, {LoseReplies: 20},
 			{Silent: lo.Times(storeParts/4, func(int) string { return fmt.Sprintf("%02d", r.IntN(storeParts)) })},
-		}[r.IntN(4)])
+		}[r.IntN(6)])
 		return func() { s.site.Store.SetFault(hgstore.Fault{}) }
 	}},
 	{"history gone", func(s *soak, _ *rand.Rand) func() {
