--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -228,8 +228,7 @@
 
 // Unregister removes a replica's registration from the store.
 func (s *Site) Unregister(id string) (err error) {
-	_, err = s.Store.Commit(context.Background(), hgstore.Txn{Deletes: []string{hgplatform.ReplicaTable + "//" + id}})
-	return err
+	return s.commit(hgstore.Txn{Deletes: []string{hgplatform.ReplicaTable + "//" + id}})
 }
 
 // SetDesired writes a desired state to the store, from which the entry VMs load it.
@@ -242,7 +241,16 @@
 }
 
 func (s *Site) put(key string, value []byte) error {
-	_, err := s.Store.Commit(context.Background(), hgstore.Txn{Puts: []hgstore.Put{{Key: key, Value: value}}})
+	return s.commit(hgstore.Txn{Puts: []hgstore.Put{{Key: key, Value: value}}})
+}
+
+// commitTimeout bounds the stand-ins' own writes to the store, which may hang.
+const commitTimeout = time.Second
+
+func (s *Site) commit(t hgstore.Txn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	_, err := s.Store.Commit(ctx, t)
 	return err
 }
 
