Restart watches whenever the store is back

The heartbeat loop may record first that the store is reachable, and then watchStore saw no change and did not restart the watches; they waited for the timeout of calls sent during the outage. Change: watchStore remembers its own last look.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -78,7 +78,8 @@
 	public    *http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
-	// probedAt is when the store was last probed; only watchStore uses it.
+	// storeOK says that the store answered at the last look, and probedAt is when it was last probed; only watchStore uses them.
+	storeOK  bool
 	probedAt time.Duration
 	// desiredAt is when the current desired state took effect, in nanoseconds of the timer.
 	desiredAt atomic.Int64
--- a/internal/operate/hgentryvm/reach.go
+++ b/internal/operate/hgentryvm/reach.go
@@ -62,7 +62,8 @@
 // watchStore probes the store when needed, so that this node learns of an outage and of its end without a request that depends
 // on the store. Peers are told at once when the store is lost or back.
 func (n *Node) watchStore(now time.Duration) {
-	if ok := n.reach.ok(); ok != n.members.Self().StoreOK {
+	if ok := n.reach.ok(); ok != n.storeOK {
+		n.storeOK = ok
 		n.broadcastHeartbeat()
 		if ok {
 			for _, w := range n.watches {
