review: show the overspent budget with planned restarts and one outage

Cause: case 5 needed two kills of a zone and an outage; an operator meets a rolling restart and an outage sooner. Change: two of three machines are restarted one after the other before the outage, clients keep their channels; without the disruption the same restarts are played.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -33,9 +33,11 @@
 	attempt string
 	status  int
 	// events is the number of whole events, and complete says that the body came to its end.
-	events     int
-	complete   bool
-	sealed     bool
+	events   int
+	complete bool
+	sealed   bool
+	// closes says that the channel is not to be used again.
+	closes     bool
 	retryAfter time.Duration
 	err        error
 }
@@ -70,6 +72,11 @@
 	zone      string
 	addresses []string
 	until     time.Time
+	// keepsChannel says that the consumer uses its open channel for further requests while the directory lists its address.
+	// channel and address are the open one and where it leads; channel is nil if there is none.
+	keepsChannel bool
+	channel      *http.Transport
+	address      string
 }
 
 // resolve returns the addresses to connect to. It asks up to three machines, those of its zone first.
@@ -116,7 +123,24 @@
 	return nil, fmt.Errorf("no machine resolves the name")
 }
 
-// attempt sends a request once, on a new channel, to one of the resolved addresses.
+// connect returns the kept channel if its address is still among the resolved ones, and otherwise a new one to any of them.
+func (c *consumer) connect(addresses []string) (channel *http.Transport, address string) {
+	if c.channel != nil && slices.Contains(addresses, c.address) {
+		return c.channel, c.address
+	}
+	c.closeChannel()
+	c.channel, c.address = &http.Transport{DisableCompression: true}, addresses[randomInt(len(addresses))]
+	return c.channel, c.address
+}
+
+func (c *consumer) closeChannel() {
+	if c.channel != nil {
+		c.channel.CloseIdleConnections()
+		c.channel = nil
+	}
+}
+
+// attempt sends a request once, on a new channel unless the consumer keeps its own, to one of the resolved addresses.
 func (c *consumer) attempt(q request) (a answer) {
 	a.attempt = newID()
 	addresses, err := c.resolve()
@@ -124,7 +148,12 @@
 		a.err = err
 		return a
 	}
-	address := addresses[randomInt(len(addresses))]
+	channel, address := c.connect(addresses)
+	defer func() {
+		if !c.keepsChannel || a.err != nil || a.status != http.StatusOK || a.closes {
+			c.closeChannel()
+		}
+	}()
 	defer func() { c.site.rec.add("client %s %s%s via %s: %s", a.attempt, q.method, q.path, address, a) }()
 	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
 	defer cancel()
@@ -139,15 +168,13 @@
 	for name, value := range q.header {
 		r.Header.Set(name, value)
 	}
-	transport := &http.Transport{DisableCompression: true}
-	defer transport.CloseIdleConnections()
-	w, err := transport.RoundTrip(r)
+	w, err := channel.RoundTrip(r)
 	if err != nil {
 		a.err = err
 		return a
 	}
 	defer w.Body.Close()
-	a.status, a.sealed = w.StatusCode, w.Header.Get("X-Response-Seal") != ""
+	a.status, a.sealed, a.closes = w.StatusCode, w.Header.Get("X-Response-Seal") != "", w.Close
 	if s, err := strconv.ParseFloat(w.Header.Get("Retry-After"), 64); err == nil {
 		a.retryAfter = time.Duration(s * float64(time.Second))
 	}
--- a/review/stand/outage.go
+++ b/review/stand/outage.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
-// outageCase: programs that loop without end use up their budgets through the machines of one zone. All processes of that zone
-// are killed twice, before and after the programs are stopped, and the programs return during an outage of the store.
+// outageCase: programs that loop without end use up their budgets while two of three machines are restarted as planned, one after
+// the other. Later, while the store is down, the programs that were stopped return.
 var outageCase = reviewCase{
-	perZone: 2,
+	perZone: 1,
 	prepare: func(s *site) error {
 		if err := s.addServers(serverKind{service: "clerk-models", slots: 16, tokensPerEvent: 10, work: 3 * time.Millisecond}); err != nil {
 			return err
@@ -20,81 +21,83 @@
 }
 
 const (
-	outageZone     = "tas-burnie"
-	outagePrograms = 8
+	outagePrograms = 240
 	outageMost     = 100
-	outageTurns    = 4
-	outageBudget   = outageTurns * outageMost
-	// herdDown is how long killed processes stay down, and storeDown how long the store does.
-	herdDown  = 2 * time.Second
-	storeDown = 4500 * time.Millisecond
-	// settleTime is the pause of the programs after the machines are ready again.
-	settleTime = 4 * time.Second
+	outageBudget   = 5 * outageMost
+	// outageTurns ends a program that is never told that its budget is spent.
+	outageTurns = 20
+	// thinkTime is the least time between two turns of a program, and thinkSpread what is added at random.
+	thinkTime   = 2200 * time.Millisecond
+	thinkSpread = time.Second
+	// startSpread is the time within which the programs begin.
+	startSpread = 2 * time.Second
+	// restartAfter is the time from the first turns to the first restart, and restartGap the time between the restarts.
+	restartAfter = 5 * time.Second
+	restartGap   = 1300 * time.Millisecond
+	// settleTime is the time from the last restart to the outage, which lasts for storeDown.
+	settleTime = 5 * time.Second
+	storeDown  = 4500 * time.Millisecond
 )
 
-// herdKill kills all processes of a zone at the same moment and starts them again.
-func (s *site) herdKill(zone string) (err error) {
-	s.rec.say("all processes in %s are killed", zone)
-	for _, m := range s.vms {
-		if m.zone == zone {
-			m.kill()
-		}
-	}
-	time.Sleep(herdDown)
-	for _, m := range s.vms {
-		if m.zone == zone {
-			if err := m.start(); err != nil {
-				return err
-			}
-		}
+// restartMachine restarts a machine and waits until all are ready.
+func (s *site) restartMachine(m *vm) (err error) {
+	s.rec.say("%s gets SIGTERM", m.name)
+	if err := m.restart(); err != nil {
+		return err
 	}
 	if err := s.awaitReady(); err != nil {
 		return err
 	}
-	s.rec.say("all machines are ready again")
-	time.Sleep(settleTime)
+	s.rec.say("%s is back", m.name)
 	return nil
 }
 
+// loop runs turns of a program until one fails or there were n.
+func (p *keptProgram) loop(n int) {
+	for i := range n {
+		t := p.turn(chatPath+"turn", p.id, "", fmt.Sprintf("question %d of %s", i, p.id))
+		p.next.attempts = append(p.next.attempts, t.attempts...)
+		p.next.last = t.last
+		if !t.ok {
+			return
+		}
+		time.Sleep(thinkTime + time.Duration(randomInt(int(thinkSpread))))
+	}
+}
+
 func playOutage(s *site, trouble bool) (violations []string, err error) {
 	var programs []*keptProgram
-	for range outagePrograms {
-		programs = append(programs, &keptProgram{program: newProgram(&consumer{site: s, zone: outageZone}, outageBudget, outageMost, 2*time.Minute)})
+	for i := range outagePrograms {
+		c := &consumer{site: s, zone: zones[i%len(zones)], keepsChannel: true}
+		programs = append(programs, &keptProgram{program: newProgram(c, outageBudget, outageMost, 2*time.Minute)})
 	}
-	// step runs a number of turns of each program.
-	step := func(name string, turns int) {
-		outcomes := make(chan turnOutcome, turns*len(programs))
+	looped := make(chan struct{})
+	go func() {
 		forAll(programs, func(p *keptProgram) {
-			for n := range turns {
-				t := p.turn(chatPath+"turn", p.id, "", fmt.Sprintf("%s, question %d of %s", name, n, p.id))
-				for _, a := range t.attempts {
-					s.rec.add("program %s %s: %s", p.id, name, a)
-				}
-				p.next.attempts = append(p.next.attempts, t.attempts...)
-				outcomes <- t
-				if !t.ok {
-					return
-				}
-			}
+			time.Sleep(time.Duration(randomInt(int(startSpread))))
+			p.loop(outageTurns)
 		})
-		close(outcomes)
-		statuses := map[int]int{}
-		for t := range outcomes {
-			statuses[t.last.status]++
-		}
-		s.rec.say("%s: turns by status %v", name, statuses)
+		close(looped)
+	}()
+	time.Sleep(restartAfter)
+	if err := s.restartMachine(s.vms[2]); err != nil {
+		return nil, err
 	}
-	step("loop", outageTurns)
-	if trouble {
-		if err := s.herdKill(outageZone); err != nil {
-			return nil, err
-		}
+	<-looped
+	statuses := map[int]int{}
+	for _, p := range programs {
+		statuses[p.next.last.status]++
+	}
+	s.rec.say("the programs have ended, by last status: %v", statuses)
+	if statuses[http.StatusPaymentRequired] != len(programs) {
+		return nil, fmt.Errorf("not all programs were told that their budgets are spent")
+	}
+	time.Sleep(restartGap)
+	if err := s.restartMachine(s.vms[1]); err != nil {
+		return nil, err
 	}
-	step("loop after the first kill", 2)
+	time.Sleep(settleTime)
 	if trouble {
-		if err := s.herdKill(outageZone); err != nil {
-			return nil, err
-		}
 		s.store.setDown(true)
 		s.rec.say("the store is down")
 		time.AfterFunc(storeDown, func() {
@@ -103,20 +106,20 @@
 		})
 		time.Sleep(time.Second)
 	}
-	step("return", 1)
-	if trouble {
-		time.Sleep(storeDown + settleTime)
-	}
-	step("after all", 1)
+	s.rec.say("the programs return")
+	forAll(programs, func(p *keptProgram) { p.loop(1) })
+	time.Sleep(storeDown)
+	most := 0
 	for _, p := range programs {
 		tokens := 0
 		for _, a := range p.next.attempts {
 			tokens += a.events * s.servers[0].kind.tokensPerEvent
 		}
-		s.rec.say("program %s: budget %d, %d tokens handed out", p.id, p.budget, tokens)
+		most = max(most, tokens)
 		if tokens > p.budget+p.most {
 			violations = append(violations, fmt.Sprintf("BUDGET: program %s was handed %d tokens, its budget and one turn are %d", p.id, tokens, p.budget+p.most))
 		}
 	}
+	s.rec.say("%d of %d programs were handed more than budget and one turn, %d tokens at most", len(violations), len(programs), most)
 	return violations, nil
 }
--- a/review/stand/vm.go
+++ b/review/stand/vm.go
@@ -192,6 +192,13 @@
 	m.cmd = nil
 }
 
+// restart stops the process with SIGTERM, as the platform does, waits for its end and starts it again.
+func (m *vm) restart() error {
+	_ = m.cmd.Process.Signal(syscall.SIGTERM)
+	<-m.done
+	return m.start()
+}
+
 // isReady asks for the machine's readiness, as the platform does.
 func (m *vm) isReady() bool {
 	c := http.Client{Timeout: time.Second}
