--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -211,7 +211,9 @@
 	id     string
 	budget int
 	// most is the number of tokens that each turn asks for.
-	most  int
+	most int
+	// line is the number of tokens of the program's own line so far: inputs and outputs.
+	line  int
 	aim   time.Duration
 	began time.Time
 }
@@ -232,17 +234,29 @@
 const (
 	turnRetries = 1
 	turnResends = 2
+	// sharedTokens is the part of the prompt that all programs share.
+	sharedTokens = 512
 )
 
 // turn runs a turn of a line of turns, which continues a previous one unless that is empty. A failed turn is sent again from its
 // start, at most twice. A 400, 401, 402, 403, 404 or 413 ends it at once.
 func (p *program) turn(path, session, previous, input string) (t turnOutcome) {
 	for resends := 0; ; resends++ {
+		// The prompt of a line begins with what all share; that of a sub-agent goes on with the prompt of its parent.
+		prefix, tokens := fmt.Sprintf("5c1e07a2:%d", sharedTokens), sharedTokens
+		own := 1 + len(input)/2
+		switch {
+		case session == p.id:
+			own += p.line
+		case p.line > 0:
+			prefix, tokens = fmt.Sprintf("%s,%s:%d", prefix, p.id, p.line), tokens+p.line
+		}
+		prefix, tokens = fmt.Sprintf("%s,%s:%d", prefix, session, own), tokens+own
 		q := request{method: http.MethodPost, path: path, body: input, deadline: 4 * time.Second, header: map[string]string{
 			"X-Program-Id": p.id, "X-Session-Id": session, "X-Token-Budget": strconv.Itoa(p.budget),
 			"X-Program-Deadline-Ms": strconv.FormatInt(time.Until(p.began.Add(p.aim)).Milliseconds(), 10),
-			"X-Token-Usage":         fmt.Sprintf("%d,%d", 1+len(input)/2, p.most), "X-Model": "m",
-			"X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:512,%s:%d", session, 1+len(input)/2),
+			"X-Token-Usage":         fmt.Sprintf("%d,%d", tokens, p.most), "X-Model": "m",
+			"X-Prompt-Prefix": prefix,
 		}}
 		if previous != "" {
 			q.header["X-Previous-Turn"] = previous
@@ -250,6 +264,9 @@
 		attempts := p.call(q, turnRetries)
 		t.attempts = append(t.attempts, attempts...)
 		t.last = attempts[len(attempts)-1]
+		if session == p.id && t.last.err == nil && t.last.status == http.StatusOK && t.last.complete {
+			p.line = own + p.most
+		}
 		t.ok = t.last.err == nil && t.last.status == http.StatusOK && t.last.complete
 		if t.ok || resends == turnResends || t.last.err == nil && slices.Contains([]int{400, 401, 402, 403, 404, 413}, t.last.status) {
 			return t
--- a/review/stand/input.go
+++ b/review/stand/input.go
@@ -55,6 +55,7 @@
 	for i := range inputPrograms {
 		fresh = append(fresh, &keptProgram{program: newProgram(&consumer{site: s, zone: zones[i%len(zones)]}, 10_000, 100, time.Minute)})
 	}
+	s.beginCheck()
 	forAll(fresh, func(p *keptProgram) { p.next = p.turn(keptPath+"turn", p.id, "", "first question of "+p.id) })
 	forAll(others, func(p *keptProgram) { p.next = p.turn(keptPath+"turn", newID(), p.first, subAgentInput) })
 	return s.lostTurns(others, fresh)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,7 +19,6 @@
 }
 
 var cases = map[string]reviewCase{
-	"charge":   chargeCase,
 	"split":    splitCase,
 	"majority": majorityCase,
 	"input":    inputCase,
--- a/review/stand/majority.go
+++ b/review/stand/majority.go
@@ -31,6 +31,8 @@
 	// calmAfter is the time from the last disruption to the traffic that is checked: longer than contact_ms, 3 s, and than
 	// the time for which clients keep an answer of the directory.
 	calmAfter = 8 * time.Second
+	// checkSpread is the time over which the checked turns begin.
+	checkSpread = 4 * time.Second
 )
 
 // keptProgram is a program whose first turn was answered whole.
@@ -67,15 +69,21 @@
 // lostTurns checks LOST for the programs' last turns: one that names a turn that was answered whole reaches no server in five
 // tries or more, though nine tenths of first turns do.
 func (s *site) lostTurns(programs, fresh []*keptProgram) (violations []string, err error) {
-	runs := s.runsByAttempt()
 	reached := func(t turnOutcome) bool {
 		for _, a := range t.attempts {
-			if len(runs[a.attempt]) > 0 {
-				return true
+			for _, r := range s.servers {
+				if r.reachedBy(a.attempt) {
+					return true
+				}
 			}
 		}
 		return false
 	}
+	for _, r := range s.servers {
+		if peak := r.takePeak(); 2*peak >= r.kind.slots {
+			return nil, fmt.Errorf("server %s had %d of %d places taken: the rule asks for less than half", r.id, peak, r.kind.slots)
+		}
+	}
 	served := 0
 	for _, p := range fresh {
 		if reached(p.next) {
@@ -101,6 +109,13 @@
 	return violations, nil
 }
 
+// beginCheck begins the time in which the servers have to be under half full.
+func (s *site) beginCheck() {
+	for _, r := range s.servers {
+		r.takePeak()
+	}
+}
+
 func playMajority(s *site, trouble bool) (violations []string, err error) {
 	programs, err := s.beginPrograms(majorityPrograms, majorityBudget, majorityMost)
 	if err != nil {
@@ -119,7 +134,10 @@
 	for i := range majorityPrograms {
 		fresh = append(fresh, &keptProgram{program: newProgram(&consumer{site: s, zone: zones[i%len(zones)]}, majorityBudget, majorityMost, time.Minute)})
 	}
+	s.beginCheck()
 	forAll(append(fresh, programs...), func(p *keptProgram) {
+		// The turns are spread, so that the servers stay under half full.
+		time.Sleep(time.Duration(randomInt(int(checkSpread))))
 		p.next = p.turn(keptPath+"turn", p.id, p.first, "next question of "+p.id)
 	})
 	return s.lostTurns(programs, fresh)
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -47,9 +47,8 @@
 
 // Paths of the routes.
 const (
-	keptPath   = "/renewal/"
-	chatPath   = "/lodge/"
-	chargePath = "/charge/"
+	keptPath = "/renewal/"
+	chatPath = "/lodge/"
 )
 
 func turnRoute(name, path string, retain bool, service string) route {
@@ -59,13 +58,6 @@
 	}
 }
 
-func chargeRoute(service string) route {
-	return route{
-		Name: "r-charge", Host: host, PathPrefix: chargePath, Kind: "non_idempotent", TimeoutMs: 2000, TargetMs: 200, Priority: 2,
-		Service: service, MaxAttempts: 1,
-	}
-}
-
 // newSite starts a store.
 func newSite(rec *recorder) (s *site, err error) {
 	s = &site{rec: rec}
--- a/review/stand/split.go
+++ b/review/stand/split.go
@@ -67,9 +67,9 @@
 		tokens, turns, last := 0, 0, 0
 		for _, a := range answers {
 			last = a.status
-			for _, q := range runs[a.attempt] {
+			if ran := runs[a.attempt]; len(ran) > 0 {
 				turns++
-				tokens += a.events * s.tokensPerEvent(q.Service)
+				tokens += a.events * s.tokensPerEvent(ran[len(ran)-1].Service)
 			}
 		}
 		s.rec.say("program %s: budget %d, %d tokens in %d turns, last status %d", p.id, p.budget, tokens, turns, last)
