hgserver: report connections that are closed with a request on them

Callers' connections are now wrapped: each knows whether bytes of a request came for which no handler was called, and says so when it is closed, with what was read and what still lay in the system's buffer; the listener says so when a connection waits in its queue as it closes. Errors of net/http, among them panics of handlers, are logged as warnings and no longer at debug level.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -21,6 +21,7 @@
 	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
+	"hyssopgrade/internal/serve/hgserver"
 	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hghedge"
@@ -75,7 +76,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
-	public    *http.Server
+	public    *hgserver.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
 	// storeOK says that the store answered at the last look, and probedAt is when it was last probed; only watchStore uses them.
@@ -132,10 +133,10 @@
 	if err := n.listen(n.cfg.Listen.Peer, n.servePeers); err != nil {
 		return err
 	}
-	n.public = &http.Server{
+	n.public = hgserver.NewServer(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+	}, n.log)
 	if err := n.listen(n.cfg.Listen.Public, n.public.Serve); err != nil {
 		return err
 	}
