hgserver: a stop answers the requests that have arrived

What callers saw: around a planned stop a request ended with EOF or a reset and no answer, on new and on kept connections; no log named it.

Cause: http.Server.Shutdown closes without looking. It closes the listener, and the system resets what waits in its queue; a request that is read after the shutdown began is dropped without a call of the handler (conn.serve returns when it finds the server shutting down); a connection counts as idle until the whole header of its next request was read, and is closed with what has arrived on it. On a machine that is busy, or slow, the bytes may have lain there for longer than any slack.

Fix: the server stops by itself and never calls the shutdown of net/http. The listener accepts until its queue is empty and is closed then. A connection ends only by its own reader: the wait for a request gets a deadline, and a read that ends at it looks once more into the system's buffer; with bytes there, the request is served and its answer announces the close. What is new or has just been answered stays for half a second, since its caller may be about to send. The same look holds for the idle time-out. What can still cross is a request that arrives between that look and the close.

--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -4,10 +4,15 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
 
+// lingerTime is how long a server that stops keeps a connection open after its accept or its last answer, as the client may be about
+// to send a request.
+const lingerTime = 500 * time.Millisecond
+
 // conn is a connection of a client. It knows whether bytes of a request have come for which no handler was called.
 type conn struct {
 	net.Conn
@@ -16,17 +21,20 @@
 	mu sync.Mutex
 	// handling says that a handler serves a request of the connection.
 	handling bool
-	// received is the number of bytes read since the last answer, and receivedAt when the last of them came.
-	received   int
-	receivedAt time.Time
+	// received is the number of bytes of the next request that were read, and receivedAt when the last of them came; ahead is the
+	// part of it that came while the request before was served.
+	received, ahead int
+	receivedAt      time.Time
+	// usedAt is when the connection was accepted or last answered a request.
+	usedAt time.Time
 	// requests counts the requests that a handler was called for.
 	requests int
 	// ended says that the client has closed its direction.
 	ended, closed bool
+	// readDeadline is the deadline that net/http has set for reads.
+	readDeadline time.Time
 }
 
-func newConn(c net.Conn, s *Server) *conn { return &conn{Conn: c, server: s} }
-
 // beginRequest records that a handler was called for the request on the connection.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
@@ -39,23 +47,68 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handling, c.received = false, 0
+	c.handling, c.received, c.ahead = false, c.ahead, 0
+	c.usedAt = time.Now()
+}
+
+// isQuiet reports whether no request is on the connection, as far as it was read; c.mu is held.
+func (c *conn) isQuiet() bool { return !c.handling && c.received == 0 }
+
+// expire ends a read that waits for a request, once the connection has been quiet for lingerTime.
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.applyReadDeadline(); err != nil {
+		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
+	}
+}
+
+// SetReadDeadline sets the deadline of reads; a quiet connection of a server that stops has an earlier one.
+func (c *conn) SetReadDeadline(t time.Time) (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.applyReadDeadline()
 }
 
-// Read reads from the connection and records what came.
+// applyReadDeadline sets the deadline that the state of the connection and of the server demand; c.mu is held.
+func (c *conn) applyReadDeadline() error {
+	t := c.readDeadline
+	if end := c.usedAt.Add(lingerTime); c.server.stopping.Load() && c.isQuiet() && (t.IsZero() || end.Before(t)) {
+		t = end
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads from the connection. A read that ends at its deadline while the connection is quiet returns what has arrived, so that the
+// caller does not close a connection with a request on it.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isQuiet() {
+		n, err = readArrived(c.Conn, p, err)
+	}
 	c.ended = errors.Is(err, io.EOF)
-	if n > 0 {
-		c.received += n
-		c.receivedAt = time.Now()
+	if n == 0 {
+		return n, err
+	}
+	wasQuiet := c.isQuiet()
+	c.received += n
+	c.receivedAt = time.Now()
+	// While a handler runs, net/http reads single bytes to notice that the client leaves. Such a byte is the first of the next request.
+	if c.handling && len(p) == 1 {
+		c.ahead = n
+	}
+	if wasQuiet && c.server.stopping.Load() {
+		if err := c.applyReadDeadline(); err != nil {
+			return n, err
+		}
 	}
 	return n, err
 }
 
-// Write writes to the connection. What the server writes by itself answers a malformed request.
+// Write writes to the connection. What the server writes without a handler answers a malformed request.
 func (c *conn) Write(p []byte) (n int, err error) {
 	c.mu.Lock()
 	if !c.handling {
@@ -76,6 +129,7 @@
 // Close closes the connection. It logs bytes of a request that no handler has seen, read or still in the system's buffer.
 func (c *conn) Close() (err error) {
 	c.reportUnserved()
+	defer c.server.removeConn(c)
 	return c.Conn.Close()
 }
 
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -5,7 +5,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // connKey is the context key of the connection that a request came on.
@@ -16,16 +20,25 @@
 	http     *http.Server
 	log      *slog.Logger
 	stopping atomic.Bool
+	// serving counts the calls of Serve, and open the connections that are not closed.
+	serving, open sync.WaitGroup
+
+	mu        sync.Mutex
+	listeners []*listener
+	conns     map[*conn]bool
 }
 
 // NewServer returns a server with the handler and the limits of cfg, whose hooks for connections it sets.
 func NewServer(cfg *http.Server, log *slog.Logger) *Server {
-	s := &Server{http: cfg, log: log}
+	s := &Server{http: cfg, log: log, conns: map[*conn]bool{}}
 	handler := cfg.Handler
 	cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.beginRequest()
 		}
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(w, r)
 	})
 	cfg.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
@@ -37,38 +50,73 @@
 	return s
 }
 
-// Serve accepts and serves connections until the listener fails or the server is closed.
-func (s *Server) Serve(l net.Listener) (err error) {
-	return s.http.Serve(&listener{Listener: l, server: s})
+// Serve accepts and serves connections until the listener fails, or the server shuts down or is closed.
+func (s *Server) Serve(tcp net.Listener) (err error) {
+	l := &listener{Listener: tcp, server: s}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.serving.Add(1)
+	s.mu.Unlock()
+	defer s.serving.Done()
+	return s.http.Serve(l)
 }
 
-// Shutdown closes the listener and all idle connections, and waits for the requests in progress until the context ends.
+// Shutdown accepts the connections that wait in the listeners' queues, closes the listeners, and serves each connection until it
+// has no request. It returns once all connections are closed, or with an error when the context ends.
+//
+// It does not call the Shutdown of net/http, which drops the requests that it reads afterwards and closes connections whose next request has
+// arrived.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = trace.Wrap(err, "shut down") }()
+	s.mu.Lock()
 	s.stopping.Store(true)
-	return s.http.Shutdown(ctx)
+	for _, l := range s.listeners {
+		l.drain()
+	}
+	s.mu.Unlock()
+	if err := wait(ctx, &s.serving); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.expire()
+	}
+	s.mu.Unlock()
+	return wait(ctx, &s.open)
 }
 
-// Close closes the listener and all connections; requests in progress are cut off.
-func (s *Server) Close() (err error) { return s.http.Close() }
-
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
+// wait waits for the group until the context ends.
+func wait(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-// Accept waits for a connection.
-func (l *listener) Accept() (c net.Conn, err error) {
-	if c, err = l.Listener.Accept(); err != nil {
-		return nil, err
-	}
-	return newConn(c, l.server), nil
+// Close closes the listeners and all connections; requests in progress are cut off.
+func (s *Server) Close() (err error) { return s.http.Close() }
+
+func (s *Server) addConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, server: s, usedAt: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	s.open.Add(1)
+	return c
 }
 
-// Close closes the listener. Connections that wait to be accepted are reset by the system.
-func (l *listener) Close() (err error) {
-	if isReadable(l.Listener) {
-		l.server.log.Warn("listener closed while a connection waited to be accepted", "address", l.Addr().String())
+func (s *Server) removeConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[c] {
+		delete(s.conns, c)
+		s.open.Done()
 	}
-	return l.Listener.Close()
 }
--- a/internal/serve/hgserver/socket.go
+++ b/internal/serve/hgserver/socket.go
@@ -1,6 +1,7 @@
 package hgserver
 
 import (
+	"io"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -35,3 +36,18 @@
 	})
 	return n
 }
+
+// readArrived reads what a connection has received, without waiting. It returns waitErr if there is nothing.
+func readArrived(socket any, p []byte, waitErr error) (n int, err error) {
+	err = waitErr
+	control(socket, func(fd int) {
+		got, readErr := unix.Read(fd, p)
+		switch {
+		case readErr == nil && got > 0:
+			n, err = got, nil
+		case readErr == nil:
+			err = io.EOF
+		}
+	})
+	return n, err
+}
