hgledger: turns that run beside each other are granted within the budget at their maximum

What callers saw: streams that a replica was serving well were cut in the middle, with the store in order, mostly those of sub-agents of one program near the end of its budget.

Cause: as soon as a write takes longer than 50 ms a turn is granted from the share without it, with a reservation of what it is expected to need, so that turns fit beside each other during an outage. The rest was counted nowhere: the next turns, on this VM or through the row, got it, and the extension failed. A slow store got no extension at all. A VM named as the holder of a share (Elsewhere) granted short as well, though others could claim more; a stop returned what its open turns still needed. On a busy machine every store is slow: this fits the report (passed on, then cut on a kept connection, or once around a planned stop).

Fix: what a reservation lacks to the turn's maximum is held back like a reservation in every decision while the store answers, through the row, from the share and when a share is returned. A short reservation is granted only if the budget, as far as known, holds the maximum beside all open turns; else the turn waits for the row and is told 402 or 503 before it runs. Extensions go through the row in a slow store too. Without the store nothing changes. All of it counts more as open, never less, so no grant is larger than before.

--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -16,8 +16,8 @@
 	// openTimeout and closeTimeout bound the calls to a peer whose heartbeats go on, for example while the store is slow.
 	openTimeout  = 1500 * time.Millisecond
 	closeTimeout = 3 * time.Second
-	// extendTimeout bounds a call for more tokens. The turn has a few more events to deliver meanwhile.
-	extendTimeout = 300 * time.Millisecond
+	// extendTimeout bounds a call for more tokens. It is longer than a ledger takes to get them through a slow store.
+	extendTimeout = time.Second
 )
 
 // Programs opens and closes turns at the node that owns a program, and at this node's own ledger if the owner does not
@@ -54,7 +54,7 @@
 	}
 	if holder, isSelf, ok := p.members.ByBoot(reply.Elsewhere); ok {
 		known := q
-		known.Offline, known.KnownOnly = true, true
+		known.Offline, known.KnownOnly, known.Whole = true, true, !offline
 		if r, server := p.openAt(ctx, holder, isSelf, known); r.Verdict == hgledger.Granted || r.Verdict == hgledger.Spent {
 			return r, server
 		}
--- a/internal/proof/hgsite/store_test.go
+++ b/internal/proof/hgsite/store_test.go
@@ -203,3 +203,38 @@
 		}
 	}
 }
+
+// Guards against streams that are cut near the end of a budget because their reservation was smaller than their output, although the
+// store answers.
+func TestTurnsNearEndOfBudgetAreNotCutInSlowStore(t *testing.T) {
+	const (
+		programs = 8
+		parallel = 6
+		events   = 20
+	)
+	for name, vms := range map[string][]int{"one VM": {0}, "VMs of one domain": {0, 3}, "all VMs": {0, 1, 2, 3, 4, 5}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSettledSite(t, 6)
+			for _, r := range s.Replicas {
+				r.SetEvents(events)
+			}
+			s.Store.SetFault(hgstore.Fault{DelayMs: 70})
+			time.Sleep(500 * time.Millisecond)
+			var wg sync.WaitGroup
+			for p := range programs {
+				for i := range parallel {
+					wg.Go(func() {
+						q := hgsite.Turn(hgsite.ChatPath, fmt.Sprint("p", p), "", "x")
+						q.MaxTokensOut, q.Estimate = events*hgsite.TokensPerEvent, 10
+						q.Budget = 5 * q.MaxTokensOut / 2
+						time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+						if reply := call(t, s, vms[(p+i)%len(vms)], q); reply.Status == http.StatusOK && !reply.Complete {
+							t.Errorf("program %d, turn %d: cut after %d events", p, i, len(reply.Events))
+						}
+					})
+				}
+			}
+			wg.Wait()
+		})
+	}
+}
--- a/internal/state/hgaccount/account.go
+++ b/internal/state/hgaccount/account.go
@@ -58,6 +58,14 @@
 	return Grant{Account: a, NeedsWrite: true}
 }
 
+// ReserveBeside is Reserve, but leaves room for the given number of tokens that open turns may still need beyond their reservations.
+func (a Account) ReserveBeside(held, budget, maxTokens int) Grant {
+	a.Open += held
+	g := a.Reserve(budget, maxTokens)
+	g.Account.Open -= held
+	return g
+}
+
 // MayOverrun reports whether a grant exceeds the budget in case all other nodes have used their whole shares.
 func (a Account) MayOverrun(g Grant, budget int) bool {
 	return !g.Spent && g.NeedsWrite && g.Account.Mine+a.Others > budget
@@ -76,9 +84,9 @@
 	return a
 }
 
-// ReturnUnused reduces the node's share to what is used or reserved. The caller has to write the row.
-func (a Account) ReturnUnused() Account {
-	a.Mine = min(a.Mine, a.Used+a.Open)
+// ReturnUnused reduces the node's share to what is used, reserved or held back for open turns. The caller has to write the row.
+func (a Account) ReturnUnused(held int) Account {
+	a.Mine = min(a.Mine, a.Used+a.Open+held)
 	return a
 }
 
--- a/internal/state/hgaccount/model_test.go
+++ b/internal/state/hgaccount/model_test.go
@@ -223,7 +223,7 @@
 	next = append(next, crash)
 	if l := s.ledgers[i]; l.rowKnown && l.account.Available() > 0 && l.row.version == s.row.version {
 		returned := s
-		l.account = l.account.ReturnUnused()
+		l.account = l.account.ReturnUnused(0)
 		written := l.row
 		written.claimed[i] = l.account.Mine
 		returned.ledgers[i] = l
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -191,6 +191,9 @@
 	}
 	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] = reply.Most
+	if reply.Most < q.Most {
+		p.shortfalls[q.Attempt] = q.Most - reply.Most
+	}
 	if p.closedEarly[q.Attempt] {
 		l.release(p, q.Attempt, 0)
 		return OpenReply{Verdict: Undecided}
@@ -275,11 +278,11 @@
 		return false, ctx.Err()
 	}
 	defer p.unlock()
-	if p.account.Available() <= 0 {
+	if p.account.Available() <= p.shortfall("") {
 		return false, nil
 	}
 	// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
-	p.account = p.account.ReturnUnused()
+	p.account = p.account.ReturnUnused(p.shortfall(""))
 	return l.writeAccount(ctx, p, p.account)
 }
 
@@ -292,6 +295,7 @@
 		return
 	}
 	delete(p.reservations, attempt)
+	delete(p.shortfalls, attempt)
 	p.account = p.account.Settle(reserved, used)
 }
 
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -123,7 +123,14 @@
 		l.setUnsaved(p, true)
 		l.log.Info("budget claimed without a durable row", "program", p.id, "attempt", q.Attempt, "taken", a.Mine, "copies", copies)
 	}
-	if reserved = min(q.offlineNeed(), a.Available()); reserved < q.leastReservation() {
+	if !q.Offline && l.reach() != hgreach.Unreachable && !p.holdsWhole(q) {
+		q.Whole = true
+	}
+	available := a.Available()
+	if q.Whole {
+		available -= p.shortfall(q.Attempt)
+	}
+	if reserved = min(q.offlineNeed(), available); reserved < q.leastReservation() {
 		return 0, Outage
 	}
 	a.Open += reserved
@@ -131,6 +138,13 @@
 	return reserved, Granted
 }
 
+// holdsWhole reports whether the budget, as far as this ledger knows, holds the maximum of a turn beside that of all open turns, so
+// that a smaller reservation can be extended.
+func (p *program) holdsWhole(q OpenRequest) bool {
+	a := p.account
+	return a.Others+a.Used+a.Open+p.shortfall(q.Attempt)+q.Most <= q.Budget
+}
+
 // isSoleHolder reports whether a program is new and all peers, at least one, have answered that they do not know of it.
 // Then no other node holds a share of its budget, and none claims one while the store is unreachable.
 func (l *Ledger) isSoleHolder(ctx context.Context, p *program, isNew bool) bool {
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -38,6 +38,8 @@
 	checkedAt time.Duration
 	// reservations maps the attempts of open turns to their reserved tokens.
 	reservations map[string]int
+	// shortfalls maps the attempts of open turns to the tokens by which their reservations are below the turns' maximum.
+	shortfalls map[string]int
 	// closedEarly holds attempts that were closed here before they were opened, as their entry VM had given up on them.
 	closedEarly map[string]bool
 	turns       hgturn.Tree
@@ -60,7 +62,7 @@
 	p, ok := s.programs[id]
 	if !ok {
 		p = &program{
-			id: id, partition: homePartition(id), sem: make(chan struct{}, 1), reservations: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
+			id: id, partition: homePartition(id), sem: make(chan struct{}, 1), reservations: map[string]int{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
 			lastUsed: l.timer.Now(),
 		}
 		s.programs[id] = p
@@ -94,6 +96,11 @@
 
 func (p *program) unlock() { <-p.sem }
 
+// shortfall returns the tokens by which the reservations of open turns, other than one attempt, are below the turns' maximum.
+func (p *program) shortfall(attempt string) int {
+	return lo.Sum(lo.Values(p.shortfalls)) - p.shortfalls[attempt]
+}
+
 // all returns the programs in memory.
 func (l *Ledger) all() (programs []*program) {
 	for i := range l.shards {
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -17,8 +17,8 @@
 	// 10 ms.
 	hedgeDelay = 50 * time.Millisecond
 	// extendTimeout bounds the extension of a reservation through the store. The turn has a few more events to deliver
-	// meanwhile.
-	extendTimeout = 200 * time.Millisecond
+	// meanwhile, and a pause in its stream is better than its end.
+	extendTimeout = 800 * time.Millisecond
 	// reachCheckPeriod is the time between two looks at the state of the store while a turn waits for it.
 	reachCheckPeriod = 50 * time.Millisecond
 )
@@ -99,7 +99,7 @@
 	ctx, cancel := l.cancelAfter(ctx, limit)
 	defer cancel()
 	l.cancelIfUnreachable(ctx, cancel)
-	return l.reserveOnline(ctx, p, q.Budget, q.Most)
+	return l.reserveOnline(ctx, p, q.Attempt, q.Budget, q.Most)
 }
 
 // cancelIfUnreachable calls cancel when the store turns out to be unreachable before the context ends.
@@ -119,15 +119,16 @@
 // shares of other nodes.
 const recheckAfter = 500 * time.Millisecond
 
-// reserveOnline reserves tokens of the budget. It writes the row if this ledger's share is too small.
-func (l *Ledger) reserveOnline(ctx context.Context, p *program, budget, maxTokens int) (v Verdict, err error) {
+// reserveOnline reserves tokens of the budget for an attempt, beside what other open turns may still need. It writes the row if
+// this ledger's share is too small.
+func (l *Ledger) reserveOnline(ctx context.Context, p *program, attempt string, budget, maxTokens int) (v Verdict, err error) {
 	if !p.rowKnown && l.failedOver[p.partition].Load() {
 		if err := l.readAccount(ctx, p); err != nil {
 			return Undecided, err
 		}
 	}
 	for fetched := false; ; {
-		g := p.account.Reserve(budget, maxTokens)
+		g := p.account.ReserveBeside(p.shortfall(attempt), budget, maxTokens)
 		mayOverrun := l.backup != nil && p.account.MayOverrun(g, budget)
 		switch {
 		case mayOverrun && l.backup.LacksMajority():
@@ -179,8 +180,8 @@
 	return !p.rowKnown || p.account.Others > 0 && l.timer.Now()-p.checkedAt > recheckAfter
 }
 
-// Extend adds tokens to the reservation of a turn, from this ledger's share of the budget or, while the store answers as
-// usual, from the rest of the budget.
+// Extend adds tokens to the reservation of a turn, from this ledger's share of the budget or, while the store answers, from the
+// rest of the budget.
 func (l *Ledger) Extend(ctx context.Context, q ExtendRequest) (reply ExtendReply) {
 	p, ok := l.find(q.Program)
 	if !ok || q.Holder != l.id || q.Tokens <= 0 || !p.lock(ctx) {
@@ -192,15 +193,16 @@
 	}
 	reply.Tokens = max(min(q.Tokens, p.account.Available()), 0)
 	p.account.Open += reply.Tokens
-	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() == hgreach.Reachable {
+	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() != hgreach.Unreachable {
 		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
 		defer cancel()
-		if v, err := l.reserveOnline(ctx, p, q.Budget, rest); v == Granted {
+		if v, err := l.reserveOnline(ctx, p, q.Attempt, q.Budget, rest); v == Granted {
 			reply.Tokens += rest
 		} else if err != nil {
 			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
 		}
 	}
 	p.reservations[q.Attempt] += reply.Tokens
+	p.shortfalls[q.Attempt] = max(p.shortfalls[q.Attempt]-reply.Tokens, 0)
 	return reply
 }
