hgledger: the ledger that is asked judges by its own view of the store whether a reservation may be short

The holder knows by itself; it grants short reservations without the store, and with it only if the budget holds the whole turn. That test and TestTurnsNearEndOfBudgetAreNotCutInSlowStore pass with the race detector.

--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -123,7 +123,7 @@
 		l.setUnsaved(p, true)
 		l.log.Info("budget claimed without a durable row", "program", p.id, "attempt", q.Attempt, "taken", a.Mine, "copies", copies)
 	}
-	if !q.Offline && l.reach() != hgreach.Unreachable && !p.holdsWhole(q) {
+	if l.reach() != hgreach.Unreachable && !p.holdsWhole(q) {
 		q.Whole = true
 	}
 	available := a.Available()
