hgentry: an answer that begins after the stop announces the close, also if its request came before

What callers saw: the answer to a request that was in progress when the stop began left its connection open for reuse; it was closed at the end of the stop. Cause: the header was set when the request began. Evidence: TestAnswerInProgressAnnouncesStop failed before ('status 200, announced: false'). The header is now set when status and headers are written.

--- a/internal/proof/hgsite/caller.go
+++ b/internal/proof/hgsite/caller.go
@@ -33,7 +33,9 @@
 	Events, IDs []string
 	// Complete reports whether the body was read to its end without an error.
 	Complete bool
-	Took     time.Duration
+	// Closes reports whether the answer announced the end of its connection.
+	Closes bool
+	Took   time.Duration
 }
 
 // RetryAfter returns the time after which the VM asks the caller to come back; 0 if it names none.
@@ -74,7 +76,7 @@
 	}
 	defer w.Body.Close()
 	body, readErr := io.ReadAll(w.Body)
-	reply = Reply{Status: w.StatusCode, Header: w.Header, Body: string(body), Complete: readErr == nil, Took: time.Since(began)}
+	reply = Reply{Status: w.StatusCode, Header: w.Header, Body: string(body), Complete: readErr == nil, Closes: w.Close, Took: time.Since(began)}
 	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
 		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -117,7 +117,7 @@
 // Desired returns the current desired state, or nil if there is none yet.
 func (e *Entry) Desired() *hgdesired.State { return e.desired.Load() }
 
-// Stop begins draining: each response from now on carries "Connection: close", so that callers reconnect elsewhere.
+// Stop begins draining: each response that begins from now on carries "Connection: close", so that callers reconnect elsewhere.
 func (e *Entry) Stop() { e.stopping.Store(true) }
 
 // Running returns the number of requests in progress, for metrics, the status page and the log.
@@ -134,9 +134,6 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{entry: e, w: w, r: r, start: e.timer.Now(), state: e.desired.Load()}
 	x.serve()
 }
@@ -307,8 +304,16 @@
 	x.respond(status, reason, retryAfterBusy)
 }
 
+// announceClose tells the caller of a node that stops to reconnect elsewhere; status and headers are not written yet.
+func (x *exchange) announceClose() {
+	if x.entry.stopping.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // respond writes an error of this node's own. retryAfter, in seconds, is sent with status 503 only.
 func (x *exchange) respond(status int, reason string, retryAfter float64) {
+	x.announceClose()
 	h := x.w.Header()
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 2, 64))
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -216,6 +216,7 @@
 
 // copyHead sets the caller's response headers from a replica's response.
 func (x *exchange) copyHead(resp *http.Response) {
+	x.announceClose()
 	h := x.w.Header()
 	for name, values := range endToEnd(resp.Header) {
 		h[name] = values
