hgnode: drain callers' connections with hgserver

It now announces the close in answers, and stops by hgserver. TestAnnouncedCloseServesKeptConnection covers the announcement; the loss itself is covered by the tests of hgserver, it was not played on a node. All tests of hgnode, hgproof and hgcell pass with the race detector.

--- a/internal/peer/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -28,6 +28,7 @@
 	"hyssopgrade/internal/serve/hgfront"
 	"hyssopgrade/internal/serve/hgowner"
 	"hyssopgrade/internal/serve/hgsched"
+	"hyssopgrade/internal/serve/hgserver"
 	"hyssopgrade/internal/state/hgjournal"
 )
 
@@ -59,7 +60,7 @@
 	wg     sync.WaitGroup
 	// backgroundMu prevents background from adding to wg once Close has begun to wait for it.
 	backgroundMu sync.Mutex
-	public       *http.Server
+	public       *hgserver.Server
 	peers        *http.Server
 	planMu       sync.Mutex
 	// planAgain is set by every call of plan, so that a plan under way is followed by another.
@@ -195,7 +196,9 @@
 		_ = public.Close()
 		return err
 	}
-	n.public = &http.Server{Handler: n.front, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	n.public = hgserver.NewServer(&http.Server{
+		Handler: n.front, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+	}, n.log)
 	n.peers = &http.Server{Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
 	n.wg.Go(func() { _ = n.peers.Serve(peers) })
 	n.wg.Go(func() { _ = n.public.Serve(public) })
--- a/internal/peer/hgnode/operate.go
+++ b/internal/peer/hgnode/operate.go
@@ -156,7 +156,7 @@
 	n.draining = true
 	n.mu.Unlock()
 	n.log.Info("draining")
-	n.public.SetKeepAlivesEnabled(false)
+	n.public.AnnounceClose()
 	n.announce()
 	n.releaseIdle(ctx)
 	if err := n.releaseRemaining(ctx); err != nil {
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -17,9 +17,10 @@
 
 // Server is an HTTP server; it is safe for concurrent use.
 type Server struct {
-	http     *http.Server
-	log      *slog.Logger
-	stopping atomic.Bool
+	http *http.Server
+	log  *slog.Logger
+	// closing says that each answer announces the end of its connection, and stopping that Shutdown was called.
+	closing, stopping atomic.Bool
 	// serving counts the calls of Serve, and open the connections that are not closed.
 	serving, open sync.WaitGroup
 
@@ -36,7 +37,7 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.beginRequest()
 		}
-		if s.stopping.Load() {
+		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
@@ -61,6 +62,9 @@
 	return s.http.Serve(l)
 }
 
+// AnnounceClose makes each answer to a request from now on announce that its connection ends. Quiet connections stay open.
+func (s *Server) AnnounceClose() { s.closing.Store(true) }
+
 // Shutdown accepts the connections that wait in the listeners' queues, closes the listeners, and serves each connection until it
 // has no request. It returns once all connections are closed, or with an error when the context ends.
 //
@@ -68,6 +72,7 @@
 // arrived.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = trace.Wrap(err, "shut down") }()
+	s.AnnounceClose()
 	s.mu.Lock()
 	s.stopping.Store(true)
 	for _, l := range s.listeners {
--- a/internal/serve/hgserver/server_test.go
+++ b/internal/serve/hgserver/server_test.go
@@ -297,6 +297,24 @@
 	}
 }
 
+// A server that announces the end of its connections must not close one before an answer has said so.
+func TestAnnouncedCloseServesKeptConnection(t *testing.T) {
+	s := newSite(t, nil, nil)
+	c := s.dial(t)
+	c.send(t, request("/first"))
+	c.answer()
+	s.server.AnnounceClose()
+	time.Sleep(settleTime)
+	c.send(t, request("/second"))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !resp.Close {
+		t.Error("the answer does not announce the end of the connection")
+	}
+}
+
 // A connection that ends with a request on it must leave a line in the log, whatever closes it.
 func TestConnectionClosedWithRequestIsLogged(t *testing.T) {
 	g := newGate()
