hgsoak: say how each process ended

The soak counted processes that end by themselves without their reason, so that a signal in the start, a lost port and a panic looked alike within the first 100 ms.

Each process's standard error is kept apart and reported with the status of its end. Only a SIGHUP within startupTime is no violation; a process that exits by itself in that time, or with a status other than 0 while it stops, is one now.

Two faults of the soak: a process was started again as on its first start (VM.FirstStart), and a SIGTERM could reach the next process instead of the one that it was meant for, when several stops overlap.

--- a/cmd/hyssopgradesoak/main.go
+++ b/cmd/hyssopgradesoak/main.go
@@ -53,6 +53,9 @@
 			return err
 		}
 		fmt.Printf("seed %d: %d programs, answers %v, faults %v, %d violations\n", seed, r.Programs, r.Counts, r.Faults, len(r.Violations))
+		for _, exit := range r.Exits {
+			fmt.Println("  exit:", exit)
+		}
 		if len(r.Violations) == 0 && r.Counts[hgsoak.UnexpectedExits] <= maxStartExits {
 			_ = os.RemoveAll(dir)
 			continue
--- a/internal/proof/hgsoak/check.go
+++ b/internal/proof/hgsoak/check.go
@@ -1,9 +1,12 @@
 package hgsoak
 
 import (
+	"errors"
 	"fmt"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"hyssopgrade/internal/proof/hgsite"
@@ -24,6 +27,8 @@
 	// that the replica is leaving.
 	routes    map[string]route
 	leavingAt map[string]time.Time
+	// exits describes the processes that exited by themselves.
+	exits []string
 }
 
 func newChecker() *checker {
@@ -93,16 +98,29 @@
 // violation.
 const startupTime = 100 * time.Millisecond
 
-// unexpectedExit counts a process that exited by itself; it is a violation after startupTime.
-func (c *checker) unexpectedExit(vm string, ran time.Duration) {
+// unexpectedExit records a process that exited by itself or failed while it stopped; it is a violation unless a SIGHUP ended it
+// within startupTime.
+func (c *checker) unexpectedExit(vm string, ran time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[UnexpectedExits]++
-	if ran > startupTime {
-		c.violate("%s ended by itself after %v", vm, ran)
+	end := fmt.Sprintf("%s ended by itself after %v: %v", vm, ran, err)
+	c.exits = append(c.exits, end)
+	if ran > startupTime || !endedBy(err, syscall.SIGHUP) {
+		c.violate("%s", end)
 	}
 }
 
+// endedBy reports whether a signal ended a process, given the error of waiting for it.
+func endedBy(err error, s syscall.Signal) bool {
+	exit := &exec.ExitError{}
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 // finish compares the records with what replicas ran and returns all violations.
 func (c *checker) finish(runs []hgsite.Run) []string {
 	c.mu.Lock()
--- a/internal/proof/hgsoak/process.go
+++ b/internal/proof/hgsoak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,8 +20,9 @@
 type process struct {
 	binary, dir string
 	cfg         hgconfig.EntryConfig
-	// onUnexpectedExit is called with the process's run time when it exits by itself; the process is then started again.
-	onUnexpectedExit func(ran time.Duration)
+	// onUnexpectedExit is called when the process exits by itself or fails while it stops, with its run time and its end. A process
+	// that exits by itself is started again.
+	onUnexpectedExit func(ran time.Duration, err error)
 
 	// generation counts starts and freezes, after which the process may have lost its state or let it expire.
 	generation atomic.Int64
@@ -34,6 +36,9 @@
 // restartAfter is the delay before a process that exited by itself is started again.
 const restartAfter = 200 * time.Millisecond
 
+// maxStderrBytes is the part of a process's standard error that is reported, enough for the head of a panic.
+const maxStderrBytes = 4 << 10
+
 // start writes the settings file and starts the process, unless it is running.
 func (p *process) start() (err error) {
 	p.mu.Lock()
@@ -49,38 +54,45 @@
 	if err := os.WriteFile(path, settings.Bytes(), 0o600); err != nil {
 		return err
 	}
-	out, err := os.OpenFile(filepath.Join(p.dir, p.cfg.VM.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(p.dir, p.cfg.VM.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
+	defer log.Close()
+	var stderr bytes.Buffer
 	cmd := exec.Command(p.binary, "entry", "--config", path)
-	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Stdout, cmd.Stderr = log, &stderr
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	p.generation.Add(1)
-	p.cmd, p.done, p.stopping = cmd, make(chan struct{}), false
-	go p.wait(cmd, out, p.done)
+	p.cmd, p.done, p.stopping, p.cfg.VM.FirstStart = cmd, make(chan struct{}), false, false
+	go p.wait(cmd, &stderr, p.done)
 	return nil
 }
 
 // wait waits until the process exits, and starts it again if it exited by itself.
-func (p *process) wait(cmd *exec.Cmd, out *os.File, done chan struct{}) {
+func (p *process) wait(cmd *exec.Cmd, stderr *bytes.Buffer, done chan struct{}) {
 	began := time.Now()
-	_ = cmd.Wait()
-	_ = out.Close()
+	err := cmd.Wait()
+	if text := stderr.Bytes(); len(text) > 0 {
+		err = fmt.Errorf("%w: %s", err, text[:min(len(text), maxStderrBytes)])
+	}
 	p.mu.Lock()
 	p.cmd = nil
-	unexpected := !p.stopping
+	stopping := p.stopping
 	p.mu.Unlock()
 	close(done)
-	if !unexpected {
+	if stopping {
+		if cmd.ProcessState.ExitCode() > 0 {
+			p.onUnexpectedExit(time.Since(began), err)
+		}
 		return
 	}
-	p.onUnexpectedExit(time.Since(began))
+	p.onUnexpectedExit(time.Since(began), err)
 	time.Sleep(restartAfter)
 	if err := p.start(); err != nil {
-		p.onUnexpectedExit(0)
+		p.onUnexpectedExit(0, err)
 	}
 }
 
@@ -96,17 +108,17 @@
 // end stops the process with a signal, waits for it to exit and kills it when the limit has passed.
 func (p *process) end(s syscall.Signal, limit time.Duration) {
 	p.mu.Lock()
-	done, running := p.done, p.cmd != nil
+	cmd, done := p.cmd, p.done
 	p.stopping = true
 	p.mu.Unlock()
-	if !running {
+	if cmd == nil {
 		return
 	}
-	p.signal(s)
+	_ = cmd.Process.Signal(s)
 	select {
 	case <-done:
 	case <-time.After(limit):
-		p.signal(syscall.SIGKILL)
+		_ = cmd.Process.Kill()
 		<-done
 	}
 }
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -30,6 +30,8 @@
 	// Counts holds the answers by status beside further counts such as UnexpectedExits, and Faults the faults by kind.
 	Counts, Faults map[string]int
 	Programs       int
+	// Exits describes the processes that exited by themselves.
+	Exits []string
 }
 
 // recoveryLimit is the time after the last fault within which all entry VMs must serve again.
@@ -79,7 +81,7 @@
 	s.checkCrashing(ctx)
 	return Report{
 		Violations: s.check.finish(append(s.site.Runs(hgsite.Engines), s.site.Runs(hgsite.Tools)...)),
-		Counts:     s.check.counts, Faults: s.faults, Programs: s.programs,
+		Counts:     s.check.counts, Faults: s.faults, Programs: s.programs, Exits: s.check.exits,
 	}, nil
 }
 
@@ -95,8 +97,8 @@
 			return err
 		}
 		s.proxies = append(s.proxies, proxy)
-		s.procs = append(s.procs, &process{binary: s.opts.Binary, dir: s.opts.Dir, cfg: cfg, onUnexpectedExit: func(ran time.Duration) {
-			s.check.unexpectedExit(cfg.VM.Name, ran)
+		s.procs = append(s.procs, &process{binary: s.opts.Binary, dir: s.opts.Dir, cfg: cfg, onUnexpectedExit: func(ran time.Duration, err error) {
+			s.check.unexpectedExit(cfg.VM.Name, ran, err)
 		}})
 		if err := s.procs[i].start(); err != nil {
 			return err
