hgsoak: judge calls without an answer around planned work

The soak counted calls that end without an answer and compared them with nothing: a run that loses requests passed.

A phase of its own comes before the faults: SIGTERM with restart and SIGHUP in series and overlapping, and new desired states, with a sound store and sound replicas. Callers use kept connections until the process is gone and open new ones, and nothing is sent again unseen. A request that was written whole and ends without a complete answer is a violation once it reached a replica, or later than loss_slack_ms after its last byte; one that ends sooner is reported as crossed, with its connection, its age and the time since SIGTERM.

--- a/cmd/hyssopgradesoak/main.go
+++ b/cmd/hyssopgradesoak/main.go
@@ -21,6 +21,7 @@
 			&cli.UintFlag{Name: "seed", Usage: "first seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.FloatFlag{Name: "minutes", Usage: "time under faults with each seed", Value: 1},
+			&cli.FloatFlag{Name: "planned", Usage: "minutes of planned work only, before the faults", Value: 0.5},
 			&cli.IntFlag{Name: "vms", Usage: "number of entry VMs", Value: 3},
 			&cli.IntFlag{Name: "callers", Usage: "number of callers", Value: 12},
 		},
@@ -47,12 +48,15 @@
 		seed := uint64(c.Uint("seed")) + uint64(i)
 		r, err := hgsoak.Run(ctx, hgsoak.Options{
 			Binary: c.String("binary"), Dir: dir, Seed: seed, For: time.Duration(c.Float("minutes") * float64(time.Minute)),
-			VMs: c.Int("vms"), Callers: c.Int("callers"),
+			Planned: time.Duration(c.Float("planned") * float64(time.Minute)), VMs: c.Int("vms"), Callers: c.Int("callers"),
 		})
 		if err != nil {
 			return err
 		}
 		fmt.Printf("seed %d: %d programs, answers %v, faults %v, %d violations\n", seed, r.Programs, r.Counts, r.Faults, len(r.Violations))
+		for _, call := range r.Crossed {
+			fmt.Println("  crossed:", call)
+		}
 		for _, exit := range r.Exits {
 			fmt.Println("  exit:", exit)
 		}
--- a/internal/proof/hgsite/caller.go
+++ b/internal/proof/hgsite/caller.go
@@ -22,6 +22,9 @@
 	Method, Path, Body string
 	// Header holds headers beside those that encode the attempt.
 	Header http.Header
+	// NewConn sends the request on a connection of its own; SendOnce keeps the client from sending it again by itself when its
+	// connection closes.
+	NewConn, SendOnce bool
 }
 
 // Reply is the answer that a caller received.
@@ -45,7 +48,7 @@
 	return d
 }
 
-var callerClient = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}
+var callerTransport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}
 
 // NewAttempt returns a unique attempt identifier.
 func NewAttempt() string { return strings.ReplaceAll(uuid.NewString(), "-", "")[:16] }
@@ -67,8 +70,16 @@
 		r.Header[name] = values
 	}
 	hgplatform.EncodeAttempt(r.Header, q.Attempt)
+	if q.SendOnce {
+		r.Body, r.GetBody = io.NopCloser(r.Body), nil // net/http repeats a request only if it can read the body again
+	}
+	transport := callerTransport
+	if q.NewConn {
+		transport = transport.Clone()
+		defer transport.CloseIdleConnections()
+	}
 	began := time.Now()
-	w, err := callerClient.Do(r)
+	w, err := (&http.Client{Transport: transport}).Do(r)
 	if err != nil {
 		return reply, err
 	}
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -36,6 +36,8 @@
 	TokensPerEvent = 10
 	// Events is the number of events of a stream.
 	Events = 4
+	// Pause is the time before each event of a stream, and before the answer of a tool.
+	Pause = 2 * time.Millisecond
 )
 
 // Domains are the failure domains of a site; VMs and replicas are spread over them in turn.
@@ -103,7 +105,7 @@
 		{ID: "engine-0", Service: Engines}, {ID: "engine-1", Service: Engines}, {ID: "tool-0", Service: Tools}, {ID: "tool-1", Service: Tools},
 	} {
 		e.Domain, e.Slots, e.Born = Domains[i%len(Domains)], 8, strconv.Itoa(firstStart)
-		r, err := newReplica(e, e.Service == Engines, Events, 2*time.Millisecond)
+		r, err := newReplica(e, e.Service == Engines, Events, Pause)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/proof/hgsoak/caller.go
+++ b/internal/proof/hgsoak/caller.go
@@ -90,14 +90,21 @@
 		hgplatform.ForgeSystemHeaders(q.Header)
 	}
 	limit := callTimeout
-	if r.IntN(30) == 0 {
+	planned := s.planned.Load()
+	if !planned && r.IntN(30) == 0 {
 		limit = time.Duration(r.Int64N(int64(50 * time.Millisecond)))
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	vm := r.IntN(len(s.procs))
 	rt := route{vm: vm, generation: s.procs[vm].generation.Load(), sent: time.Now()}
-	reply, err := s.site.Call(ctx, vm, q)
+	var err error
+	if planned {
+		q.NewConn = r.IntN(2) == 0
+		reply, err = s.exchange(ctx, vm, q)
+	} else {
+		reply, err = s.site.Call(ctx, vm, q)
+	}
 	s.check.recordAnswer(q, repeatable, reply, err)
 	s.check.recordRoute(q.ID, rt, reply, err)
 	return reply, err == nil && reply.Status == http.StatusOK && reply.Complete
--- a/internal/proof/hgsoak/check.go
+++ b/internal/proof/hgsoak/check.go
@@ -27,6 +27,9 @@
 	// that the replica is leaving.
 	routes    map[string]route
 	leavingAt map[string]time.Time
+	// exchanges are those of the phase of planned work, and crossed describes those that crossed the close of their connection.
+	exchanges []exchange
+	crossed   []string
 	// exits describes the processes that exited by themselves.
 	exits []string
 }
--- a/internal/proof/hgsoak/fault.go
+++ b/internal/proof/hgsoak/fault.go
@@ -102,10 +102,16 @@
 // countSetupError counts a fault that could not be started or ended, for instance because the store was down.
 func (s *soak) countSetupError(err error) {
 	if err != nil {
-		s.faults["not set up"]++
+		s.countFault("not set up")
 	}
 }
 
+func (s *soak) countFault(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[name]++
+}
+
 func (s *soak) restart(p *process) { s.countSetupError(p.start()) }
 
 // inject starts random faults until the context ends, and then ends the active ones.
@@ -117,7 +123,7 @@
 	var active []activeFault
 	for ctx.Err() == nil {
 		f := faults[r.IntN(len(faults))]
-		s.faults[f.name]++
+		s.countFault(f.name)
 		active = append(active, activeFault{time.Now().Add(time.Duration(r.Int64N(int64(maxFaultDuration)))), f.start(s, r)})
 		select {
 		case <-ctx.Done():
--- a/internal/proof/hgsoak/process.go
+++ b/internal/proof/hgsoak/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"github.com/samber/lo"
 
 	"hyssopgrade/internal/operate/hgconfig"
 )
@@ -26,6 +27,8 @@
 
 	// generation counts starts and freezes, after which the process may have lost its state or let it expire.
 	generation atomic.Int64
+	// stoppedAt is the time of the last SIGTERM to a process that was not stopping.
+	stoppedAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -109,6 +112,9 @@
 func (p *process) end(s syscall.Signal, limit time.Duration) {
 	p.mu.Lock()
 	cmd, done := p.cmd, p.done
+	if s == syscall.SIGTERM && !p.stopping {
+		p.stoppedAt.Store(lo.ToPtr(time.Now()))
+	}
 	p.stopping = true
 	p.mu.Unlock()
 	if cmd == nil {
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,8 +19,8 @@
 	// Binary is the path of the program under test, and Dir the directory for settings and logs.
 	Binary, Dir string
 	Seed        uint64
-	// For is the duration of the phase with faults.
-	For time.Duration
+	// Planned is the duration of the phase with planned work only, For that of the phase with faults, which follows.
+	Planned, For time.Duration
 	// VMs is the number of entry VMs, and Callers the number of concurrent callers.
 	VMs, Callers int
 }
@@ -30,6 +31,8 @@
 	// Counts holds the answers by status beside further counts such as UnexpectedExits, and Faults the faults by kind.
 	Counts, Faults map[string]int
 	Programs       int
+	// Crossed describes the calls that ended without an answer because they crossed the close of their connection.
+	Crossed []string
 	// Exits describes the processes that exited by themselves.
 	Exits []string
 }
@@ -47,13 +50,17 @@
 
 	mu       sync.Mutex
 	programs int
+	// version is that of the last desired state; only the phase of planned work writes it.
+	version uint64
+	// planned reports whether the phase of planned work is under way.
+	planned atomic.Bool
 }
 
 // Run starts a site with entry VMs as processes, injects faults drawn from the seed while callers send requests, and reports
 // violations. An error means that the soak could not run.
 func Run(ctx context.Context, o Options) (r Report, err error) {
 	defer func() { err = trace.Wrap(err, "soak with seed %d", o.Seed) }()
-	s := &soak{opts: o, check: newChecker(), faults: map[string]int{}}
+	s := &soak{opts: o, check: newChecker(), faults: map[string]int{}, version: 1}
 	if s.site, err = hgsite.NewSite(0, nil); err != nil {
 		return r, err
 	}
@@ -62,27 +69,37 @@
 		return r, err
 	}
 	defer s.stop()
-	faulty, cancel := context.WithTimeout(ctx, o.For)
+	if o.Planned > 0 {
+		s.runPlanned(ctx)
+	}
+	if o.For > 0 {
+		s.runFaults(ctx)
+	}
+	return Report{
+		Violations: s.check.finish(append(s.site.Runs(hgsite.Engines), s.site.Runs(hgsite.Tools)...)),
+		Counts:     s.check.counts, Faults: s.faults, Programs: s.programs, Crossed: s.check.crossed, Exits: s.check.exits,
+	}, nil
+}
+
+// runFaults injects faults while callers send requests, and checks that the site recovers.
+func (s *soak) runFaults(ctx context.Context) {
+	faulty, cancel := context.WithTimeout(ctx, s.opts.For)
 	defer cancel()
 	var callers sync.WaitGroup
 	calling, stopCalling := context.WithCancel(ctx)
 	defer stopCalling()
-	for i := range o.Callers {
-		callers.Go(func() { s.caller(calling, rand.New(rand.NewPCG(o.Seed, uint64(i+1)))) })
+	for i := range s.opts.Callers {
+		callers.Go(func() { s.caller(calling, rand.New(rand.NewPCG(s.opts.Seed, uint64(i+1)))) })
 	}
 	for _, r := range s.site.Replicas {
 		r.SetCrashing(isCrashing)
 	}
-	callers.Go(func() { s.sendCrashing(calling, rand.New(rand.NewPCG(o.Seed, crashingRandStream))) })
-	s.inject(faulty, rand.New(rand.NewPCG(o.Seed, 0)))
+	callers.Go(func() { s.sendCrashing(calling, rand.New(rand.NewPCG(s.opts.Seed, crashingRandStream))) })
+	s.inject(faulty, rand.New(rand.NewPCG(s.opts.Seed, 0)))
 	stopCalling()
 	callers.Wait()
 	s.checkRecovered(ctx)
 	s.checkCrashing(ctx)
-	return Report{
-		Violations: s.check.finish(append(s.site.Runs(hgsite.Engines), s.site.Runs(hgsite.Tools)...)),
-		Counts:     s.check.counts, Faults: s.faults, Programs: s.programs, Exits: s.check.exits,
-	}, nil
 }
 
 // start starts the entry VMs, each with its own proxy to the store, and waits until they serve.
--- a/internal/proof/hgsoak/soak_test.go
+++ b/internal/proof/hgsoak/soak_test.go
@@ -16,8 +16,11 @@
 	27, // A SIGHUP soon after the start ended the process (TestHangUpAtStart); seed 29 failed in the same way.
 }
 
-// shortSoak is the duration of the phase with faults in CI.
-const shortSoak = 12 * time.Second
+// shortPlanned is the duration of the phase of planned work in CI, and shortSoak that of the phase with faults.
+const (
+	shortPlanned = 4 * time.Second
+	shortSoak    = 12 * time.Second
+)
 
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
@@ -27,12 +30,15 @@
 	}
 	for _, seed := range seeds {
 		r, err := hgsoak.Run(context.Background(), hgsoak.Options{
-			Binary: binary, Dir: t.TempDir(), Seed: seed, For: shortSoak, VMs: 3, Callers: 12,
+			Binary: binary, Dir: t.TempDir(), Seed: seed, Planned: shortPlanned, For: shortSoak, VMs: 3, Callers: 12,
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Logf("seed %d: %d programs, answers %v, faults %v", seed, r.Programs, r.Counts, r.Faults)
+		for _, line := range append(r.Crossed, r.Exits...) {
+			t.Logf("seed %d: %s", seed, line)
+		}
 		for _, v := range r.Violations {
 			t.Errorf("seed %d: %s", seed, v)
 		}
