hgsoak: try kept turns after a loss of all VMs and in the calm

Turns that were answered whole were judged by 404 only: a program whose kept turn is refused in all tries passed.

After the faults all processes are killed at once; each of the newest kept turns has to reach a replica within recover_s, and, with all VMs in touch again, within five tries. After planned work the same holds without the loss. 410 counts like 404. A try counts as successful when a replica has it.

--- a/internal/proof/hgsoak/exchange.go
+++ b/internal/proof/hgsoak/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptrace"
 	"sync"
@@ -64,6 +65,9 @@
 	}
 }
 
+// errBrokenOff is the error of an answer that ended before it was complete.
+var errBrokenOff = errors.New("the answer broke off")
+
 // exchange sends a request once and records how the exchange ended.
 func (s *soak) exchange(ctx context.Context, vm int, q hgsite.Request) (reply hgsite.Reply, err error) {
 	q.SendOnce = true
@@ -72,6 +76,9 @@
 	e := take()
 	e.attempt, e.path, e.vm, e.ended, e.err = q.ID, q.Path, vm, time.Now(), err
 	e.answered, e.abandoned = err == nil && reply.Complete, ctx.Err() != nil
+	if err == nil && !reply.Complete {
+		e.err = errBrokenOff
+	}
 	if at := s.procs[vm].stoppedAt.Load(); at != nil {
 		e.stopped = e.ended.Sub(*at)
 	}
--- a/internal/proof/hgsoak/planned.go
+++ b/internal/proof/hgsoak/planned.go
@@ -109,6 +109,7 @@
 	}
 	s.version++
 	s.countSetupError(s.site.SetDesired(hgsite.Desired(s.version)))
+	s.checkKeptInCalm(ctx)
 	s.check.judgePlanned(append(s.site.Runs(hgsite.Engines), s.site.Runs(hgsite.Tools)...))
 }
 
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -99,6 +99,8 @@
 	stopCalling()
 	callers.Wait()
 	s.checkRecovered(ctx)
+	s.checkKeptAfterLoss(ctx)
+	s.checkKeptInCalm(ctx)
 	s.checkCrashing(ctx)
 }
 
