hgsignal: catch SIGHUP before other packages are initialized

A SIGHUP soon after the start ended the process: it was caught at the beginning of main, after the initialization of all packages.

--- a/cmd/hyssopgrade/entry.go
+++ b/cmd/hyssopgrade/entry.go
@@ -10,6 +10,7 @@
 	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgentryvm"
 	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/operate/hgsignal"
 )
 
 // settingsEnv is the environment variable with the path of the settings file; the users' platform sets it.
@@ -56,7 +57,7 @@
 		case <-ctx.Done():
 			n.Stop()
 			return nil
-		case <-hangups:
+		case <-hgsignal.Hangups:
 			log.Info("SIGHUP ignored: the settings file is read only when the process starts")
 		}
 	}
--- a/cmd/hyssopgrade/main.go
+++ b/cmd/hyssopgrade/main.go
@@ -38,12 +38,7 @@
 const description = `Exit codes: 0 done; 1 failed; 2 wrong use or settings; 3 a replay found a violation;
 4 another operator won the race for a preset; 5 a preset is not applied everywhere in time.`
 
-// hangups receives SIGHUP, which announces that settings may have changed. It is registered before anything else in main, since
-// an uncaught SIGHUP ends the process.
-var hangups = make(chan os.Signal, 1)
-
 func main() {
-	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cmd := &cli.Command{
