--- a/internal/proof/hgsoak/caller.go
+++ b/internal/proof/hgsoak/caller.go
@@ -45,12 +45,13 @@
 		q := hgsite.Turn(hgsite.ThreadPath, program, previous, fmt.Sprintf("%s-%d ", program, turn))
 		s.check.expectPrompt(q.ID, history+q.Body)
 		reply, ok := s.call(ctx, r, q, false)
-		if reply.Status == http.StatusNotFound {
+		if keptDenied[reply.Status] {
 			s.check.turnDenied(q.ID, previous)
 			return
 		}
 		if ok {
 			previous, history = q.ID, history+q.Body+output
+			s.check.keepTurn(keptTurn{program: program, id: previous, history: history})
 		}
 		s.tool(ctx, r)
 	}
@@ -90,14 +91,21 @@
 		hgplatform.ForgeSystemHeaders(q.Header)
 	}
 	limit := callTimeout
-	if r.IntN(30) == 0 {
+	planned := s.planned.Load()
+	if !planned && r.IntN(30) == 0 {
 		limit = time.Duration(r.Int64N(int64(50 * time.Millisecond)))
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	vm := r.IntN(len(s.procs))
 	rt := route{vm: vm, generation: s.procs[vm].generation.Load(), sent: time.Now()}
-	reply, err := s.site.Call(ctx, vm, q)
+	var err error
+	if planned {
+		q.NewConn = r.IntN(2) == 0
+		reply, err = s.exchange(ctx, vm, q)
+	} else {
+		reply, err = s.site.Call(ctx, vm, q)
+	}
 	s.check.recordAnswer(q, repeatable, reply, err)
 	s.check.recordRoute(q.ID, rt, reply, err)
 	return reply, err == nil && reply.Status == http.StatusOK && reply.Complete
--- a/internal/proof/hgsoak/check.go
+++ b/internal/proof/hgsoak/check.go
@@ -1,9 +1,12 @@
 package hgsoak
 
 import (
+	"errors"
 	"fmt"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"hyssopgrade/internal/proof/hgsite"
@@ -24,12 +27,19 @@
 	// that the replica is leaving.
 	routes    map[string]route
 	leavingAt map[string]time.Time
+	// exchanges are those of the phase of planned work, and crossed describes those that crossed the close of their connection.
+	exchanges []exchange
+	crossed   []string
+	// exits describes the processes that exited by themselves.
+	exits []string
+	// kept holds the last turn of each program that was answered completely.
+	kept map[string]keptTurn
 }
 
 func newChecker() *checker {
 	return &checker{
 		atMostOnce: map[string]bool{}, notRun: map[string]bool{}, prompts: map[string]string{}, delivered: map[string]int{},
-		allowed: map[string]int{}, counts: map[string]int{}, routes: map[string]route{}, leavingAt: map[string]time.Time{},
+		allowed: map[string]int{}, counts: map[string]int{}, routes: map[string]route{}, leavingAt: map[string]time.Time{}, kept: map[string]keptTurn{},
 	}
 }
 
@@ -38,6 +48,20 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// violateNow adds a violation.
+func (c *checker) violateNow(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(format, args...)
+}
+
+// count adds to a count of the report.
+func (c *checker) count(name string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[name] += n
+}
+
 // notRunStatuses are the HTTP statuses that promise that the attempt was not run.
 var notRunStatuses = map[int]bool{402: true, 404: true, 408: true, 421: true, 429: true, 503: true}
 
@@ -93,14 +117,27 @@
 // violation.
 const startupTime = 100 * time.Millisecond
 
-// unexpectedExit counts a process that exited by itself; it is a violation after startupTime.
-func (c *checker) unexpectedExit(vm string, ran time.Duration) {
+// unexpectedExit records a process that exited by itself or failed while it stopped; it is a violation unless a SIGHUP ended it
+// within startupTime.
+func (c *checker) unexpectedExit(vm string, ran time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[UnexpectedExits]++
-	if ran > startupTime {
-		c.violate("%s ended by itself after %v", vm, ran)
+	end := fmt.Sprintf("%s ended by itself after %v: %v", vm, ran, err)
+	c.exits = append(c.exits, end)
+	if ran > startupTime || !endedBy(err, syscall.SIGHUP) {
+		c.violate("%s", end)
+	}
+}
+
+// endedBy reports whether a signal ended a process, given the error of waiting for it.
+func endedBy(err error, s syscall.Signal) bool {
+	exit := &exec.ExitError{}
+	if !errors.As(err, &exit) {
+		return false
 	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
 }
 
 // finish compares the records with what replicas ran and returns all violations.
