entry: a refusal counts only if it surely answers its request

Callers of a replica that wrote an earlier refusal once more on a kept connection were told 503, not run, for charges and turns that the replica ran, and such requests ran at a second replica as well.

Cause: checkAnswer trusted each refusal without an attempt's identifier, whichever request of the connection it was for.

A refusal now counts if it has the attempt's identifier, or if it is the first response of a connection that carried no other request and began after the request was written. Any other one leaves open whether the request ran, so that it is answered with 502 or, if it may be repeated, sent again. The connection of a mismatched response is closed even if the transport has pooled it already. After the change all 8 cases pass, with the race detector.

--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"hyssopgrade/internal/serve/hgattempt"
@@ -64,6 +63,7 @@
 	resp   *http.Response
 	answer hgattempt.Answer
 	began  time.Duration
+	conn   connUse
 }
 
 // end closes the response, which closes the connection unless the body was read to its end, and releases the lease.
@@ -104,12 +104,10 @@
 
 // roundTrip sends the request to the leased replica and sets t.resp and t.answer.
 func (x *exchange) roundTrip(t *try, body []byte, lastEvent string) (err error) {
-	var wrote atomic.Bool
-	ctx := httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
 	r := (&http.Request{
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
 		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
-	}).WithContext(ctx)
+	}).WithContext(httptrace.WithClientTrace(x.ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
@@ -119,7 +117,7 @@
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
 		}
-		if wrote.Load() {
+		if t.conn.wroteHeaders.Load() {
 			x.sent++
 			x.recordCrash(t)
 			return errors.Join(errAnswerLost, err)
@@ -149,9 +147,9 @@
 // checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
 // responses are rejected too.
 func (x *exchange) checkAnswer(t *try) error {
-	// A refusal may come without an attempt's identifier. One with the identifier of another attempt is a response to another
-	// request and says nothing about this one.
-	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun)
+	// A response to another request says nothing about this one. A refusal without an attempt's identifier may be one too, unless
+	// it is the first response of its connection.
+	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun || !t.conn.isFirstExchange())
 	switch {
 	case t.answer.NotRun && !mismatched:
 		if t.resp.StatusCode == http.StatusMisdirectedRequest {
@@ -165,6 +163,8 @@
 	case mismatched, t.resp.StatusCode/100 == 2 && !t.answer.Sealed, t.resp.Header.Get("Content-Encoding") != "":
 		x.sent++
 		t.lease.MarkFailed()
+		// The transport may have put the connection of a response without a body back into its pool already.
+		t.conn.close()
 		return errAnswerLost
 	}
 	x.sent++
