entry: a replica's status is relayed only if it is no false promise

Callers of a replica that ran a charge or a turn and then answered 503, 429 or 408 without saying that it was not run got that status, which promises them that the request did not run and may be sent again. In the same way they got a replica's 402 for a turn that had run, and its 404 or 410 for a turn that names an answered one.

Cause: each response of a replica with its identifier was relayed under its own status.

Evidence, on the code before: 7 of 15 cases of TestStatusOfReplicaIsNoFalsePromise and both of TestStatusOfReplicaDoesNotDenyATurn failed, with lines such as promise_test.go:142: status 503, want 502 promise_test.go:145: the answer carries the seal of the replica: true

The VM now answers 502 of its own instead, which promises nothing. The replica's response can't be relayed under another status, since it carries the replica's seal. Requests that may run more than once get the replica's 503, 429 or 408 unchanged as before, as it can't mislead them into a second run that is not allowed. All cases pass after the change, with the race detector.

--- a/internal/proof/hgsite/promise_test.go
+++ b/internal/proof/hgsite/promise_test.go
@@ -9,6 +9,7 @@
 
 	"hyssopgrade/internal/proof/hgsite"
 	"hyssopgrade/internal/serve/hgattempt"
+	hgplatform "hyssopgrade/platform"
 )
 
 // isPromise reports whether a status tells the caller that its request has not run and never will.
@@ -104,3 +105,68 @@
 		t.Error("no request was refused")
 	}
 }
+
+// Guards against a replica's status, after it ran a request, that promises the caller that the request did not run.
+func TestStatusOfReplicaIsNoFalsePromise(t *testing.T) {
+	const lost = http.StatusBadGateway
+	tests := map[string]struct {
+		path, status string
+		want         int
+	}{
+		"charge, unavailable":       {hgsite.ChargePath, "503 Service Unavailable", lost},
+		"charge, too many requests": {hgsite.ChargePath, "429 Too Many Requests", lost},
+		"charge, timeout":           {hgsite.ChargePath, "408 Request Timeout", lost},
+		"charge, failed":            {hgsite.ChargePath, "500 Internal Server Error", http.StatusInternalServerError},
+		"charge, not found":         {hgsite.ChargePath, "404 Not Found", http.StatusNotFound},
+		"charge, payment required":  {hgsite.ChargePath, "402 Payment Required", http.StatusPaymentRequired},
+		"check, unavailable":        {hgsite.CheckPath, "503 Service Unavailable", http.StatusServiceUnavailable},
+		"check, too many requests":  {hgsite.CheckPath, "429 Too Many Requests", http.StatusTooManyRequests},
+		"turn, unavailable":         {hgsite.ThreadPath, "503 Service Unavailable", lost},
+		"turn, too many requests":   {hgsite.ThreadPath, "429 Too Many Requests", lost},
+		"turn, payment required":    {hgsite.ThreadPath, "402 Payment Required", lost},
+		"chat, payment required":    {hgsite.ChatPath, "402 Payment Required", lost},
+		"turn, failed":              {hgsite.ThreadPath, "500 Internal Server Error", http.StatusInternalServerError},
+		"turn, bad request":         {hgsite.ThreadPath, "400 Bad Request", http.StatusBadRequest},
+		"first turn, not found":     {hgsite.ThreadPath, "404 Not Found", http.StatusNotFound},
+	}
+	s := newSite(t, 1)
+	var status atomic.Pointer[string]
+	useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+		return rawHead(*status.Load(), hgattempt.Answer{AttemptID: q.ID, Sealed: true}, "Content-Length: 4") + "done", true, false
+	})
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			status.Store(&tt.status)
+			reply := call(t, s, 0, hgsite.Turn(tt.path, name, "", name))
+			if reply.Status != tt.want {
+				t.Errorf("status %d, want %d", reply.Status, tt.want)
+			}
+			if sealed := hgplatform.Sealed(reply.Header); sealed != (tt.want != lost) {
+				t.Errorf("the answer carries the seal of the replica: %v", sealed)
+			}
+		})
+	}
+}
+
+// Guards against a replica's 404 or 410 that tells the caller that its answered turn does not exist.
+func TestStatusOfReplicaDoesNotDenyATurn(t *testing.T) {
+	s := newSite(t, 1)
+	var status atomic.Pointer[string]
+	useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+		if q.Previous == "" {
+			return rawStream(q.ID, 1, hgsite.Events), true, false
+		}
+		return rawHead(*status.Load(), hgattempt.Answer{AttemptID: q.ID, Sealed: true}, "Content-Length: 4") + "done", true, false
+	})
+	first := hgsite.Turn(hgsite.ThreadPath, "denied", "", "x")
+	wantStream(t, call(t, s, 0, first))
+	for _, denial := range []string{"404 Not Found", "410 Gone"} {
+		t.Run(denial, func(t *testing.T) {
+			status.Store(&denial)
+			reply := call(t, s, 0, hgsite.Turn(hgsite.ThreadPath, "denied", first.ID, "y"))
+			if reply.Status != http.StatusBadGateway || hgplatform.Sealed(reply.Header) {
+				t.Errorf("status %d, sealed %v, want 502 without a seal", reply.Status, hgplatform.Sealed(reply.Header))
+			}
+		})
+	}
+}
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -58,6 +58,9 @@
 	if !t.answer.Failed {
 		x.entry.suspects.RecordCompletion(x.digests)
 	}
+	if x.isFalsePromise(t) {
+		return errors.Join(errAnswerLost, errFalsePromise)
+	}
 	x.copyHead(t.resp)
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -46,6 +46,8 @@
 	errNotRun = errors.New("replica refused the request")
 	// errAnswerLost means that there is no usable response although the replica may have run the request.
 	errAnswerLost = errors.New("answer was lost")
+	// errFalsePromise means that the replica may have run the request, although its status tells callers that it was not run.
+	errFalsePromise = errors.New("replica ran the request and answered as if it had not")
 	// errNoReplica means that the service has no usable replica that was not tried yet.
 	errNoReplica = errors.New("no replica is left")
 	// errBusy means that replicas are too busy for a new program.
@@ -171,6 +173,21 @@
 	return nil
 }
 
+// isFalsePromise reports whether the status of an accepted response would tell the caller what the replica does not vouch for: that
+// the request was not run, or that its previous turn does not exist. Such a response can't be relayed under another status, as it
+// carries the replica's seal.
+func (x *exchange) isFalsePromise(t *try) bool {
+	switch t.resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return !x.route.Repeatable()
+	case http.StatusPaymentRequired:
+		return x.turn != nil
+	case http.StatusNotFound, http.StatusGone:
+		return x.turn != nil && x.attempt.Previous != ""
+	}
+	return false
+}
+
 // target returns the URL of the request at a replica's address, with path and query exactly as the caller sent them.
 func (x *exchange) target(address string) *url.URL {
 	u := &url.URL{Scheme: "http", Host: address, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery}
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -119,6 +119,9 @@
 	if s.headWritten || x.canRetry(errAnswerLost) {
 		return errAnswerLost
 	}
+	if x.isFalsePromise(t) {
+		return errors.Join(errAnswerLost, errFalsePromise)
+	}
 	x.closeTurn(s, false)
 	x.copyHead(t.resp)
 	x.status = t.resp.StatusCode
