entry: a replica that switches protocols can't hold a request

Callers got no answer, and no end of their connection, if a replica answered with status 101 and then kept its connection open: the request ended neither at its route's timeout nor when its caller left.

Cause: after 101 the transport hands its connection over as the body of the response. Reads of that body do not end with the context of the request, and the VM read it to its end.

A VM forwards no Upgrade header, so such an answer is one without a usable response: the connection is closed, and the request is sent again or answered with 502.

--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -147,12 +147,17 @@
 }
 
 // checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
-// responses are rejected too.
+// responses and switches to another protocol are rejected too.
 func (x *exchange) checkAnswer(t *try) error {
 	// A response to another request says nothing about this one. A refusal without an attempt's identifier may be one too, unless
 	// it is the first response of its connection.
 	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun || !t.conn.isFirstExchange())
 	switch {
+	case t.resp.StatusCode < http.StatusOK:
+		// After 101 the body is the connection itself, which no longer ends with the request's context.
+		x.sent++
+		t.lease.MarkFailed()
+		return errAnswerLost
 	case t.answer.NotRun && !mismatched:
 		if t.resp.StatusCode == http.StatusMisdirectedRequest {
 			t.lease.MarkMisdirected()
