entry: only its next event continues a broken stream

When a stream had begun and broke off, callers found in it what the next replica sent instead of its events: an error's text, the head of an HTTP answer, events that they had already or that left some out. A next replica that ended at once without an event made the stream look complete.

Cause: whatever the second replica sent up to a blank line, under a sealed status 200, was relayed as an event. Neither its identifier nor its being an event was compared with what the caller had, and no event at all counted as the end of the stream. A replica whose events bear no identifiers was resumed from the start.

A replica that resumes a stream now has to begin with an event whose identifier follows the last one sent: greater, and by 1 if all steps so far were 1. Nothing is relayed before that event. Otherwise, and if the replica ends without such an event, the send counts as lost, without a suspected crash, and the stream is resumed elsewhere or broken off. A stream of which an event had no identifier is not resumed. A stream that broke after its last event and before its end is broken off too, as no replica can show that nothing was left.

--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -37,6 +37,7 @@
 	headWritten bool
 	// lastEvent is the identifier of the last event that was sent; another replica resumes after it.
 	lastEvent string
+	sequence  sequence
 	// events is the number of events that were sent.
 	events int
 	// output is the data of the events, each with a line feed; it is collected only for turns that are retained.
@@ -46,7 +47,7 @@
 // forwardStream forwards a request whose response is a stream of events, and resumes it at other replicas if the route
 // allows that.
 func (x *exchange) forwardStream() {
-	s := &stream{lastEvent: x.attempt.LastEvent}
+	s := &stream{lastEvent: x.attempt.LastEvent, sequence: newSequence(x.attempt.LastEvent)}
 	want := hgreplica.Want{Service: x.service(), Exclude: map[string]bool{}, Prompt: x.attempt.TokensIn, Far: streamRemoteCost}
 	if engine := x.state.Services[want.Service].Engine; engine != nil {
 		want.Fetch = hgreplica.FetchCost{Setup: fetchSetup, PerToken: engine.FetchPerToken, Charge: fetchCharge}
@@ -66,7 +67,7 @@
 			x.logResult(x.status, "")
 			return
 		}
-		if !x.canRetry(err) {
+		if s.sequence.unnumbered || !x.canRetry(err) {
 			x.closeTurn(s, false)
 			x.endStream(s, err)
 			return
@@ -99,7 +100,9 @@
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
 		}
-		x.recordCrash(t)
+		if !errors.Is(err, errNotContinued) {
+			x.recordCrash(t)
+		}
 		return err
 	}
 	x.entry.suspects.RecordCompletion(x.digests)
@@ -138,19 +141,33 @@
 // errCallerLeft means that writing to the caller failed.
 var errCallerLeft = errors.New("caller left")
 
+// errNotContinued means that a replica which was to resume a stream did not go on with the event after the last one.
+var errNotContinued = errors.New("replica did not continue the stream")
+
 // copyEvents relays events as they arrive. It writes complete events only, so that a broken stream can be resumed after the
-// last one.
+// last one. Of a replica that resumes a stream it relays nothing before the event that continues it.
 func (x *exchange) copyEvents(s *stream, t *try) error {
 	flush := http.NewResponseController(x.w).Flush
 	events := bufio.NewScanner(t.resp.Body)
 	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	events.Split(splitEvent)
+	resumes := s.headWritten
 	for events.Scan() {
+		e := parseEvent(events.Bytes())
+		if resumes {
+			if e.isEmpty() {
+				continue
+			}
+			if !s.sequence.isContinuedBy(e) {
+				return errors.Join(errAnswerLost, errNotContinued)
+			}
+			resumes = false
+		}
 		if !x.fitsReservation(s) {
 			return errTokenLimit
 		}
 		x.writeHead(s, t)
-		x.recordEvent(s, events.Bytes())
+		x.recordEvent(s, e)
 		if _, err := x.w.Write(events.Bytes()); err != nil {
 			return errors.Join(errCallerLeft, err)
 		}
@@ -161,6 +178,9 @@
 	if err := events.Err(); err != nil {
 		return errors.Join(errAnswerLost, err)
 	}
+	if resumes {
+		return errors.Join(errAnswerLost, errNotContinued)
+	}
 	x.writeHead(s, t)
 	return nil
 }
@@ -193,18 +213,13 @@
 }
 
 // recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data.
-func (x *exchange) recordEvent(s *stream, event []byte) {
+func (x *exchange) recordEvent(s *stream, e event) {
 	s.events++
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "id":
-			s.lastEvent = string(value)
-		case "data":
-			if x.turn != nil && x.turn.retained {
-				s.output = append(append(s.output, value...), '\n')
-			}
-		}
+	s.sequence = s.sequence.With(e)
+	if e.hasID {
+		s.lastEvent = e.id
+	}
+	if x.turn != nil && x.turn.retained {
+		s.output = append(s.output, e.data...)
 	}
 }
