--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"hyssopgrade/internal/serve/hgattempt"
@@ -47,6 +46,8 @@
 	errNotRun = errors.New("replica refused the request")
 	// errAnswerLost means that there is no usable response although the replica may have run the request.
 	errAnswerLost = errors.New("answer was lost")
+	// errFalsePromise means that the replica may have run the request, although its status tells callers that it was not run.
+	errFalsePromise = errors.New("replica ran the request and answered as if it had not")
 	// errNoReplica means that the service has no usable replica that was not tried yet.
 	errNoReplica = errors.New("no replica is left")
 	// errBusy means that replicas are too busy for a new program.
@@ -64,6 +65,7 @@
 	resp   *http.Response
 	answer hgattempt.Answer
 	began  time.Duration
+	conn   connUse
 }
 
 // end closes the response, which closes the connection unless the body was read to its end, and releases the lease.
@@ -104,12 +106,10 @@
 
 // roundTrip sends the request to the leased replica and sets t.resp and t.answer.
 func (x *exchange) roundTrip(t *try, body []byte, lastEvent string) (err error) {
-	var wrote atomic.Bool
-	ctx := httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
 	r := (&http.Request{
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
 		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
-	}).WithContext(ctx)
+	}).WithContext(httptrace.WithClientTrace(x.ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
@@ -119,7 +119,7 @@
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
 		}
-		if wrote.Load() {
+		if t.conn.wroteHeaders.Load() {
 			x.sent++
 			x.recordCrash(t)
 			return errors.Join(errAnswerLost, err)
@@ -147,12 +147,17 @@
 }
 
 // checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
-// responses are rejected too.
+// responses and switches to another protocol are rejected too.
 func (x *exchange) checkAnswer(t *try) error {
-	// A refusal may come without an attempt's identifier. One with the identifier of another attempt is a response to another
-	// request and says nothing about this one.
-	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun)
+	// A response to another request says nothing about this one. A refusal without an attempt's identifier may be one too, unless
+	// it is the first response of its connection.
+	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun || !t.conn.isFirstExchange())
 	switch {
+	case t.resp.StatusCode < http.StatusOK:
+		// After 101 the body is the connection itself, which no longer ends with the request's context.
+		x.sent++
+		t.lease.MarkFailed()
+		return errAnswerLost
 	case t.answer.NotRun && !mismatched:
 		if t.resp.StatusCode == http.StatusMisdirectedRequest {
 			t.lease.MarkMisdirected()
@@ -165,12 +170,29 @@
 	case mismatched, t.resp.StatusCode/100 == 2 && !t.answer.Sealed, t.resp.Header.Get("Content-Encoding") != "":
 		x.sent++
 		t.lease.MarkFailed()
+		// The transport may have put the connection of a response without a body back into its pool already.
+		t.conn.close()
 		return errAnswerLost
 	}
 	x.sent++
 	return nil
 }
 
+// isFalsePromise reports whether the status of an accepted response would tell the caller what the replica does not vouch for: that
+// the request was not run, or that its previous turn does not exist. Such a response can't be relayed under another status, as it
+// carries the replica's seal.
+func (x *exchange) isFalsePromise(t *try) bool {
+	switch t.resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return !x.route.Repeatable()
+	case http.StatusPaymentRequired:
+		return x.turn != nil
+	case http.StatusNotFound, http.StatusGone:
+		return x.turn != nil && x.attempt.Previous != ""
+	}
+	return false
+}
+
 // target returns the URL of the request at a replica's address, with path and query exactly as the caller sent them.
 func (x *exchange) target(address string) *url.URL {
 	u := &url.URL{Scheme: "http", Host: address, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery}
