hgsuspect: count runs that one end of a replica broke off as one crash

Cause: each run that broke off was a crash with a random identifier, so that three equal inputs on one replica were enough to refuse the input, by content for every caller.

Change: the identifier of a crash is that of the end: the replica's incarnation and a number, the same at all VMs, so that lists merge it as one. A run that began after the last known end of its incarnation is a crash of its own, as connections may break without an end. The messages and the rows keep their form. In red.sh, crashAgain takes out both checks before a send, as one would hide the other; crashCopies and crashEnds are new.

--- /dev/null
+++ b/internal/proof/hgsite/crashend_test.go
@@ -0,0 +1,65 @@
+package hgsite_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssopgrade/internal/proof/hgsite"
+)
+
+// sharedInput is the new input that the turns of several programs have in common.
+const sharedInput = "is it valid?"
+
+// beginProgram runs the first turn of a program and returns its identifier.
+func beginProgram(t *testing.T, s *hgsite.Site, program string) (turn string) {
+	t.Helper()
+	q := hgsite.Turn(hgsite.ThreadPath, program, "", "question of "+program)
+	if reply := call(t, s, 0, q); reply.Status != http.StatusOK {
+		t.Fatalf("first turn of %s: status %d: %s", program, reply.Status, reply.Body)
+	}
+	return q.ID
+}
+
+// One end of a replica under equal requests must not make all VMs refuse their input for every program.
+func TestOneEndUnderEqualRequestsBarsNoOtherProgram(t *testing.T) {
+	s := newSite(t, 3)
+	const others, turns = 6, 6
+	var begun []string
+	for i := range others {
+		begun = append(begun, beginProgram(t, s, fmt.Sprintf("other-%d", i)))
+	}
+	first := beginProgram(t, s, "crashing")
+	for _, r := range s.Replicas {
+		r.SetFault(hgsite.Fault{Remaining: 1000, DropConnection: true, DropAfter: 200 * time.Millisecond})
+	}
+	var wg sync.WaitGroup
+	for i := range turns {
+		wg.Go(func() { call(t, s, i%3, hgsite.Turn(hgsite.ThreadPath, "crashing", first, sharedInput)) })
+	}
+	wg.Wait()
+	ended := map[string]bool{}
+	for _, r := range s.Runs(hgsite.Engines) {
+		if r.Program == "crashing" && r.Attempt != first {
+			ended[r.Replica] = true
+		}
+	}
+	for id, r := range s.Replicas {
+		r.SetFault(hgsite.Fault{})
+		if !ended[id] {
+			continue
+		}
+		if err := s.RegisterRestart(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(time.Second)
+	for i, previous := range begun {
+		reply := call(t, s, i%3, hgsite.Turn(hgsite.ThreadPath, fmt.Sprintf("other-%d", i), previous, sharedInput))
+		if reply.Status != http.StatusOK {
+			t.Errorf("other program %d after %d ends: status %d: %s", i, len(ended), reply.Status, reply.Body)
+		}
+	}
+}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -62,6 +62,8 @@
 	RecordCompletion(r hgsuspect.Request)
 	// Refused reports whether a request must not run, and for how much longer.
 	Refused(r hgsuspect.Request) (left time.Duration, refused bool)
+	// MayRetry reports whether a request whose run broke off may be sent to another replica.
+	MayRetry(r hgsuspect.Request) bool
 }
 
 // Metrics records counters and durations.
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -14,6 +14,7 @@
 
 	"hyssopgrade/internal/serve/hgattempt"
 	"hyssopgrade/internal/serve/hgreplica"
+	"hyssopgrade/internal/serve/hgsuspect"
 )
 
 // maxTries bounds the replicas that one request is sent to, including those that refuse it.
@@ -87,7 +88,7 @@
 		return nil, err
 	}
 	// Replicas may have crashed under copies of this request while it waited for the lease.
-	if _, refused := x.entry.suspects.Refused(x.digests); refused {
+	if _, refused := x.entry.suspects.Refused(x.digests); refused || x.sent > 0 && !x.entry.suspects.MayRetry(x.digests) {
 		lease.Release()
 		return nil, errSuspect
 	}
@@ -139,11 +140,12 @@
 // recordCrash records a suspected crash of the replica. After the deadline or the caller's disconnect the connection breaks
 // in any case, so that only the end of the replica itself shows a crash.
 func (x *exchange) recordCrash(t *try) {
+	r := x.digests.WithRun(hgsuspect.Run{Replica: t.lease.ID, Incarnation: t.lease.Born(), Began: t.began})
 	if x.ctx.Err() == nil || t.lease.ReplicaEnded() {
-		x.entry.suspects.RecordCrash(x.digests)
+		x.entry.suspects.RecordCrash(r)
 		return
 	}
-	x.entry.suspects.RecordUnanswered(x.digests, t.lease.ID)
+	x.entry.suspects.RecordUnanswered(r, t.lease.ID)
 }
 
 // checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -64,6 +64,13 @@
 	return l.set.replicas[l.ID] != l.replica
 }
 
+// Born returns the start of the replica's process as of the grant; empty if it is not known.
+func (l *Lease) Born() string {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	return l.replica.Born
+}
+
 // OnRelease sets the function that Release calls, and replaces the one that was set before.
 func (l *Lease) OnRelease(released func(o Outcome)) { l.released = released }
 
--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -19,7 +19,7 @@
 
 // crash is a suspected crash of a replica while it ran a request.
 type crash struct {
-	// id is random; it identifies the crash across all lists.
+	// id identifies the crash across all lists: the end of a replica, or a random number if the replica is not known.
 	id uint64
 	at time.Duration
 	// excused says that the service was failing at the time, so that the crash does not count against the request.
@@ -46,6 +46,10 @@
 	// did not come from a peer or the store.
 	changedAt                 time.Duration
 	changeNumber, localNumber uint64
+	// broken is the number of runs that broke off at this VM, each within brokenMaxAge of the one before and without a completed
+	// one between them; brokenAt is the time of the last.
+	broken   int
+	brokenAt time.Duration
 	// savedFingerprint is the fingerprint of the entry as it was last stored; 0 if it never was.
 	savedFingerprint uint64
 }
@@ -62,6 +66,14 @@
 	}
 }
 
+// countBroken counts a run that broke off at this VM.
+func (e *entry) countBroken(now time.Duration) {
+	if now-e.brokenAt >= brokenMaxAge {
+		e.broken = 0
+	}
+	e.broken, e.brokenAt = e.broken+1, now
+}
+
 // allCrashes returns the number of crashes since the proof, including excused ones.
 func (e *entry) allCrashes(now time.Duration) int { return len(e.crashesSinceProof(now)) }
 
--- a/internal/serve/hgsuspect/exchange.go
+++ b/internal/serve/hgsuspect/exchange.go
@@ -169,6 +169,9 @@
 func (l *List) mergeRecord(source string, r Record, now time.Duration) *entry {
 	e := l.entry(r.Digest, now)
 	l.change(r.Digest, e, now, source, func() { e.merge(r, now) })
+	for _, c := range e.crashes {
+		l.ends.merge(c)
+	}
 	return e
 }
 
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/hgtimer"
 )
 
@@ -19,6 +21,9 @@
 	retention = time.Hour
 	// maxEntries bounds the list. The oldest entries are evicted first, those of refused requests last.
 	maxEntries = 10_000
+	// brokenMaxAge is how long broken copies of a request keep others from a retry. It is longer than a request waits for a lease
+	// between two tries, which is at most 1.8 s.
+	brokenMaxAge = 2 * time.Second
 	// minProofInterval is the least time between two proofs of a request, as each one is sent to all VMs.
 	minProofInterval = 500 * time.Millisecond
 )
@@ -46,6 +51,8 @@
 	peers map[string]*peer
 	// outcomes holds how the last runs of each service ended at this VM.
 	outcomes map[string]outcomes
+	// ends holds the last known ends of replicas.
+	ends ends
 	// unanswered holds the last runs without a response, by replica.
 	unanswered map[string][]unanswered
 }
@@ -53,12 +60,13 @@
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer, log *slog.Logger) *List {
 	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{},
-		unanswered: map[string][]unanswered{},
+		ends: ends{}, unanswered: map[string][]unanswered{},
 	}
 }
 
-// RecordCrash records a suspected crash: a replica's connection broke while it ran a request. While the service is failing,
-// the crash is recorded as excused, and only under the digest that includes the caller.
+// RecordCrash records a suspected crash: a replica's connection broke while it ran a request. Runs that one end of a replica
+// broke off count as one crash. While the service is failing, the crash is recorded as excused, and only under the digest
+// that includes the caller.
 func (l *List) RecordCrash(r Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -71,9 +79,12 @@
 	if !isFailing {
 		digests = r.digests()
 	}
+	c := l.ends.observe(r.Run, now)
+	c.excused = isFailing
 	for _, digest := range digests {
 		e := l.entry(digest, now)
-		l.change(digest, e, now, sourceLocal, func() { e.addCrash(crash{id: rand.Uint64(), at: now, excused: isFailing}) })
+		e.countBroken(now)
+		l.change(digest, e, now, sourceLocal, func() { e.addCrash(c) })
 		l.log.Info("suspected replica crash recorded", "digest", digest, "caller", digest == r.Caller, "breaks", e.countedCrashes(now), "excused", isFailing)
 	}
 }
@@ -87,7 +98,11 @@
 	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, false, now)
 	for _, digest := range r.digests() {
 		e, ok := l.entries[digest]
-		if ok && (e.proof.seq == 0 || e.allCrashes(now) > 0 && now-e.proof.at >= minProofInterval) {
+		if !ok {
+			continue
+		}
+		e.broken = 0
+		if e.proof.seq == 0 || e.allCrashes(now) > 0 && now-e.proof.at >= minProofInterval {
 			l.change(digest, e, now, sourceLocal, func() { e.proof = proof{seq: e.proof.seq + 1, id: rand.Uint64(), at: now} })
 		}
 	}
@@ -110,6 +125,18 @@
 	return left, left > 0
 }
 
+// MayRetry reports whether a request whose run broke off may be sent to another replica. It may not if maxCrashes copies broke
+// off at this VM, even if one end of a replica did that: each copy could crash another replica before that is known.
+func (l *List) MayRetry(r Request) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	return !lo.SomeBy(r.digests(), func(digest uint64) bool {
+		e, ok := l.entries[digest]
+		return ok && e.broken >= maxCrashes && now-e.brokenAt < brokenMaxAge
+	})
+}
+
 // Len returns the number of entries; a request may have two, by content and by caller.
 func (l *List) Len() int {
 	l.mu.Lock()
--- a/internal/serve/hgsuspect/request.go
+++ b/internal/serve/hgsuspect/request.go
@@ -1,6 +1,10 @@
 package hgsuspect
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Request identifies a request, so that it is recognized when its caller or another one sends it again.
 type Request struct {
@@ -8,6 +12,21 @@
 	Content, Caller uint64
 	// Service is the service that runs the request.
 	Service string
+	// Run is the run of the request that a record is about. Runs with an empty Replica share no end of a replica.
+	Run Run
+}
+
+// Run is a run of a request on an incarnation of a replica.
+type Run struct {
+	Replica, Incarnation string
+	// Began is when the request was sent.
+	Began time.Duration
+}
+
+// WithRun returns the request with a run on a replica.
+func (r Request) WithRun(run Run) Request {
+	r.Run = run
+	return r
 }
 
 // NewRequest returns the identity of a request. caller identifies who sends it, by program or address.
--- a/internal/serve/hgsuspect/unanswered.go
+++ b/internal/serve/hgsuspect/unanswered.go
@@ -44,10 +44,12 @@
 	return requests
 }
 
-// ForgetUnanswered drops the runs of replicas whose last run without a response is older than unansweredMaxAge.
+// ForgetUnanswered drops the runs of replicas whose last run without a response is older than unansweredMaxAge, and the ends of
+// replicas that no longer count.
 func (l *List) ForgetUnanswered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
+	l.ends.evict(now)
 	maps.DeleteFunc(l.unanswered, func(_ string, runs []unanswered) bool { return now-runs[len(runs)-1].at >= unansweredMaxAge })
 }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -113,7 +113,11 @@
 red crashCaller TestOtherRequestsServedBesideCrashingRequest internal/proof/hgsite \
   internal/serve/hgsuspect/request.go 's/return \[\]uint64\{r\.Content, r\.Caller\}/return []uint64{r.Content}/'
 red crashAgain TestCrashingCopiesUnderWayAreCheckedAgain internal/proof/hgsite \
-  internal/serve/hgentry/send.go 's/refused := x\.entry\.suspects\.Refused\(x\.digests\); refused/refused := x.entry.suspects.Refused(x.digests); refused \&\& false/'
+  internal/serve/hgentry/send.go 's/refused \|\| x\.sent > 0 && !x\.entry\.suspects\.MayRetry\(x\.digests\) \{/refused \&\& false {/'
+red crashCopies TestCrashingCopiesUnderWayAreCheckedAgain internal/proof/hgsite \
+  internal/serve/hgentry/send.go 's/ \|\| x\.sent > 0 && !x\.entry\.suspects\.MayRetry\(x\.digests\) \{/ {/'
+red crashEnds TestOneEndUnderEqualRequestsBarsNoOtherProgram internal/proof/hgsite \
+  internal/serve/hgsuspect/list.go 's/l\.ends\.observe\(r\.Run, now\)/l.ends.observe(Run{}, now)/'
 red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/n\.replicas\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
 red silentPeers TestMembers internal/peer/hgpeer \
