hgsuspect: include the turns before in the identity of a kept turn

What callers saw: a turn that crashes replicas made all VMs refuse turns of other programs that had the same new input, though their prompts differ by the turns before it.

Cause: the digests were made of the body as the caller sends it. For a kept turn that is only the new input; the replica reads the whole chain, which X-Previous-Turn names.

Change: both digests include the turn that a kept turn goes on from. It names the chain exactly and is known before the turn is opened, so that a refused turn still costs no call. A turn that comes again goes on from the same turn.

--- a/internal/proof/hgsite/crashend_test.go
+++ b/internal/proof/hgsite/crashend_test.go
@@ -63,3 +63,35 @@
 		}
 	}
 }
+
+// A turn that crashes replicas must not make VMs refuse turns of other programs with the same new input: their prompts differ by
+// the turns before it.
+func TestCrashingTurnBarsNoTurnWithOtherHistory(t *testing.T) {
+	s := newSite(t, 3)
+	const others = 6
+	var begun []string
+	for i := range others {
+		begun = append(begun, beginProgram(t, s, fmt.Sprintf("other-%d", i)))
+	}
+	first := beginProgram(t, s, "crashing")
+	crashOn(s, func(r hgsite.Run) bool { return r.Program == "crashing" })
+	for i := range 12 {
+		call(t, s, i%3, hgsite.Turn(hgsite.ThreadPath, "crashing", first, sharedInput))
+		time.Sleep(retryPause)
+	}
+	crashes := 0
+	for _, r := range s.Runs(hgsite.Engines) {
+		if r.Program == "crashing" && r.Attempt != first {
+			crashes++
+		}
+	}
+	if crashes < maxCrashes || crashes > maxCrashes+maxRetries {
+		t.Errorf("the crashing turn ran %d times", crashes)
+	}
+	for i, previous := range begun {
+		reply := call(t, s, i%3, hgsite.Turn(hgsite.ThreadPath, fmt.Sprintf("other-%d", i), previous, sharedInput))
+		if reply.Status != http.StatusOK {
+			t.Errorf("other program %d: status %d: %s", i, reply.Status, reply.Body)
+		}
+	}
+}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -206,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline-x.entry.timer.Now())
 	defer cancel()
 	x.ctx = ctx
-	x.digests = hgsuspect.NewRequest(x.service(), x.caller(), x.r.Method, x.r.RequestURI, x.attempt.Object, x.body)
+	x.digests = hgsuspect.NewRequest(x.service(), x.caller(), x.r.Method, x.r.RequestURI, x.attempt.Object, x.previous(), x.body)
 	if _, refused := x.entry.suspects.Refused(x.digests); refused {
 		x.respondError(errSuspect)
 		return
@@ -236,6 +236,14 @@
 	return hostOnly(x.r.RemoteAddr)
 }
 
+// previous returns the turn whose chain the replica reads before the body; empty if there is none.
+func (x *exchange) previous() string {
+	if !x.route.Retain || x.attempt.Program == "" {
+		return ""
+	}
+	return x.attempt.Previous
+}
+
 // hostOnly strips the port, if there is one.
 func hostOnly(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/serve/hgsuspect/request.go
+++ b/internal/serve/hgsuspect/request.go
@@ -8,7 +8,8 @@
 
 // Request identifies a request, so that it is recognized when its caller or another one sends it again.
 type Request struct {
-	// Content is a digest of method, URI, object and body. Caller is a digest of these and of the identity of the caller.
+	// Content is a digest of method, URI, object and what the replica reads. Caller is a digest of these and of the identity of
+	// the caller.
 	Content, Caller uint64
 	// Service is the service that runs the request.
 	Service string
@@ -29,14 +30,15 @@
 	return r
 }
 
-// NewRequest returns the identity of a request. caller identifies who sends it, by program or address.
-func NewRequest(service, caller, method, uri, object string, body []byte) Request {
+// NewRequest returns the identity of a request. caller identifies who sends it, by program or address. previous names the turn
+// whose chain precedes body in the prompt; empty if the replica reads only body.
+func NewRequest(service, caller, method, uri, object, previous string, body []byte) Request {
 	d := xxhash.New()
 	write := func(part []byte) {
 		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
-	for _, part := range [][]byte{[]byte(method), []byte(uri), []byte(object), body} {
+	for _, part := range [][]byte{[]byte(method), []byte(uri), []byte(object), []byte(previous), body} {
 		write(part)
 	}
 	r := Request{Content: d.Sum64(), Service: service}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -118,6 +118,8 @@
   internal/serve/hgentry/send.go 's/ \|\| x\.sent > 0 && !x\.entry\.suspects\.MayRetry\(x\.digests\) \{/ {/'
 red crashEnds TestOneEndUnderEqualRequestsBarsNoOtherProgram internal/proof/hgsite \
   internal/serve/hgsuspect/list.go 's/l\.ends\.observe\(r\.Run, now\)/l.ends.observe(Run{}, now)/'
+red crashChain TestCrashingTurnBarsNoTurnWithOtherHistory internal/proof/hgsite \
+  internal/serve/hgentry/entry.go 's/x\.attempt\.Object, x\.previous\(\), x\.body/x.attempt.Object, "", x.body/'
 red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/n\.replicas\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
 red silentPeers TestMembers internal/peer/hgpeer \
