hgsuspect: let a completion count at a VM that hears of the crashes later

What callers saw: a request that ran to its end after its crashes was refused all the same if the VM that ran it heard of the crashes only afterwards: 503 for a minute, as nothing else could clear it while it was refused.

Cause: a completion was kept only if the VM had an entry of the request already.

Evidence before: TestCompletionBeforeNewsOfCrashes failed in the case 'after the crashes': both lists refused the request.

--- a/internal/serve/hgsuspect/exchange.go
+++ b/internal/serve/hgsuspect/exchange.go
@@ -172,6 +172,7 @@
 	for _, c := range e.crashes {
 		l.ends.merge(c)
 	}
+	l.addProof(r.Digest, e, now)
 	return e
 }
 
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -53,6 +53,8 @@
 	outcomes map[string]outcomes
 	// ends holds the last known ends of replicas.
 	ends ends
+	// completions holds the last completed runs at this VM.
+	completions completions
 	// unanswered holds the last runs without a response, by replica.
 	unanswered map[string][]unanswered
 }
@@ -60,7 +62,7 @@
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer, log *slog.Logger) *List {
 	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{},
-		ends: ends{}, unanswered: map[string][]unanswered{},
+		ends: ends{}, completions: completions{map[uint64]time.Duration{}, map[uint64]time.Duration{}}, unanswered: map[string][]unanswered{},
 	}
 }
 
@@ -83,6 +85,7 @@
 	c.excused = isFailing
 	for _, digest := range digests {
 		e := l.entry(digest, now)
+		l.addProof(digest, e, now)
 		e.countBroken(now)
 		l.change(digest, e, now, sourceLocal, func() { e.addCrash(c) })
 		l.log.Info("suspected replica crash recorded", "digest", digest, "caller", digest == r.Caller, "breaks", e.countedCrashes(now), "excused", isFailing)
@@ -97,6 +100,7 @@
 	now := l.timer.Now()
 	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, false, now)
 	for _, digest := range r.digests() {
+		l.completions.add(digest, now)
 		e, ok := l.entries[digest]
 		if !ok {
 			continue
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -120,6 +120,8 @@
   internal/serve/hgsuspect/list.go 's/l\.ends\.observe\(r\.Run, now\)/l.ends.observe(Run{}, now)/'
 red crashChain TestCrashingTurnBarsNoTurnWithOtherHistory internal/proof/hgsite \
   internal/serve/hgentry/entry.go 's/x\.attempt\.Object, x\.previous\(\), x\.body/x.attempt.Object, "", x.body/'
+red crashNews TestCompletionBeforeNewsOfCrashes internal/serve/hgsuspect \
+  internal/serve/hgsuspect/exchange.go 's/\tl\.addProof\(r\.Digest, e, now\)\n//'
 red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/n\.replicas\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
 red silentPeers TestMembers internal/peer/hgpeer \
