hgsuspect: do not refuse requests that only ran beside a crashing one

What callers saw: a request that was on its replica three times when another request ended it got 503 at all VMs for a minute, then 5 and 20, and could not prove itself harmless meanwhile.

Cause: each crash counted in full against every request that ran there, though one of them explains it.

Change: crashes of one end have one identifier in all entries, so that a VM sees which requests ran together. A request's crashes do not count that are also crashes of a request with more of them. With three each, both run once more, which tells them apart; with more, the one that never completed is to blame. The sixth crash counts in any case, so that the bound of three retries after the third crash does not rest on the attribution: a request that is let go early has used up a step of refusalTimes. The digests with and without the caller share their upper half, so that a request does not explain its own crashes. Nothing new is sent or stored.

What remains: a request that was on the replica at each of four ends in a row without a completion between them is refused with the guilty one.

--- a/internal/proof/hgsite/crashend_test.go
+++ b/internal/proof/hgsite/crashend_test.go
@@ -95,3 +95,42 @@
 		}
 	}
 }
+
+// A request that ran on each replica that another one ended must be served once it runs without that one.
+func TestBystanderOfCrashingRequestIsServed(t *testing.T) {
+	s := newSite(t, 3)
+	if err := s.Unregister("tool-1"); err != nil {
+		t.Fatal(err)
+	}
+	tool := s.Replicas["tool-0"]
+	bystander := crashingCharge
+	bystander.Body, bystander.Program = "harmless", "harmless"
+	for range maxCrashes {
+		if err := s.RegisterRestart("tool-0"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		tool.SetFault(hgsite.Fault{Remaining: 1000, DropConnection: true, DropAfter: 200 * time.Millisecond})
+		var wg sync.WaitGroup
+		wg.Go(func() { call(t, s, 0, bystander) })
+		wg.Go(func() { call(t, s, 1, crashingCharge) })
+		wg.Wait()
+	}
+	if n := len(s.Runs(hgsite.Tools)); n != 2*maxCrashes {
+		t.Fatalf("%d runs at %d ends of the replica", n, maxCrashes)
+	}
+	crashOn(s, func(r hgsite.Run) bool { return r.Program != bystander.Program })
+	if err := s.RegisterRestart("tool-0"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	if reply := call(t, s, 2, bystander); reply.Status != http.StatusOK {
+		t.Errorf("bystander: status %d: %s", reply.Status, reply.Body)
+	}
+	if status := sendRepeatedly(t, s, 6, crashingCharge); status != http.StatusServiceUnavailable {
+		t.Errorf("crashing request, last send: status %d", status)
+	}
+	if n := len(s.Runs(hgsite.Tools)) - maxCrashes - 1; n > maxCrashes+maxRetries {
+		t.Errorf("the crashing request ran %d times", n)
+	}
+}
--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -78,8 +78,10 @@
 func (e *entry) allCrashes(now time.Duration) int { return len(e.crashesSinceProof(now)) }
 
 // countedCrashes returns the number of crashes since the proof, without excused ones.
-func (e *entry) countedCrashes(now time.Duration) int {
-	return lo.CountBy(e.crashesSinceProof(now), func(c crash) bool { return !c.excused })
+func (e *entry) countedCrashes(now time.Duration) int { return len(e.crashesCounted(now)) }
+
+func (e *entry) crashesCounted(now time.Duration) []crash {
+	return lo.Reject(e.crashesSinceProof(now), func(c crash, _ int) bool { return c.excused })
 }
 
 // crashesSinceProof returns the crashes after the proof and within the retention time.
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -112,14 +112,18 @@
 	}
 }
 
-// Refused reports whether a request must not run, and for how much longer.
+// Refused reports whether a request must not run, and for how much longer. One that only ran beside more suspect ones may run.
 func (l *List) Refused(r Request) (left time.Duration, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	for _, digest := range r.digests() {
-		if e, ok := l.entries[digest]; ok {
-			left = max(left, e.refusedFor(now))
+		e, ok := l.entries[digest]
+		if !ok {
+			continue
+		}
+		if d := e.refusedFor(now); d > left && !l.isExplained(digest, e, now) {
+			left = d
 		}
 	}
 	// While the service is failing, crashes are excused, but a caller that keeps resending the request is still refused.
--- a/internal/serve/hgsuspect/request.go
+++ b/internal/serve/hgsuspect/request.go
@@ -43,9 +43,15 @@
 	}
 	r := Request{Content: d.Sum64(), Service: service}
 	write([]byte(caller))
-	r.Caller = d.Sum64()
+	r.Caller = r.Content&contentMask | d.Sum64()&^contentMask
 	return r
 }
 
+// contentMask selects the bits that both digests of a request have in common, so that the digests of one content are known as such.
+const contentMask = 1<<64 - 1<<32
+
+// hasSameContent reports whether two digests, with or without the caller, are of requests with the same content.
+func hasSameContent(a, b uint64) bool { return (a^b)&contentMask == 0 }
+
 // digests returns the digests under which the request is on the list.
 func (r Request) digests() []uint64 { return []uint64{r.Content, r.Caller} }
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -122,6 +122,10 @@
   internal/serve/hgentry/entry.go 's/x\.attempt\.Object, x\.previous\(\), x\.body/x.attempt.Object, "", x.body/'
 red crashNews TestCompletionBeforeNewsOfCrashes internal/serve/hgsuspect \
   internal/serve/hgsuspect/exchange.go 's/\tl\.addProof\(r\.Digest, e, now\)\n//'
+red crashBlame TestBystanderOfCrashingRequestIsServed internal/proof/hgsite \
+  internal/serve/hgsuspect/list.go 's/ && !l\.isExplained\(digest, e, now\)//'
+red crashUnblamed TestBystandersAreNotRefused internal/serve/hgsuspect \
+  internal/serve/hgsuspect/blame.go 's/maxUnblamed = 6/maxUnblamed = 600/'
 red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/n\.replicas\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
 red silentPeers TestMembers internal/peer/hgpeer \
