hgsuspect: judge a failing service by ends of replicas, not by requests

Cause: three other requests that broke off within a second made their service count as failing, and crashes are excused then. One end of a replica under three bystanders was enough, among them the end that the crashing request itself had caused.

Change: outcomes name their crash. A service fails if three other requests had three different crashes, more than runs were completed, and those crashes that the request itself was part of do not count.

What remains: four replicas that end within a second may still excuse one crash; a service that fails only under long runs, with less than three ends a second, is no longer seen as failing.

--- a/internal/serve/hgsuspect/blame_test.go
+++ b/internal/serve/hgsuspect/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -80,3 +81,59 @@
 		})
 	}
 }
+
+// Whatever runs beside it and completes meanwhile, a request that ends each replica gets six of them at most in an hour, over all VMs,
+// and no bystander is refused that was missing at one of them.
+func TestBystandersDoNotHideCrashingRequest(t *testing.T) {
+	const guilty, others, limit = "guilty", 12, 6
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		c := &clock{now: time.Hour}
+		lists := []*hgsuspect.List{hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())}
+		crash := func(ends int, began time.Duration, names []string) {
+			run := hgsuspect.Run{Replica: "a", Incarnation: fmt.Sprint(ends), Began: began}
+			for _, name := range names {
+				lists[r.IntN(len(lists))].RecordCrash(named(name).WithRun(run))
+			}
+		}
+		ends, present := 0, map[string]int{}
+		for c.now < 2*time.Hour-5*time.Minute {
+			c.now += time.Duration(r.Int64N(int64(20 * time.Second)))
+			var names []string
+			for i := range others {
+				name := fmt.Sprint("other-", i)
+				if _, refused := lists[r.IntN(len(lists))].Refused(named(name)); refused {
+					continue
+				}
+				if r.Float64() < 0.3 {
+					names = append(names, name)
+				}
+			}
+			if _, refused := lists[r.IntN(len(lists))].Refused(named(guilty)); !refused {
+				ends++
+				crash(ends, c.now-100*time.Millisecond, append(names, guilty))
+				for _, name := range names {
+					present[name]++
+				}
+			} else {
+				for _, name := range names {
+					lists[r.IntN(len(lists))].RecordCompletion(named(name))
+				}
+			}
+			for i := range lists {
+				for k := range lists {
+					exchange(lists[i], lists[k], fmt.Sprint(i), fmt.Sprint(k), false, false)
+				}
+			}
+		}
+		if ends > limit {
+			t.Errorf("seed %d: the crashing request ended %d replicas", seed, ends)
+		}
+		for i := range others {
+			name := fmt.Sprint("other-", i)
+			if left, refused := lists[0].Refused(named(name)); refused && present[name] < ends {
+				t.Errorf("seed %d: %s is refused for %v after %d of %d ends", seed, name, left, present[name], ends)
+			}
+		}
+	}
+}
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -73,22 +73,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	isFailing := l.outcomes[r.Service].isFailing(r.Content, now)
-	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, true, now)
+	c := l.ends.observe(r.Run, now)
+	c.excused = l.outcomes[r.Service].isFailing(r.Content, c.id, now)
+	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, c.id, now)
 	// When a whole service fails, a request that several callers send would soon have enough crashes to be refused for all of
 	// them. A caller that keeps resending a request is still recognized by the digest that includes the caller.
 	digests := []uint64{r.Caller}
-	if !isFailing {
+	if !c.excused {
 		digests = r.digests()
 	}
-	c := l.ends.observe(r.Run, now)
-	c.excused = isFailing
 	for _, digest := range digests {
 		e := l.entry(digest, now)
 		l.addProof(digest, e, now)
 		e.countBroken(now)
 		l.change(digest, e, now, sourceLocal, func() { e.addCrash(c) })
-		l.log.Info("suspected replica crash recorded", "digest", digest, "caller", digest == r.Caller, "breaks", e.countedCrashes(now), "excused", isFailing)
+		l.log.Info("suspected replica crash recorded", "digest", digest, "caller", digest == r.Caller, "breaks", e.countedCrashes(now), "excused", c.excused)
 	}
 }
 
@@ -98,7 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, false, now)
+	l.outcomes[r.Service] = l.outcomes[r.Service].add(r.Content, 0, now)
 	for _, digest := range r.digests() {
 		l.completions.add(digest, now)
 		e, ok := l.entries[digest]
@@ -127,7 +126,7 @@
 		}
 	}
 	// While the service is failing, crashes are excused, but a caller that keeps resending the request is still refused.
-	if e, ok := l.entries[r.Caller]; ok && left <= 0 && e.allCrashes(now) > maxCrashes && l.outcomes[r.Service].isFailing(r.Content, now) {
+	if e, ok := l.entries[r.Caller]; ok && left <= 0 && e.allCrashes(now) > maxCrashes && l.outcomes[r.Service].isFailing(r.Content, 0, now) {
 		left = outcomeMaxAge
 	}
 	return left, left > 0
--- a/internal/serve/hgsuspect/outcomes_test.go
+++ b/internal/serve/hgsuspect/outcomes_test.go
@@ -91,3 +91,65 @@
 		})
 	}
 }
+
+// Ends of replicas that break off many requests are no failing service: the crashes of a request that was among them, or that ends
+// another replica just after, must not be excused.
+func TestFewEndsAreNoFailingService(t *testing.T) {
+	// end records that an end of a replica broke off requests with some contents, in that order.
+	end := func(l *hgsuspect.List, c *clock, replica string, contents ...uint64) {
+		for _, content := range contents {
+			l.RecordCrash(sent(content, 1).WithRun(hgsuspect.Run{Replica: replica, Began: c.now - 100*time.Millisecond}))
+		}
+	}
+	tests := map[string]struct {
+		do      func(l *hgsuspect.List, c *clock)
+		refused bool
+	}{
+		"others noticed first": {func(l *hgsuspect.List, c *clock) {
+			for _, replica := range []string{"a", "b", "c"} {
+				end(l, c, replica, 2, 3, 4, 5, 6, 1)
+				c.now += 3 * time.Second
+				for content := range uint64(5) {
+					l.RecordCompletion(sent(2+content, 1))
+				}
+				c.now += 3 * time.Second
+			}
+		}, true},
+		"another replica ends just before": {func(l *hgsuspect.List, c *clock) {
+			for _, replica := range []string{"a", "b", "c"} {
+				end(l, c, "other "+replica, 2, 3, 4, 5, 6)
+				end(l, c, replica, 1)
+				c.now += 3 * time.Second
+			}
+		}, true},
+		"copies on three replicas at once": {func(l *hgsuspect.List, c *clock) {
+			end(l, c, "a", 2, 3)
+			end(l, c, "b", 4, 5)
+			end(l, c, "c", 6, 7)
+			end(l, c, "a", 1)
+			end(l, c, "b", 1)
+			end(l, c, "c", 1)
+		}, true},
+		"three other replicas end": {func(l *hgsuspect.List, c *clock) {
+			for range 2 {
+				for _, replica := range []string{"a", "b", "c"} {
+					end(l, c, "other "+replica, 2, 3, 4, 5, 6)
+				}
+			}
+			for _, replica := range []string{"a", "b", "c"} {
+				end(l, c, replica, 1)
+			}
+			c.now += time.Second
+		}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &clock{now: time.Hour}
+			l := hgsuspect.NewList(c, hglog.Discard())
+			tt.do(l, c)
+			if left, refused := l.Refused(sent(1, 1)); refused != tt.refused {
+				t.Errorf("refused %v for %v", refused, left)
+			}
+		})
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -126,6 +126,8 @@
   internal/serve/hgsuspect/list.go 's/ && !l\.isExplained\(digest, e, now\)//'
 red crashUnblamed TestBystandersAreNotRefused internal/serve/hgsuspect \
   internal/serve/hgsuspect/blame.go 's/maxUnblamed = 6/maxUnblamed = 600/'
+red crashFailing TestFewEndsAreNoFailingService internal/serve/hgsuspect \
+  internal/serve/hgsuspect/outcomes.go 's/ && len\(crashes\) >= minCrashing && len\(crashes\) > ended/ \&\& len(crashes) > ended/'
 red crashSilent TestCrashingRequestThatEndsReplicasSilently internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/n\.replicas\.OnEnd\(n\.suspects\.replicaEnded\)\n//'
 red silentPeers TestMembers internal/peer/hgpeer \
