hgsuspect: count a crash that only some VMs excused

Since one end of a replica has one identifier at all VMs, a VM where its service seemed to fail could record the end as excused first, and the others then never counted it.

Cause: of two records of a crash the list kept the first, excused or not, and lists that differed in that did not notice.

Evidence before: TestCrashExcusedAtOneVMOnly, case 'excused first': "list 0: refused false" after three ends.

Change: a crash is excused only if all VMs that recorded it excused it; the fingerprint of an entry tells such crashes apart.

--- a/internal/serve/hgsuspect/ends_test.go
+++ b/internal/serve/hgsuspect/ends_test.go
@@ -95,3 +95,61 @@
 		})
 	}
 }
+
+// A crash that one VM excused, as the service seemed to fail there, and another one counted must count at both.
+func TestCrashExcusedAtOneVMOnly(t *testing.T) {
+	tests := map[string]struct {
+		// excusedFirst says whether the VM at which the service seemed to fail was the first to record the crashes.
+		excusedFirst bool
+		// both says that both VMs excused the crashes.
+		both    bool
+		refused bool
+	}{
+		"excused first":                {true, false, true},
+		"counted first":                {false, false, true},
+		"excused at both":              {true, true, false},
+		"excused at both, other first": {false, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &clock{now: time.Hour}
+			a, b := hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())
+			fail := func(l *hgsuspect.List) {
+				for content := range uint64(5) {
+					l.RecordCrash(sent(10+content, 1))
+				}
+			}
+			crash := func(l *hgsuspect.List, replica string) {
+				l.RecordCrash(sent(1, 1).WithRun(hgsuspect.Run{Replica: replica, Began: c.now - 100*time.Millisecond}))
+			}
+			agree := func() {
+				exchange(a, b, "a", "b", false, false)
+				exchange(b, a, "b", "a", false, false)
+			}
+			for _, replica := range []string{"x", "y", "z"} {
+				fail(a)
+				if tt.both {
+					fail(b)
+				}
+				first, second := a, b
+				if !tt.excusedFirst {
+					first, second = b, a
+				}
+				crash(first, replica)
+				agree()
+				c.now += time.Millisecond
+				crash(second, replica)
+				agree()
+				c.now += 3 * time.Second
+			}
+			// Only the crashes by caller are left to count.
+			b.RecordCompletion(sent(1, 2))
+			agree()
+			for i, l := range []*hgsuspect.List{a, b} {
+				if _, refused := l.Refused(sent(1, 1)); refused != tt.refused {
+					t.Errorf("list %d: refused %v", i, refused)
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -54,9 +54,11 @@
 	savedFingerprint uint64
 }
 
-// addCrash inserts a crash in the order of time, unless the entry has it already.
+// addCrash inserts a crash in the order of time, unless the entry has it already. A crash is excused only if all VMs that recorded
+// it excused it.
 func (e *entry) addCrash(c crash) {
-	if slices.ContainsFunc(e.crashes, func(have crash) bool { return have.id == c.id }) {
+	if i := slices.IndexFunc(e.crashes, func(have crash) bool { return have.id == c.id }); i >= 0 {
+		e.crashes[i].excused = e.crashes[i].excused && c.excused
 		return
 	}
 	i, _ := slices.BinarySearchFunc(e.crashes, c, func(have, c crash) int { return int(have.at - c.at) })
@@ -105,7 +107,7 @@
 	}
 	ids := []uint64{digest, e.proof.seq, e.proof.id}
 	for _, c := range e.crashes {
-		ids = append(ids, c.id)
+		ids = append(ids, lo.Ternary(c.excused, ^c.id, c.id))
 	}
 	slices.Sort(ids[3:])
 	var raw []byte
