--- a/internal/serve/hgsuspect/entry.go
+++ b/internal/serve/hgsuspect/entry.go
@@ -19,7 +19,7 @@
 
 // crash is a suspected crash of a replica while it ran a request.
 type crash struct {
-	// id is random; it identifies the crash across all lists.
+	// id identifies the crash across all lists: the end of a replica, or a random number if the replica is not known.
 	id uint64
 	at time.Duration
 	// excused says that the service was failing at the time, so that the crash does not count against the request.
@@ -46,13 +46,19 @@
 	// did not come from a peer or the store.
 	changedAt                 time.Duration
 	changeNumber, localNumber uint64
+	// broken is the number of runs that broke off at this VM, each within brokenMaxAge of the one before and without a completed
+	// one between them; brokenAt is the time of the last.
+	broken   int
+	brokenAt time.Duration
 	// savedFingerprint is the fingerprint of the entry as it was last stored; 0 if it never was.
 	savedFingerprint uint64
 }
 
-// addCrash inserts a crash in the order of time, unless the entry has it already.
+// addCrash inserts a crash in the order of time, unless the entry has it already. A crash is excused only if all VMs that recorded
+// it excused it.
 func (e *entry) addCrash(c crash) {
-	if slices.ContainsFunc(e.crashes, func(have crash) bool { return have.id == c.id }) {
+	if i := slices.IndexFunc(e.crashes, func(have crash) bool { return have.id == c.id }); i >= 0 {
+		e.crashes[i].excused = e.crashes[i].excused && c.excused
 		return
 	}
 	i, _ := slices.BinarySearchFunc(e.crashes, c, func(have, c crash) int { return int(have.at - c.at) })
@@ -62,12 +68,22 @@
 	}
 }
 
+// countBroken counts a run that broke off at this VM.
+func (e *entry) countBroken(now time.Duration) {
+	if now-e.brokenAt >= brokenMaxAge {
+		e.broken = 0
+	}
+	e.broken, e.brokenAt = e.broken+1, now
+}
+
 // allCrashes returns the number of crashes since the proof, including excused ones.
 func (e *entry) allCrashes(now time.Duration) int { return len(e.crashesSinceProof(now)) }
 
 // countedCrashes returns the number of crashes since the proof, without excused ones.
-func (e *entry) countedCrashes(now time.Duration) int {
-	return lo.CountBy(e.crashesSinceProof(now), func(c crash) bool { return !c.excused })
+func (e *entry) countedCrashes(now time.Duration) int { return len(e.crashesCounted(now)) }
+
+func (e *entry) crashesCounted(now time.Duration) []crash {
+	return lo.Reject(e.crashesSinceProof(now), func(c crash, _ int) bool { return c.excused })
 }
 
 // crashesSinceProof returns the crashes after the proof and within the retention time.
@@ -91,7 +107,7 @@
 	}
 	ids := []uint64{digest, e.proof.seq, e.proof.id}
 	for _, c := range e.crashes {
-		ids = append(ids, c.id)
+		ids = append(ids, lo.Ternary(c.excused, ^c.id, c.id))
 	}
 	slices.Sort(ids[3:])
 	var raw []byte
