--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -118,6 +118,14 @@
 	return c.Conn.Write(p)
 }
 
+// SetLinger sets what Close does with unsent bytes, as net.TCPConn does, if the connection can do that.
+func (c *conn) SetLinger(seconds int) (err error) {
+	if w, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return w.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite closes the sending direction, if the connection can do that.
 func (c *conn) CloseWrite() (err error) {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -29,7 +29,7 @@
 	conns     map[*conn]bool
 }
 
-// NewServer returns a server with the handler and the limits of cfg, whose hooks for connections it sets.
+// NewServer returns a server with the handler, the limits and the ConnContext of cfg, whose ConnState it sets.
 func NewServer(cfg *http.Server, log *slog.Logger) *Server {
 	s := &Server{http: cfg, log: log, conns: map[*conn]bool{}}
 	handler := cfg.Handler
@@ -42,7 +42,13 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	cfg.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	connContext := cfg.ConnContext
+	cfg.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	cfg.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c, ok := nc.(*conn); ok && state == http.StateIdle {
 			c.endRequest()
