hgserver: the wait for a request does not cut a pipelined one

What callers saw: a request without a body that was read together with the one before it, and that was begun after a stop, was cut half a second after the first answer: its context ended.

Cause: such a request has no bytes of its own in the account of its connection, so that the deadline of the wait for a request was set for net/http's background read, which begins before the handler; its end cancels the request's context.

Evidence: TestPipelinedRequestIsNotCutByShutdown failed before, 'in one segment, without body': second answer "unexpected EOF"; three other cases passed.

Fix: the deadline is set again once the handler is called. The requests of TestSlowRequestDuringShutdownIsAnswered (100-continue, HTTP/1.0, byte by byte, chunks) were answered before as well; that test only guards them.

Measured: all tests of hgserver pass twice with the race detector.

--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -35,12 +35,19 @@
 	readDeadline time.Time
 }
 
-// beginRequest records that a handler was called for the request on the connection.
+// beginRequest records that a handler was called for the request on the connection. A request that was read together with the one
+// before counts only from here on, so that the deadline of the wait for it may still be set.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = true
 	c.requests++
+	if !c.server.stopping.Load() {
+		return
+	}
+	if err := c.applyReadDeadline(); err != nil {
+		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
+	}
 }
 
 // endRequest records that the request was answered.
