hgledger: a turn that ends while others wait for a slow store is settled

What callers see: the budget of the program stays smaller by the turn's reservation for good, and later turns are refused with 402.

Cause: an extension holds the program's lock for up to 800 ms while it waits for the store, since "turns that run beside each other are granted within the budget at their maximum" in a slow store too; several of them queue up. settle gave up after 1.2 s, without a line in the log, and nothing released the reservation later.

Evidence: TestTurnIsSettledBesideTurnsThatWaitForStore failed before, 'the turn that has ended still holds its reservation' (delay of the store 780 ms, four extensions).

Fix: the caller still waits for 1.2 s at most; after that the turn is settled as soon as the lock is free.

Measured: all tests of hgledger pass, those of turns and outages with the race detector as well.

--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -220,14 +220,26 @@
 }
 
 // settle releases the reservation of a turn and updates the program in memory. It does not depend on the context of the
-// request, so that the turn is settled even if the caller has left.
+// request, so that the turn is settled even if the caller has left. While other turns hold the program's lock for longer than openTimeout,
+// for example as they wait for a slow store, the turn is settled later.
 func (l *Ledger) settle(q CloseRequest, stored bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
 	p := l.program(q.Program)
-	if !p.lock(ctx) {
+	if p.lock(ctx) {
+		l.settleLocked(p, q, stored)
 		return
 	}
+	l.log.Info("turn waits to be settled", "program", q.Program, "attempt", q.Attempt)
+	go func() {
+		if p.lock(context.Background()) {
+			l.settleLocked(p, q, stored)
+		}
+	}()
+}
+
+// settleLocked is settle for a locked program, which it unlocks.
+func (l *Ledger) settleLocked(p *program, q CloseRequest, stored bool) {
 	defer p.unlock()
 	p.lastUsed = l.timer.Now()
 	if q.Holder == l.id || q.Holder == "" {
