hgplacer: two requests under one identifier don't block the placer

If two requests for places under one identifier waited at a placer, all requests of its failure domain that need an engine hung from then on, without an answer, also after their time-outs. Identifiers are made from the attempt, the run of the process and a number, so that only a faulty peer can cause this.

Cause: the second request replaced the channel of the first. The first of the two to be granted took the channel, and the placer then sent on a nil channel with its lock held. A second lease under one identifier also replaced the first, which was never released.

A request whose identifier waits already is refused, and a lease that is replaced is released.

--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -82,9 +82,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Wait)
 	defer cancel()
-	granted, ok := p.push(a)
-	if !ok {
-		return nil, Full
+	granted, v := p.push(a)
+	if granted == nil {
+		return nil, v
 	}
 	p.grantQueued(a.Want.Service)
 	select {
@@ -101,18 +101,22 @@
 	return l, Granted
 }
 
-// push adds a request to the queue of its service, unless it begins a program and the load is too high for new programs.
-func (p *Placer) push(a PlaceRequest) (granted chan *hgreplica.Lease, ok bool) {
+// push adds a request to the queue of its service, unless it begins a program and the load is too high for new programs, or
+// another request under its ID waits.
+func (p *Placer) push(a PlaceRequest) (granted chan *hgreplica.Lease, refused Verdict) {
 	if a.Rank.New && IsFull(p.set.Load(a.Want.Service), a.Rank.Priority) {
-		return nil, false
+		return nil, Full
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, ok := p.waiters[a.ID]; ok {
+		return nil, Expired
+	}
 	a.Want.Window, a.Rank.Arrived = Window, p.timer.Now()
 	granted = make(chan *hgreplica.Lease, 1)
 	p.waiters[a.ID] = granted
 	p.queue(a.Want.Service).Push(Request{ID: a.ID, Want: a.Want, Rank: a.Rank})
-	return granted, true
+	return granted, ""
 }
 
 // IsFull reports whether a load, in requests per slot, is too high for a new program of a priority.
@@ -175,11 +179,16 @@
 	}
 }
 
-// Hold keeps the lease of another node's request until Release is called for it or it is overdue.
+// Hold keeps the lease of another node's request until Release is called for it or it is overdue. A lease that is held under the
+// same ID is released.
 func (p *Placer) Hold(a PlaceRequest, l *hgreplica.Lease) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	before, ok := p.held[a.ID]
 	p.held[a.ID] = heldLease{lease: l, until: p.timer.Now() + a.Left + overdueGrace}
+	p.mu.Unlock()
+	if ok {
+		before.lease.Release()
+	}
 }
 
 // Release ends another node's request: it removes the request from the queue, or applies o to its lease and releases it.
