hgpeer: a position beyond the last change doesn't end a hub

A heartbeat of a peer that claims to have more programs of a hub's run than there are ended the hub's process.

Cause: the position was taken as an index into the log of programs.

The position is bounded by the last change.

--- a/internal/peer/hgpeer/programlog.go
+++ b/internal/peer/hgpeer/programlog.go
@@ -49,10 +49,10 @@
 	l.programs = append([]uint64(nil), l.programs[n:]...)
 }
 
-// since returns the programs with a higher number.
+// since returns the programs with a higher number. The number comes from a peer and may be beyond the last one.
 func (l *programLog) since(number uint64) []uint64 {
 	first := l.lastNumber - uint64(len(l.programs))
-	return append([]uint64(nil), l.programs[max(number, first)-first:]...)
+	return append([]uint64(nil), l.programs[min(max(number, first), l.lastNumber)-first:]...)
 }
 
 // AnnouncePrograms queues programs that this node has started to serve, so that the next heartbeat announces them.
