hgentryvm: rows that describe no node don't count towards the majority

After another writer had put rows into the table of the VMs, such as {"Name":"ghost-1"}, callers got 503 for each new program as long as the store was out of reach, and a VM that restarted did not see its site as complete.

Cause: each row that decodes became a member, whatever its key, its addresses and its start, and counted towards the majority for good.

Evidence: TestOddRowsAmongVMsCountForNothing on the code before failed with, for all 12 programs, oddnode_test.go:60: without the store: status 503: {"error":"store is out of reach"} oddnode_test.go:64: entry VMs are not ready after 8s

A row counts if its key is the node's name and it has the start of a process and addresses. The other odd rows of the test (nesting, numbers too large, odd suspects and failover markers, rows that are no text) ended no VM before either. The test passes after the change. A row that another writer has copied from a VM in full can't be told apart.

--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -227,9 +227,9 @@
 		if strings.HasPrefix(row.Key, hgledger.MarkerPrefix) || isSuspect(row) {
 			return i, false
 		}
-		i, err := infoCodec.Decode(row.Value)
+		i, err := decodeNode(row)
 		if err != nil {
-			n.log.Warn("ignoring a node whose row cannot be decoded", "row", row.Key, "error", err)
+			n.log.Warn("ignoring a row that describes no node", "error", err)
 		}
 		return i, err == nil
 	})
