hgentry: reset the connection of a caller of HTTP/1.0 when a stream breaks off

A caller that speaks HTTP/1.0 got a stream that broke off, or whose VM ended, as a complete one: such a stream has neither length nor chunks, so that the orderly close that aborts an answer is also what ends a whole one. Callers of HTTP/1.1 were not affected, as the last chunk is missing.

Failed before: lengthless_test.go:111: status 200, broken false, want 200, true: "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\n" (HTTP/1.0: cut inside an event, reset after an event, reset after the last, ends early with chunks) lengthless_test.go:160: HTTP/1.0: status 200, broken false (VM killed under the stream)

From the head of a stream to its end, the connection of such a caller is set to be reset when it is closed, whoever closes it: the handler, the server at the end of the grace time, or the kernel after the process. The stand-in replica can answer until close and reset a connection (Fault.UntilClose, Fault.ResetAfter); whole answers of that kind, refusals, failures, HEAD and the turns that are kept of them were right before and are now tested in both versions of HTTP.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -135,7 +135,7 @@
 	}
 	n.public = hgserver.NewServer(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
 	}, n.log)
 	if err := n.listen(n.cfg.Listen.Public, n.public.Serve); err != nil {
 		return err
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -33,6 +33,10 @@
 	CutAfterEvents int
 	// CutAfterHeaders sends the headers of a stream and closes the connection before the first event.
 	CutAfterHeaders bool
+	// UntilClose answers with neither a length nor chunks, so that the answer ends with its connection.
+	UntilClose bool
+	// ResetAfter resets the connection after that many events of a stream, or bytes of a plain body; 0 disables it.
+	ResetAfter int
 	// Error answers immediately with status 500.
 	Error bool
 	// WrongAttemptID runs the request and answers with the attempt identifier of another request.
@@ -253,18 +257,48 @@
 	}
 	answer.Sealed = true
 	hgplatform.EncodeAnswer(w.Header(), answer)
+	if f.UntilClose {
+		// The server of net/http then frames the body by closing the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if f.Error {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	if !r.engine {
 		r.sleep()
-		fmt.Fprintf(w, "done %s", a.ID)
+		sendPlain(w, "done "+a.ID, f)
 		return
 	}
 	r.stream(w, a, f)
 }
 
+func sendPlain(w http.ResponseWriter, body string, f Fault) {
+	if f.ResetAfter == 0 {
+		_, _ = io.WriteString(w, body) // an error means that the sender has disconnected
+		return
+	}
+	if _, err := io.WriteString(w, body[:f.ResetAfter]); err == nil {
+		reset(w)
+	}
+}
+
+// reset sends what was written so far and then resets the connection.
+func reset(w http.ResponseWriter) {
+	c := http.NewResponseController(w)
+	if err := c.Flush(); err != nil {
+		return
+	}
+	conn, _, err := c.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // an error means that the connection is closed already
+	}
+	conn.Close()
+}
+
 // Event returns the data of event i of a stream, counted from 1; it is the same for all streams.
 func Event(i int) string { return fmt.Sprintf("word%d", i) }
 
@@ -300,6 +334,10 @@
 		if cut {
 			panic(http.ErrAbortHandler)
 		}
+		if i == f.ResetAfter {
+			reset(w)
+			return
+		}
 	}
 }
 
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -63,6 +63,7 @@
 		err := x.tryStream(s, want, body)
 		if err == nil {
 			x.closeTurn(s, true)
+			x.setResetOnClose(false)
 			x.entry.metrics.Observe("stream", x.entry.timer.Now()-x.start)
 			x.logResult(x.status, "")
 			return
@@ -195,6 +196,7 @@
 	x.copyHead(t.resp)
 	x.w.Header().Del("Content-Length")
 	x.status = http.StatusOK
+	x.setResetOnClose(true)
 	x.w.WriteHeader(x.status)
 }
 
