hgentry: take a stream that ends with its connection before any event as broken off

A replica that answers until close and ends after the head of a stream left the caller with a complete stream of no events, and the VM kept a turn without output, which later turns then followed. A whole stream has events, unless it resumes another one after the last event; with a length or chunks the replica itself says that it is whole.

Failed before: "stream breaks before its events": status 200, broken false, want 502 ... the next turn got status 200, want 404 "resumable stream lacks events": 0 events, want 4

The request is now repeated where its kind allows, and otherwise answered with 502. The table of the stand-in's answers until close breaks off the first run of requests that may be repeated, whichever replica gets it.

--- a/internal/proof/hgsite/lengthless_test.go
+++ b/internal/proof/hgsite/lengthless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,30 +76,33 @@
 		broken bool
 		events int
 	}{
-		"stream":                         {hgsite.ThreadPath, hgsite.Fault{UntilClose: true}, http.StatusOK, false, hgsite.Events},
-		"stream ends inside an event":    {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, CutAfterEvents: 2}, http.StatusOK, true, 2},
-		"stream is reset after an event": {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, ResetAfter: 2}, http.StatusOK, true, 2},
-		"stream is reset after the last": {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, ResetAfter: hgsite.Events}, http.StatusOK, true, hgsite.Events},
-		"stream with chunks ends early":  {hgsite.ThreadPath, hgsite.Fault{CutAfterEvents: 2}, http.StatusOK, true, 2},
-		"resumable stream ends early":    {hgsite.ChatPath, hgsite.Fault{UntilClose: true, ResetAfter: 2}, http.StatusOK, false, hgsite.Events},
-		"plain answer":                   {hgsite.ChargePath, hgsite.Fault{UntilClose: true}, http.StatusOK, false, 0},
-		"plain answer is reset":          {hgsite.ChargePath, hgsite.Fault{UntilClose: true, ResetAfter: 4}, http.StatusBadGateway, false, 0},
-		"plain answer is repeated":       {hgsite.CheckPath, hgsite.Fault{UntilClose: true, ResetAfter: 4}, http.StatusOK, false, 0},
-		"failure of a stream":            {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, Error: true}, http.StatusInternalServerError, false, 0},
-		"failure of a plain request":     {hgsite.ChargePath, hgsite.Fault{UntilClose: true, Error: true}, http.StatusInternalServerError, false, 0},
-		"refusal":                        {hgsite.ChargePath, hgsite.Fault{UntilClose: true, Refuse: true}, http.StatusServiceUnavailable, false, 0},
+		"stream":                          {hgsite.ThreadPath, hgsite.Fault{UntilClose: true}, http.StatusOK, false, hgsite.Events},
+		"stream ends inside an event":     {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, CutAfterEvents: 2}, http.StatusOK, true, 2},
+		"stream is reset after an event":  {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, ResetAfter: 2}, http.StatusOK, true, 2},
+		"stream is reset after the last":  {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, ResetAfter: hgsite.Events}, http.StatusOK, true, hgsite.Events},
+		"stream with chunks ends early":   {hgsite.ThreadPath, hgsite.Fault{CutAfterEvents: 2}, http.StatusOK, true, 2},
+		"resumable stream ends early":     {hgsite.ChatPath, hgsite.Fault{UntilClose: true, ResetAfter: 2}, http.StatusOK, false, hgsite.Events},
+		"plain answer":                    {hgsite.ChargePath, hgsite.Fault{UntilClose: true}, http.StatusOK, false, 0},
+		"plain answer is reset":           {hgsite.ChargePath, hgsite.Fault{UntilClose: true, ResetAfter: 4}, http.StatusBadGateway, false, 0},
+		"plain answer is repeated":        {hgsite.CheckPath, hgsite.Fault{UntilClose: true, ResetAfter: 4}, http.StatusOK, false, 0},
+		"failure of a stream":             {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, Error: true}, http.StatusInternalServerError, false, 0},
+		"failure of a plain request":      {hgsite.ChargePath, hgsite.Fault{UntilClose: true, Error: true}, http.StatusInternalServerError, false, 0},
+		"refusal":                         {hgsite.ChargePath, hgsite.Fault{UntilClose: true, Refuse: true}, http.StatusServiceUnavailable, false, 0},
+		"stream breaks before its events": {hgsite.ThreadPath, hgsite.Fault{UntilClose: true, CutAfterHeaders: true}, http.StatusBadGateway, false, 0},
+		"resumable stream lacks events":   {hgsite.ChatPath, hgsite.Fault{UntilClose: true, CutAfterHeaders: true}, http.StatusOK, false, hgsite.Events},
 	}
 	s := newSite(t, 1)
 	for name, tt := range tests {
 		for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 			t.Run(name+", "+version, func(t *testing.T) {
-				repeatable := tt.path == hgsite.ChatPath || tt.path == hgsite.CheckPath
-				for id, r := range s.Replicas {
-					f := tt.fault
-					if f.Remaining = 9; repeatable {
-						// Only the replica in the VM's failure domain, which is tried first, breaks off.
-						f.Remaining = map[string]int{"engine-0": 1, "tool-0": 1}[id]
-					}
+				f := tt.fault
+				f.Remaining = 9
+				if tt.path == hgsite.ChatPath || tt.path == hgsite.CheckPath {
+					// Only the first replica of a request that may be repeated breaks off.
+					var runs atomic.Int64
+					f.Match = func(hgsite.Run) bool { return runs.Add(1) == 1 }
+				}
+				for _, r := range s.Replicas {
 					r.SetFault(f)
 				}
 				q := hgsite.Turn(tt.path, "p "+name+version, "", name+version)
@@ -121,7 +125,7 @@
 				// A turn is kept if its stream ended whole, and only then.
 				kept := tt.status == http.StatusOK && !tt.broken
 				want := map[bool]int{true: http.StatusOK, false: http.StatusNotFound}[kept]
-				if next := call(t, s, 0, hgsite.Turn(tt.path, "p "+name+version, q.ID, "next "+name+version)); next.Status != want {
+				if next := call(t, s, 0, hgsite.Turn(tt.path, q.Program, q.ID, "next "+q.Body)); next.Status != want {
 					t.Errorf("the next turn got status %d, want %d", next.Status, want)
 				}
 			})
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -182,10 +182,23 @@
 	if resumes {
 		return errors.Join(errAnswerLost, errNotContinued)
 	}
+	if x.lacksEvents(s, t) {
+		return errors.Join(errAnswerLost, errNoEvent)
+	}
 	x.writeHead(s, t)
 	return nil
 }
 
+// errNoEvent means that the replica closed the connection in order before the first event.
+var errNoEvent = errors.New("stream ends without an event")
+
+// lacksEvents reports whether a stream that ended with its connection brought no event at all. A whole stream has some, unless
+// it resumes another one after the last event. With a length or chunks the replica says itself that the stream is whole.
+func (x *exchange) lacksEvents(s *stream, t *try) bool {
+	untilClose := t.resp.ContentLength < 0 && len(t.resp.TransferEncoding) == 0
+	return untilClose && s.events == 0 && x.attempt.LastEvent == "" && x.r.Method != http.MethodHead
+}
+
 // writeHead writes status and headers, at the first event or the end of the stream. Until then the request can be
 // retried without the caller noticing.
 func (x *exchange) writeHead(s *stream, t *try) {
