hgendpoint: reject an answer of a tool that is longer than what is read of it

A tool's answer of more than 16 MB, also one that ends with its connection, was cut there and returned as the whole answer.

One byte more than the limit is read, and an answer that has it is an error that says that the request may have run.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -170,10 +170,13 @@
 	if got := w.Header.Get(HeaderRequest); got != r.Request {
 		return t, &Error{Sent: true, Err: fmt.Errorf("answer is for request %q, want %q", got, r.Request)}
 	}
-	data, err := io.ReadAll(io.LimitReader(w.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(w.Body, maxAnswerBytes+1))
 	if err != nil {
 		return t, &Error{Sent: true, Cut: true, Err: err}
 	}
+	if len(data) > maxAnswerBytes {
+		return t, &Error{Sent: true, Err: fmt.Errorf("answer has more than %d bytes", maxAnswerBytes)}
+	}
 	return ToolResult{Status: w.StatusCode, Body: data}, nil
 }
 
