hgledger: save claims without a race on the partition of a program

No caller is known to have seen it: the field is one word, and a stale value made SaveClaims skip a program for one period or call an unreachable partition.

The partition is atomic now; it is changed with the lock held. Taking the lock first would have kept the claims on other programs waiting for turns that hold it while their partition does not answer. The other fields of a program are read with the lock held: SaveClaims, EvictUnused and ReturnUnused, which go over all programs, and Share, TakeCopy, Open, Close and Extend were read for that.

--- a/internal/state/hgledger/failover.go
+++ b/internal/state/hgledger/failover.go
@@ -46,21 +46,21 @@
 // failOver moves the account of a new program to an alternate partition while its home partition is unreachable. It
 // reports whether the partition that holds the account afterwards counts as reachable.
 func (l *Ledger) failOver(ctx context.Context, p *program, isNew bool) bool {
-	if p.rowKnown || p.unsaved || len(p.copies) > 0 || p.partition != homePartition(p.id) {
-		return !l.committer.isUnreachable(p.partition)
+	if p.rowKnown || p.unsaved || len(p.copies) > 0 || p.partition() != homePartition(p.id) {
+		return !l.committer.isUnreachable(p.partition())
 	}
-	if l.failedOver[p.partition].Load() {
+	if l.failedOver[p.partition()].Load() {
 		if err := l.readAlternates(ctx, p); err != nil || p.rowKnown {
-			return err == nil && !l.committer.isUnreachable(p.partition)
+			return err == nil && !l.committer.isUnreachable(p.partition())
 		}
 	}
-	if !l.isSoleHolder(ctx, p, isNew) || !l.writeMarker(ctx, p.partition) {
+	if !l.isSoleHolder(ctx, p, isNew) || !l.writeMarker(ctx, p.partition()) {
 		return false
 	}
 	for i := 1; i <= alternates; i++ {
-		if alternate := alternatePartition(p.partition, i); !l.committer.isUnreachable(alternate) {
-			l.log.Info("account failed over to an alternate partition", "program", p.id, "home", p.partition, "part", alternate)
-			p.partition = alternate
+		if alternate := alternatePartition(p.partition(), i); !l.committer.isUnreachable(alternate) {
+			l.log.Info("account failed over to an alternate partition", "program", p.id, "home", p.partition(), "part", alternate)
+			p.moveTo(alternate)
 			l.reload(p, accountRow{}, 0, true)
 			l.lastFailover.Store(int64(l.timer.Now()))
 			return true
@@ -110,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		p.partition = alternatePartition(home, i)
+		p.moveTo(alternatePartition(home, i))
 		l.reload(p, row, r.Version, true)
 		return nil
 	}
--- a/internal/state/hgledger/forget.go
+++ b/internal/state/hgledger/forget.go
@@ -53,7 +53,7 @@
 		}
 		keys = append(keys, lo.Map(puts, func(put hgstore.Put, _ int) string { return put.Key })...)
 	}
-	account := accountKey(p.partition, p.id)
+	account := accountKey(p.partition(), p.id)
 	_, err = l.table.Commit(ctx, hgstore.Txn{
 		Conditions: []hgstore.Condition{{Key: account, Version: p.version}}, Deletes: []string{account},
 	})
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -265,7 +265,7 @@
 func (l *Ledger) SaveClaims(ctx context.Context) (saved, left int) {
 	return l.forEachProgram(func(p *program) (done bool, err error) {
 		state := l.reach()
-		if state == hgreach.Unreachable || l.committer.isUnreachable(p.partition) {
+		if state == hgreach.Unreachable || l.committer.isUnreachable(p.partition()) {
 			return false, nil
 		}
 		if !p.lock(ctx) {
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -20,8 +21,8 @@
 
 	// isNew is set if neither this ledger nor a peer that reports its programs to it had served the program before.
 	isNew bool
-	// partition is the partition of the store that holds the account's row.
-	partition int
+	// part is the partition of the store that holds the account's row. It is changed with the lock held and read without.
+	part atomic.Int64
 	// rowKnown is set if row and version are the result of the last read or write. Version 0 means that no row exists.
 	rowKnown bool
 	version  uint64
@@ -62,9 +63,10 @@
 	p, ok := s.programs[id]
 	if !ok {
 		p = &program{
-			id: id, partition: homePartition(id), sem: make(chan struct{}, 1), reservations: map[string]int{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
+			id: id, sem: make(chan struct{}, 1), reservations: map[string]int{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
 			lastUsed: l.timer.Now(),
 		}
+		p.moveTo(homePartition(id))
 		s.programs[id] = p
 	}
 	return p
@@ -89,6 +91,11 @@
 	}
 }
 
+// partition returns the partition of the store that holds the account's row, and moveTo changes it.
+func (p *program) partition() int { return int(p.part.Load()) }
+
+func (p *program) moveTo(partition int) { p.part.Store(int64(partition)) }
+
 // isUnserved reports whether this ledger has served no turn of the program.
 func (p *program) isUnserved() bool {
 	return p.account.Used == 0 && len(p.reservations) == 0 && len(p.turns) == 0 && len(p.cached) == 0
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -65,7 +65,7 @@
 	switch {
 	case l.reach() == hgreach.Unreachable:
 		return true
-	case !l.committer.isUnreachable(p.partition):
+	case !l.committer.isUnreachable(p.partition()):
 		return false
 	}
 	return l.reach() != hgreach.Reachable || !l.failOver(ctx, p, isNew)
@@ -122,7 +122,7 @@
 // reserveOnline reserves tokens of the budget for an attempt, beside what other open turns may still need. It writes the row if
 // this ledger's share is too small.
 func (l *Ledger) reserveOnline(ctx context.Context, p *program, attempt string, budget, maxTokens int) (v Verdict, err error) {
-	if !p.rowKnown && l.failedOver[p.partition].Load() {
+	if !p.rowKnown && l.failedOver[p.partition()].Load() {
 		if err := l.readAccount(ctx, p); err != nil {
 			return Undecided, err
 		}
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -119,8 +119,8 @@
 	if err != nil {
 		return false, err
 	}
-	key := accountKey(p.partition, p.id)
-	version, err := l.committer.commit(ctx, p.partition, change{
+	key := accountKey(p.partition(), p.id)
+	version, err := l.committer.commit(ctx, p.partition(), change{
 		conditions: []hgstore.Condition{{Key: key, Version: p.version}},
 		puts:       []hgstore.Put{{Key: key, Value: value}},
 	})
@@ -155,9 +155,9 @@
 // readAccount reads a program's row. If the program's home partition has failed over, it looks in the alternate
 // partitions as well.
 func (l *Ledger) readAccount(ctx context.Context, p *program) (err error) {
-	r, err := l.table.Get(ctx, accountKey(p.partition, p.id))
+	r, err := l.table.Get(ctx, accountKey(p.partition(), p.id))
 	if trace.IsNotFound(err) {
-		if p.partition == homePartition(p.id) && l.failedOver[p.partition].Load() {
+		if p.partition() == homePartition(p.id) && l.failedOver[p.partition()].Load() {
 			p.rowKnown = false
 			if err := l.readAlternates(ctx, p); err != nil || p.rowKnown {
 				return err
@@ -180,7 +180,7 @@
 		return err
 	}
 	maps.Copy(p.turns, turns)
-	if p.partition == homePartition(p.id) && (version > 0 || !l.failedOver[p.partition].Load()) {
+	if p.partition() == homePartition(p.id) && (version > 0 || !l.failedOver[p.partition()].Load()) {
 		l.reload(p, account, version, true)
 	}
 	return nil
