hgledger: store a long turn in several transactions

A kept turn with an input of 1.5 MB, under a limit of 4 MiB, was run and then cut before its end in each try: its rows were one change, and the store accepts 100 entries and 1 MB in a transaction. The rejected transaction was repeated until the caller's time was over, and counted as a failure of the partition, and then of each alternate one, so that accounts of other programs there were served as if their partition did not answer.

Failed before: hgledger, long_test.go: turn long of program p: context deadline exceeded (in three, longest body) hgsite, TestLongTurnIsKept: status 200, complete false: id: 1 ... id: 4 (with a stand-in of the store that has its limits)

The rows are now written in as many transactions as they need, one after the other; the last row of the text and the row that leads to the program are in the last one. Readers take only turns whose last row is there. Rows of a turn that was given up between two transactions stay in the store.

--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -67,6 +67,7 @@
 		if err != nil {
 			return err
 		}
+		changes := splitPuts(puts)
 		if len(writes) == maxStoreWrites {
 			writes[0]()
 			writes = writes[1:]
@@ -75,20 +76,20 @@
 		writes = append(writes, cancelWrite)
 		go func() {
 			select {
-			case results <- l.putRows(writeCtx, partition, puts):
+			case results <- l.putRows(writeCtx, partition, changes):
 			case <-ctx.Done():
 			}
 		}()
-		if done, err := l.awaitWrite(ctx, results); done {
+		if done, err := l.awaitWrite(ctx, results, len(changes)); done {
 			return err
 		}
 	}
 }
 
-// awaitWrite waits for the result of a write, for as long as a write should take. It returns false if the write failed or is
-// late, so that another one is to be tried.
-func (l *Ledger) awaitWrite(ctx context.Context, results <-chan error) (done bool, err error) {
-	late := time.After(max(storeTimeout, storeTimeoutFactor*l.committer.averageDuration()))
+// awaitWrite waits for the result of a write, for as long as its transactions should take. It returns false if the write failed
+// or is late, so that another one is to be tried.
+func (l *Ledger) awaitWrite(ctx context.Context, results <-chan error, transactions int) (done bool, err error) {
+	late := time.After(max(storeTimeout, storeTimeoutFactor*l.committer.averageDuration()) * time.Duration(transactions))
 	for {
 		select {
 		case err := <-results:
@@ -108,14 +109,39 @@
 	}
 }
 
-// putRows writes rows to a partition. It fails after a pause if the partition counts as unreachable.
-func (l *Ledger) putRows(ctx context.Context, partition int, puts []hgstore.Put) (err error) {
+// splitPuts groups the rows of a turn into changes that each fit into one transaction, in their order.
+func splitPuts(puts []hgstore.Put) (changes []change) {
+	ch := change{}
+	size := 0
+	for _, p := range puts {
+		if len(ch.puts) == maxEntries || len(ch.puts) > 0 && size+len(p.Value) > maxBytes {
+			changes = append(changes, ch)
+			ch, size = change{}, 0
+		}
+		ch.puts = append(ch.puts, p)
+		size += len(p.Value)
+	}
+	return append(changes, ch)
+}
+
+// putRows writes the rows of a turn to a partition. It fails after a pause if the partition counts as unreachable.
+func (l *Ledger) putRows(ctx context.Context, partition int, changes []change) (err error) {
 	if l.committer.isUnreachable(partition) {
 		// The pause keeps storeTurn from spinning while all partitions are unreachable.
 		return sleep(ctx, retryAfter, trace.ConnectionProblem(nil, "part %d is out of reach", partition))
 	}
-	_, err = l.committer.commit(ctx, partition, change{puts: puts})
-	return err
+	return l.commitInOrder(ctx, partition, changes)
+}
+
+// commitInOrder applies changes one after the other. The rows of a turn have the one that completes it last, so that readers find
+// the turn only once all of them are durable.
+func (l *Ledger) commitInOrder(ctx context.Context, partition int, changes []change) (err error) {
+	for _, ch := range changes {
+		if _, err := l.committer.commit(ctx, partition, ch); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // sleep pauses and returns err, or returns the context's error if that ends first.
@@ -136,8 +162,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.committer.commit(ctx, home, change{puts: puts})
-	return err
+	return l.commitInOrder(ctx, home, splitPuts(puts))
 }
 
 // maxLookups bounds the searches for one history. Each section of it that lies in another program or partition takes
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/url"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -195,6 +196,7 @@
 	}
 	turns = hgturn.Tree{}
 	var chunks []byte
+	last := ""
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
 			if account, err = accountCodec.Decode(r.Value); err != nil {
@@ -207,6 +209,10 @@
 		if len(r.Value) == 0 {
 			return nil, account, 0, trace.BadParameter("row %s of a turn is empty", r.Key)
 		}
+		if id := r.Key[:strings.LastIndexByte(r.Key, '/')]; id != last {
+			// Rows of a turn whose last one is missing are not a turn: their writer has not finished, or gave up.
+			last, chunks = id, nil
+		}
 		chunks = append(chunks, r.Value[1:]...)
 		if r.Value[0] == moreChunks {
 			continue
@@ -216,7 +222,6 @@
 			return nil, account, 0, err
 		}
 		turns[turn.ID] = turn
-		chunks = nil
 	}
 	return turns, account, version, nil
 }
