hgpeer: turns get the rest of their tokens before or after the VM that opened them ends

Turns that were granted few tokens at first, as they are while the store is slow, were cut midway when the VM that owns their program stopped while they ran: the entry VM asked only that VM for more, got nothing once it had ended, and aborted the stream. An owner that had restarted answered that there was nothing to be had.

When a heartbeat says that the owner stops, the entry VM asks it once for all that the turn may still need, which the owner's share holds. If the owner does not answer, or says that it is not the holder of the turn, the entry VM's own ledger reserves the rest, by the same rules and the program's row, so that the claims together exceed the budget by one turn at most; it can do so once, as the share of the owner that is gone counts as used. When the turn is settled, there or here, that part is released; all of it counts as delivered, since which tokens came from it is not known.

--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -56,6 +56,17 @@
 	return node, false, ok
 }
 
+// IsStopping reports whether the process of a node, this one or a peer, is known to shut down.
+func (m *Members) IsStopping(node Info) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if node.Name == m.self.Name {
+		return m.self.Stopping
+	}
+	p, ok := m.members[node.Name]
+	return ok && p.info.Boot == node.Boot && p.info.Stopping
+}
+
 // inOwnDomain returns the nodes that are in this node's failure domain.
 func (m *Members) inOwnDomain(nodes []Info) []Info {
 	return lo.Filter(nodes, func(i Info, _ int) bool { return i.Domain == m.self.Domain })
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -102,25 +102,38 @@
 		return Empty{}, p.client.Close(ctx, owner.Peer, q)
 	})
 	if err == nil {
+		p.ledger.ReleaseExtension(q)
 		return nil
 	}
 	p.log.Warn("peer did not close the turn; closing it locally", "peer", owner.Name, "attempt", q.Attempt, "error", err)
 	return p.ledger.Close(ctx, q)
 }
 
-// Extend asks the node that opened a turn for more tokens, and returns how many were added to its reservation. A node that does
-// not answer adds none as far as the turn is concerned.
+// IsStopping reports whether the node that opened a turn is known to shut down.
+func (p *Programs) IsStopping(owner Info) bool { return p.members.IsStopping(owner) }
+
+// Extend asks the node that opened a turn for more tokens, and returns how many were added to its reservation. If that node does
+// not answer, or has restarted, this node's ledger reserves all that the turn may still need: since it may count tokens twice that are
+// in the share of that node, it can do so once.
 func (p *Programs) Extend(ctx context.Context, owner Info, q hgledger.ExtendRequest) (tokens int) {
-	ctx, cancel := context.WithTimeout(ctx, extendTimeout)
-	defer cancel()
 	if owner.Name == p.members.Self().Name {
-		return p.ledger.Extend(ctx, q).Tokens
+		return p.extendLocally(ctx, q)
 	}
-	reply, err := p.client.Extend(ctx, owner.Peer, q)
-	if err != nil {
-		p.log.Warn("peer did not extend the reservation", "peer", owner.Name, "attempt", q.Attempt, "error", err)
+	peerCtx, cancel := context.WithTimeout(ctx, extendTimeout)
+	defer cancel()
+	reply, err := p.client.Extend(peerCtx, owner.Peer, q)
+	if err == nil && !reply.NotHolder {
+		return reply.Tokens
 	}
-	return reply.Tokens
+	p.log.Warn("peer did not extend the reservation; extending it locally", "peer", owner.Name, "attempt", q.Attempt, "error", err)
+	q.Holder, q.Tokens = "", q.Rest
+	return p.extendLocally(ctx, q)
+}
+
+func (p *Programs) extendLocally(ctx context.Context, q hgledger.ExtendRequest) (tokens int) {
+	ctx, cancel := context.WithTimeout(ctx, extendTimeout)
+	defer cancel()
+	return p.ledger.Extend(ctx, q).Tokens
 }
 
 // waitPolicy returns a policy that waits up to timeout while the peer shows signs of life, for example while the store is
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -41,6 +41,8 @@
 	Close(ctx context.Context, owner hgpeer.Info, q hgledger.CloseRequest) (err error)
 	// Extend adds tokens to the turn's reservation and returns how many.
 	Extend(ctx context.Context, owner hgpeer.Info, q hgledger.ExtendRequest) (tokens int)
+	// IsStopping reports whether the node that opened a turn is known to shut down.
+	IsStopping(owner hgpeer.Info) bool
 }
 
 // Placer queues requests for engines and grants them leases on replicas.
--- a/internal/serve/hgentry/reservation.go
+++ b/internal/serve/hgentry/reservation.go
@@ -19,7 +19,11 @@
 	perEvent := x.tokensPerEvent()
 	needed := (s.events + 1) * perEvent
 	x.pollExtension()
-	if needed+extendAhead*perEvent > x.turn.open.Most {
+	switch {
+	case x.turn.extension == nil && !x.turn.secured && x.entry.programs.IsStopping(x.turn.owner):
+		x.turn.secured = true
+		x.extendReservation(x.attempt.MaxTokensOut)
+	case needed+extendAhead*perEvent > x.turn.open.Most:
 		x.extendReservation(extendBy * perEvent)
 	}
 	if needed > x.turn.open.Most {
@@ -36,14 +40,15 @@
 // extendReservation asks for more tokens in the background, unless a request is in flight or the reservation covers the
 // maximum output of the turn.
 func (x *exchange) extendReservation(tokens int) {
-	tokens = min(tokens, x.attempt.MaxTokensOut-x.turn.open.Most)
+	rest := x.attempt.MaxTokensOut - x.turn.open.Most
+	tokens = min(tokens, rest)
 	if x.turn.extension != nil || tokens <= 0 {
 		return
 	}
 	done := make(chan int, 1)
 	x.turn.extension = done
 	q := hgledger.ExtendRequest{
-		Program: x.attempt.Program, Attempt: x.attempt.ID, Holder: x.turn.open.Holder, Budget: x.attempt.Budget, Tokens: tokens,
+		Program: x.attempt.Program, Attempt: x.attempt.ID, Holder: x.turn.open.Holder, Budget: x.attempt.Budget, Tokens: tokens, Rest: rest,
 	}
 	go func() { done <- x.entry.programs.Extend(x.ctx, x.turn.owner, q) }()
 }
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -22,6 +22,8 @@
 	retained bool
 	// closed says that the turn is being closed or was closed.
 	closed bool
+	// secured says that the node that opened the turn was asked for the whole rest of its tokens, because that node shuts down.
+	secured bool
 	// extension delivers the result of a request for more tokens; nil if none is in flight.
 	extension chan int
 }
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -85,16 +85,19 @@
 // encoding/gob under its Go field names.
 type ExtendRequest struct {
 	Program, Attempt string
-	// Holder is the Holder of the OpenReply.
+	// Holder is the Holder of the OpenReply, or empty if that ledger does not answer.
 	Holder string
-	// Budget is the program's budget and Tokens the number of tokens to add.
-	Budget, Tokens int
+	// Budget is the program's budget and Tokens the number of tokens to add. Rest is the number that the turn may still need, these
+	// included.
+	Budget, Tokens, Rest int
 }
 
 // ExtendReply is the answer to an ExtendRequest. Peers exchange it with encoding/gob under its Go field names.
 type ExtendReply struct {
 	// Tokens is the number of tokens that were added to the reservation; 0 if there are none to be had.
 	Tokens int
+	// NotHolder is set if the request was for another ledger, for example one that ended with its process.
+	NotHolder bool
 }
 
 // CloseRequest settles a turn. Peers exchange it with encoding/gob under its Go field names.
@@ -232,6 +235,8 @@
 	p.lastUsed = l.timer.Now()
 	if q.Holder == l.id || q.Holder == "" {
 		l.release(p, q.Attempt, q.Used)
+	} else {
+		l.releaseExtension(p, q)
 	}
 	if q.Replica != "" {
 		p.cached.add(q.Replica, q.Prompt, q.Used)
@@ -299,5 +304,25 @@
 	p.account = p.account.Settle(reserved, used)
 }
 
+// ReleaseExtension releases what this ledger has reserved for a turn that another one has opened and settled.
+func (l *Ledger) ReleaseExtension(q CloseRequest) {
+	p, ok := l.find(q.Program)
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	if !ok || !p.lock(ctx) {
+		return
+	}
+	defer p.unlock()
+	l.releaseExtension(p, q)
+}
+
+// releaseExtension is ReleaseExtension for a program whose lock the caller holds. All tokens of the extension count as delivered, as
+// far as the turn has delivered so many: which ones came from it is not known.
+func (l *Ledger) releaseExtension(p *program, q CloseRequest) {
+	if reserved, ok := p.reservations[q.Attempt]; ok {
+		l.release(p, q.Attempt, min(reserved, q.Used))
+	}
+}
+
 // String names the ledger in logs.
 func (l *Ledger) String() string { return "ledger " + l.id }
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -181,19 +181,23 @@
 }
 
 // Extend adds tokens to the reservation of a turn, from this ledger's share of the budget or, while the store answers, from the
-// rest of the budget.
+// rest of the budget. Without a holder the tokens are reserved in this ledger, whichever one has opened the turn.
 func (l *Ledger) Extend(ctx context.Context, q ExtendRequest) (reply ExtendReply) {
-	p, ok := l.find(q.Program)
-	if !ok || q.Holder != l.id || q.Tokens <= 0 || !p.lock(ctx) {
+	if q.Holder != l.id && q.Holder != "" {
+		return ExtendReply{NotHolder: true}
+	}
+	p := l.program(q.Program)
+	if q.Tokens <= 0 || !p.lock(ctx) {
 		return reply
 	}
 	defer p.unlock()
-	if _, open := p.reservations[q.Attempt]; !open {
+	if _, open := p.reservations[q.Attempt]; !open && q.Holder == l.id {
 		return reply
 	}
 	reply.Tokens = max(min(q.Tokens, p.account.Available()), 0)
 	p.account.Open += reply.Tokens
 	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() != hgreach.Unreachable {
+		l.fetchUnsavedClaims(ctx, p)
 		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
 		defer cancel()
 		if v, err := l.reserveOnline(ctx, p, q.Attempt, q.Budget, rest); v == Granted {
@@ -202,6 +206,11 @@
 			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
 		}
 	}
+	if reply.Tokens == 0 {
+		return reply
+	}
+	p.lastUsed = l.timer.Now()
+	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] += reply.Tokens
 	p.shortfalls[q.Attempt] = max(p.shortfalls[q.Attempt]-reply.Tokens, 0)
 	return reply
