--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -65,7 +65,7 @@
 	switch {
 	case l.reach() == hgreach.Unreachable:
 		return true
-	case !l.committer.isUnreachable(p.partition):
+	case !l.committer.isUnreachable(p.partition()):
 		return false
 	}
 	return l.reach() != hgreach.Reachable || !l.failOver(ctx, p, isNew)
@@ -122,7 +122,7 @@
 // reserveOnline reserves tokens of the budget for an attempt, beside what other open turns may still need. It writes the row if
 // this ledger's share is too small.
 func (l *Ledger) reserveOnline(ctx context.Context, p *program, attempt string, budget, maxTokens int) (v Verdict, err error) {
-	if !p.rowKnown && l.failedOver[p.partition].Load() {
+	if !p.rowKnown && l.failedOver[p.partition()].Load() {
 		if err := l.readAccount(ctx, p); err != nil {
 			return Undecided, err
 		}
@@ -181,19 +181,23 @@
 }
 
 // Extend adds tokens to the reservation of a turn, from this ledger's share of the budget or, while the store answers, from the
-// rest of the budget.
+// rest of the budget. Without a holder the tokens are reserved in this ledger, whichever one has opened the turn.
 func (l *Ledger) Extend(ctx context.Context, q ExtendRequest) (reply ExtendReply) {
-	p, ok := l.find(q.Program)
-	if !ok || q.Holder != l.id || q.Tokens <= 0 || !p.lock(ctx) {
+	if q.Holder != l.id && q.Holder != "" {
+		return ExtendReply{NotHolder: true}
+	}
+	p := l.program(q.Program)
+	if q.Tokens <= 0 || !p.lock(ctx) {
 		return reply
 	}
 	defer p.unlock()
-	if _, open := p.reservations[q.Attempt]; !open {
+	if _, open := p.reservations[q.Attempt]; !open && q.Holder == l.id {
 		return reply
 	}
 	reply.Tokens = max(min(q.Tokens, p.account.Available()), 0)
 	p.account.Open += reply.Tokens
 	if rest := q.Tokens - reply.Tokens; rest > 0 && l.reach() != hgreach.Unreachable {
+		l.fetchUnsavedClaims(ctx, p)
 		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
 		defer cancel()
 		if v, err := l.reserveOnline(ctx, p, q.Attempt, q.Budget, rest); v == Granted {
@@ -202,6 +206,11 @@
 			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
 		}
 	}
+	if reply.Tokens == 0 {
+		return reply
+	}
+	p.lastUsed = l.timer.Now()
+	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] += reply.Tokens
 	p.shortfalls[q.Attempt] = max(p.shortfalls[q.Attempt]-reply.Tokens, 0)
 	return reply
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/url"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -119,8 +120,8 @@
 	if err != nil {
 		return false, err
 	}
-	key := accountKey(p.partition, p.id)
-	version, err := l.committer.commit(ctx, p.partition, change{
+	key := accountKey(p.partition(), p.id)
+	version, err := l.committer.commit(ctx, p.partition(), change{
 		conditions: []hgstore.Condition{{Key: key, Version: p.version}},
 		puts:       []hgstore.Put{{Key: key, Value: value}},
 	})
@@ -155,9 +156,9 @@
 // readAccount reads a program's row. If the program's home partition has failed over, it looks in the alternate
 // partitions as well.
 func (l *Ledger) readAccount(ctx context.Context, p *program) (err error) {
-	r, err := l.table.Get(ctx, accountKey(p.partition, p.id))
+	r, err := l.table.Get(ctx, accountKey(p.partition(), p.id))
 	if trace.IsNotFound(err) {
-		if p.partition == homePartition(p.id) && l.failedOver[p.partition].Load() {
+		if p.partition() == homePartition(p.id) && l.failedOver[p.partition()].Load() {
 			p.rowKnown = false
 			if err := l.readAlternates(ctx, p); err != nil || p.rowKnown {
 				return err
@@ -180,7 +181,7 @@
 		return err
 	}
 	maps.Copy(p.turns, turns)
-	if p.partition == homePartition(p.id) && (version > 0 || !l.failedOver[p.partition].Load()) {
+	if p.partition() == homePartition(p.id) && (version > 0 || !l.failedOver[p.partition()].Load()) {
 		l.reload(p, account, version, true)
 	}
 	return nil
@@ -195,6 +196,7 @@
 	}
 	turns = hgturn.Tree{}
 	var chunks []byte
+	last := ""
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
 			if account, err = accountCodec.Decode(r.Value); err != nil {
@@ -207,6 +209,10 @@
 		if len(r.Value) == 0 {
 			return nil, account, 0, trace.BadParameter("row %s of a turn is empty", r.Key)
 		}
+		if id := r.Key[:strings.LastIndexByte(r.Key, '/')]; id != last {
+			// Rows of a turn whose last one is missing are not a turn: their writer has not finished, or gave up.
+			last, chunks = id, nil
+		}
 		chunks = append(chunks, r.Value[1:]...)
 		if r.Value[0] == moreChunks {
 			continue
@@ -216,7 +222,6 @@
 			return nil, account, 0, err
 		}
 		turns[turn.ID] = turn
-		chunks = nil
 	}
 	return turns, account, version, nil
 }
