--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -228,22 +228,27 @@
 func (l *Ledger) settle(q CloseRequest, stored bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	p := l.program(q.Program)
+	l.withLock(ctx, l.program(q.Program), q, func(p *program) { l.settleLocked(p, q, stored) })
+}
+
+// withLock calls do with the program locked: at once if the lock is free before the context ends, and later otherwise.
+func (l *Ledger) withLock(ctx context.Context, p *program, q CloseRequest, do func(p *program)) {
 	if p.lock(ctx) {
-		l.settleLocked(p, q, stored)
+		defer p.unlock()
+		do(p)
 		return
 	}
 	l.log.Info("turn waits to be settled", "program", q.Program, "attempt", q.Attempt)
 	go func() {
 		if p.lock(context.Background()) {
-			l.settleLocked(p, q, stored)
+			defer p.unlock()
+			do(p)
 		}
 	}()
 }
 
-// settleLocked is settle for a locked program, which it unlocks.
+// settleLocked is settle for a locked program.
 func (l *Ledger) settleLocked(p *program, q CloseRequest, stored bool) {
-	defer p.unlock()
 	p.lastUsed = l.timer.Now()
 	if q.Holder == l.id || q.Holder == "" {
 		l.release(p, q.Attempt, q.Used)
@@ -319,13 +324,12 @@
 // ReleaseExtension releases what this ledger has reserved for a turn that another one has opened and settled.
 func (l *Ledger) ReleaseExtension(q CloseRequest) {
 	p, ok := l.find(q.Program)
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
-	defer cancel()
-	if !ok || !p.lock(ctx) {
+	if !ok {
 		return
 	}
-	defer p.unlock()
-	l.releaseExtension(p, q)
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	l.withLock(ctx, p, q, func(p *program) { l.releaseExtension(p, q) })
 }
 
 // releaseExtension is ReleaseExtension for a program whose lock the caller holds. All tokens of the extension count as delivered, as
