hgentryvm: a stop waits for the turns of peers that depend on its ledger

What callers saw: streams that a replica was serving well were cut in the middle when another VM, the owner of the program's account, stopped as planned; on kept connections too. The entry VM logs 'peer did not extend the reservation ... connection refused', the request 'turn is longer than what was reserved for it'.

Cause: Stop waits for the connections of its own callers only. A VM without any ends 2.5 s after SIGTERM, though turns that were granted with a part of their tokens (slow store) still get the rest from its ledger, and only there.

Fix: after its callers' connections a stop waits, within the grace time, until no turn has a reservation in its ledger and its own turns are settled; these were settled in the background, beside the end of the process. The latter was read, not played. What is left at the end of the grace time is logged. A reservation that a crashed entry VM has left behind makes the stop last the whole grace time.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -192,10 +192,12 @@
 	leaveTime = 2500 * time.Millisecond
 	// closeReserve is the part of the platform's grace time that is kept for closing after the last answer.
 	closeReserve = 700 * time.Millisecond
+	// turnCheckPeriod is the time between two looks at the open turns of a stopping node.
+	turnCheckPeriod = 20 * time.Millisecond
 )
 
 // Stop shuts the node down gracefully within the platform's grace time. It tells peers, returns budgets, accepts requests
-// for up to leaveTime, and then waits for the requests in flight.
+// for up to leaveTime, and then waits for the requests in flight and for turns that run at peers and depend on this node's ledger.
 func (n *Node) Stop() {
 	began := n.timer.Now()
 	grace := hgconfig.Seconds(n.cfg.Bounds.GraceSeconds) - closeReserve
@@ -215,10 +217,24 @@
 	if err := n.public.Shutdown(ctx); err != nil {
 		n.log.Warn("shutdown incomplete; cutting off the requests in flight", "running", n.entry.Running(), "error", err)
 	}
+	n.awaitTurns(ctx)
 	n.log.Info("stopped", "after", n.timer.Now()-began)
 	n.Close()
 }
 
+// awaitTurns waits until no turn holds a reservation of this node's ledger, which extends and settles it, and until this node's own
+// turns are settled, or until the context ends.
+func (n *Node) awaitTurns(ctx context.Context) {
+	for n.entry.Running()+n.ledger.OpenTurns() > 0 {
+		select {
+		case <-ctx.Done():
+			n.log.Warn("turns are left without their ledger", "settling", n.entry.Running(), "open", n.ledger.OpenTurns())
+			return
+		case <-time.After(turnCheckPeriod):
+		}
+	}
+}
+
 // returnBudgets gives back the unused part of the node's shares of programs' budgets, so that the nodes that serve these
 // programs next can claim it.
 func (n *Node) returnBudgets(limit time.Duration) {
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -73,6 +73,7 @@
 		Used: s.events * x.tokensPerEvent(), Replica: x.replica,
 	}
 	if !complete || !x.turn.retained {
+		x.entry.running.Add(1)
 		go x.settle(q)
 		return
 	}
@@ -88,8 +89,9 @@
 	}
 }
 
-// settle closes a turn in the background.
+// settle closes a turn in the background. Until then its request counts as running.
 func (x *exchange) settle(q hgledger.CloseRequest) {
+	defer x.entry.running.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := x.entry.programs.Close(ctx, x.turn.owner, q); err != nil {
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -308,6 +308,20 @@
 	return l.writeAccount(ctx, p, p.account)
 }
 
+// OpenTurns returns the number of turns with a reservation in this ledger. A program that is locked counts as one.
+func (l *Ledger) OpenTurns() (turns int) {
+	for _, p := range l.all() {
+		select {
+		case p.sem <- struct{}{}:
+			turns += len(p.reservations)
+			p.unlock()
+		default:
+			turns++
+		}
+	}
+	return turns
+}
+
 // release settles a turn's reservation. The caller holds the lock of p. An attempt that is closed before it was opened
 // is remembered, so that its late opening reserves nothing.
 func (l *Ledger) release(p *program, attempt string, used int) {
