hgentryvm: a stop returns the budget of turns that were under way

What callers saw: after a planned stop, turns of a program were refused with 402 though most of its budget was unused.

Cause: shares of budgets are returned once, at the start of a stop. What is reserved for turns that are open at that moment stays claimed by a ledger that ends soon and that nobody can return anything for, also if the turns used little of it.

Fix: shares are returned once more after the last turn has ended, within the time that is kept for closing.

Measured: the test passes three times of three with the race detector.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -192,6 +192,8 @@
 	leaveTime = 2500 * time.Millisecond
 	// closeReserve is the part of the platform's grace time that is kept for closing after the last answer.
 	closeReserve = 700 * time.Millisecond
+	// lastReturnTime bounds the return of budgets after the last turn has ended; it is part of closeReserve.
+	lastReturnTime = 300 * time.Millisecond
 	// turnCheckPeriod is the time between two looks at the open turns of a stopping node.
 	turnCheckPeriod = 20 * time.Millisecond
 )
@@ -218,6 +220,7 @@
 		n.log.Warn("shutdown incomplete; cutting off the requests in flight", "running", n.entry.Running(), "error", err)
 	}
 	n.awaitTurns(ctx)
+	n.returnBudgets(lastReturnTime)
 	n.log.Info("stopped", "after", n.timer.Now()-began)
 	n.Close()
 }
--- a/internal/proof/hgsite/stop_test.go
+++ b/internal/proof/hgsite/stop_test.go
@@ -77,3 +77,41 @@
 	s.Nodes[stoppingVM].Stop()
 	wg.Wait()
 }
+
+// Guards against budgets that a stop leaves claimed for turns that were under way and ended with fewer tokens.
+func TestStopReturnsBudgetOfTurnsUnderWay(t *testing.T) {
+	const (
+		programs = 6
+		parallel = 2
+		most     = 400
+	)
+	s := newSettledSite(t, 6)
+	set := func(events int, pause time.Duration) {
+		for _, r := range s.Replicas {
+			r.SetEvents(events)
+			r.SetPause(pause)
+		}
+	}
+	turn := func(p int) {
+		q := hgsite.Turn(hgsite.ChatPath, fmt.Sprint("p", p), "", "x")
+		q.MaxTokensOut, q.Budget = most, 5*most/2
+		if reply := call(t, s, enteredVM, q); reply.Status != http.StatusOK || !reply.Complete {
+			t.Errorf("program %d: status %d: %s", p, reply.Status, reply.Body)
+		}
+	}
+	set(5, 300*time.Millisecond)
+	var wg sync.WaitGroup
+	for p := range programs {
+		for range parallel {
+			wg.Go(func() { turn(p) })
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.Nodes[stoppingVM].Stop()
+	wg.Wait()
+	set(25, time.Millisecond)
+	for p := range programs {
+		turn(p)
+		turn(p)
+	}
+}
