hgledger: a row of another writer hides no turn and is no certainty

Callers got 503 for each turn of a program as long as one row of another writer lay among the program's, 404 for an answered turn if the row that leads to its program had become empty, and the text of another writer in the place of a turn's if its row named that turn.

Cause: one row that is no part of a turn made the read of the whole program fail, rows were joined by their order and not by their keys, an empty row counted as none, and only the first of several rows that lead to a program was followed.

Evidence, on the code before: all 13 cases of TestOddRowHidesNoTurn and all 3 of TestOddRowOfTurnIsNoCertainty failed, with lines such as oddrow_test.go:66: program p: verdict unsure, 0 bytes of text, want 100010 oddrow_test.go:66: program p: verdict granted, 100007 bytes of text, want 100010 oddrow_test.go:86: partition 15: verdict noTurn, want unsure

Rows are joined only if their keys number them from 0 and name the turn that they decode to; others are skipped with a warning. Each row that leads from a turn to a program is followed until one holds the turn, and a turn does not exist only if there is no such row. All cases pass after the change, and all tests of the package with the race detector (59 s).

--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	"hyssopgrade/hgstore"
@@ -36,7 +34,7 @@
 			flag = moreChunks
 		}
 		puts = append(puts, hgstore.Put{
-			Key:   fmt.Sprintf("%st/%s/%03d", programPrefix(partition, program), keyID(t.ID), i),
+			Key:   programPrefix(partition, program) + chunkKey(t.ID, i),
 			Value: append([]byte{flag}, data[:n]...),
 		})
 		data = data[n:]
@@ -212,10 +210,10 @@
 }
 
 // findTurn finds the partition and the program that hold a turn, and returns all turns stored there. It returns nil if
-// no partition holds the turn.
+// no partition has a row of the turn. Of several rows, those of other writers lead to no text of the turn.
 func (l *Ledger) findTurn(ctx context.Context, turn string) (turns hgturn.Tree, err error) {
 	defer func() { err = trace.Wrap(err, "find turn %s", turn) }()
-	var programs [numPartitions]string
+	var found [numPartitions]*hgstore.Row
 	group, groupCtx := errgroup.WithContext(ctx)
 	for i := range numPartitions {
 		group.Go(func() error {
@@ -223,20 +221,25 @@
 			if trace.IsNotFound(err) {
 				return nil
 			}
-			programs[i] = string(row.Value)
+			found[i] = &row
 			return err
 		})
 	}
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	program, partition, ok := lo.FindIndexOf(programs[:], func(program string) bool { return program != "" })
-	if !ok {
-		return nil, nil
-	}
-	turns, _, _, err = l.readProgram(ctx, partition, program)
-	if _, found := turns[turn]; err == nil && !found {
-		return nil, trace.NotFound("partition %d holds no text of the turn in program %s", partition, program)
+	for partition, row := range found {
+		if row == nil {
+			continue
+		}
+		turns, _, _, readErr := l.readProgram(ctx, partition, string(row.Value))
+		if _, ok := turns[turn]; ok {
+			return turns, nil
+		}
+		if readErr == nil {
+			readErr = trace.NotFound("partition %d holds no text of the turn in program %q", partition, row.Value)
+		}
+		err = errors.Join(err, readErr)
 	}
-	return turns, err
+	return nil, err
 }
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -195,8 +195,7 @@
 		return nil, account, 0, err
 	}
 	turns = hgturn.Tree{}
-	var chunks []byte
-	last := ""
+	var text chunks
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
 			if account, err = accountCodec.Decode(r.Value); err != nil {
@@ -205,29 +204,14 @@
 			version = r.Version
 			continue
 		}
-		// The first byte of each row of a turn tells whether more rows of the turn follow.
-		if len(r.Value) == 0 {
-			return nil, account, 0, trace.BadParameter("row %s of a turn is empty", r.Key)
+		turn, complete, err := text.add(strings.TrimPrefix(r.Key, prefix), r.Value)
+		switch {
+		case err != nil:
+			// The row is another writer's: the turns beside it hold.
+			l.log.Warn("ignoring a row that is no part of a turn", "row", r.Key, "error", err)
+		case complete:
+			turns[turn.ID] = turn
 		}
-		if id := r.Key[:strings.LastIndexByte(r.Key, '/')]; id != last {
-			// Rows of a turn whose last one is missing are not a turn: their writer has not finished, or gave up.
-			last, chunks = id, nil
-		}
-		chunks = append(chunks, r.Value[1:]...)
-		if r.Value[0] == moreChunks {
-			continue
-		}
-		turn, err := turnCodec.Decode(chunks)
-		if err != nil {
-			return nil, account, 0, err
-		}
-		turns[turn.ID] = turn
 	}
 	return turns, account, version, nil
 }
-
-// Values of the first byte of each row of a turn: the row is the last one of the turn, or more follow.
-const (
-	lastChunk byte = iota
-	moreChunks
-)
