hgledger: claims that no ledger can have made grant no tokens

With a claim below 0 in the row of a program, 800 tokens were granted of a budget of 100; so they were with a claim of the greatest integer under the ledger's own name.

Cause: claims were summed as they stood in the row, so that one below 0 raised the budget, and large ones can overflow.

Evidence: 2 of 9 cases of TestOddClaimsGrantNoTokens failed on the code before with oddrow_test.go:123: 800 tokens granted of a budget of 100 and a turn of 100

Such a row is an error, so that turns of the program are refused as not decided: it no longer says what was claimed. Sums of claims end at a bound. All cases pass after the change, and all tests of the package with the race detector.

--- a/internal/state/hgledger/failover.go
+++ b/internal/state/hgledger/failover.go
@@ -106,7 +106,7 @@
 		if r == nil {
 			continue
 		}
-		row, err := accountCodec.Decode(r.Value)
+		row, err := decodeAccount(r.Value)
 		if err != nil {
 			return err
 		}
--- a/internal/state/hgledger/oddrow_test.go
+++ b/internal/state/hgledger/oddrow_test.go
@@ -1,7 +1,9 @@
 package hgledger_test
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -87,3 +89,39 @@
 		})
 	}
 }
+
+// Guards against a budget that grows by claims that no ledger can have made.
+func TestOddClaimsGrantNoTokens(t *testing.T) {
+	type row struct {
+		Taken          map[string]int
+		Closed, Strict bool
+	}
+	tests := map[string][]byte{
+		"negative claim":      encode(t, row{Taken: map[string]int{"x/1": -1_000_000}}),
+		"least claim":         encode(t, row{Taken: map[string]int{"x/1": math.MinInt}}),
+		"sum beyond integers": encode(t, row{Taken: map[string]int{"x/1": math.MaxInt, "y/1": math.MaxInt, "z/1": 2}}),
+		"own claim too large": encode(t, row{Taken: map[string]int{"b/1": math.MaxInt}}),
+		"beyond integers":     encode(t, map[string]any{"Taken": map[string]float64{"x/1": 1e300}}),
+		"other type":          encode(t, map[string]any{"Taken": "all"}),
+		"no map":              encode(t, 7),
+		"empty":               nil,
+		"deep":                []byte(strings.Repeat("\x81", 60_000)),
+	}
+	for name, value := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := hgstore.NewMemory()
+			putRow(t, store, fmt.Sprintf("hgprogram/%02d/p/a", hgledger.Partition("p")), value)
+			l := newLedger(t, "b/1", store)
+			granted := 0
+			for i := range 8 {
+				q := hgledger.OpenRequest{Program: "p", Attempt: fmt.Sprint(i), Budget: 100, Most: 100, HasBudget: true}
+				if reply := l.Open(context.Background(), q); reply.Verdict == hgledger.Granted {
+					granted += reply.Most
+				}
+			}
+			if granted > 200 {
+				t.Errorf("%d tokens granted of a budget of 100 and a turn of 100", granted)
+			}
+		})
+	}
+}
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -48,13 +48,30 @@
 	Strict bool
 }
 
+// maxClaim bounds the claim of a ledger and the sum of all claims, in tokens, so that sums with them can't overflow. It is above half of
+// the largest budget, which a single ledger claims of it.
+const maxClaim = 3 << 61
+
+// decodeAccount decodes the row of an account. Claims that no ledger can have made are an error, as they would raise the budget.
+func decodeAccount(data []byte) (row accountRow, err error) {
+	if row, err = accountCodec.Decode(data); err != nil {
+		return row, err
+	}
+	for ledger, claim := range row.Taken {
+		if claim < 0 || claim > maxClaim {
+			return accountRow{}, trace.BadParameter("claim of ledger %s on %d tokens", ledger, claim)
+		}
+	}
+	return row, nil
+}
+
 // reload sets a program's account from its row and from the copies of claims that peers have sent.
 func (l *Ledger) reload(p *program, row accountRow, version uint64, rowKnown bool) {
 	p.row, p.version, p.rowKnown = row, version, rowKnown
 	others := 0
 	for ledger, claim := range l.claims(p) {
 		if ledger != l.id {
-			others += claim
+			others += min(claim, maxClaim-others)
 		}
 	}
 	mine := row.Taken[l.id]
@@ -146,7 +163,7 @@
 
 // reloadRow sets a program's account from a row of the store.
 func (l *Ledger) reloadRow(p *program, r hgstore.Row) error {
-	row, err := accountCodec.Decode(r.Value)
+	row, err := decodeAccount(r.Value)
 	if err == nil {
 		l.reload(p, row, r.Version, true)
 	}
@@ -198,7 +215,7 @@
 	var text chunks
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
-			if account, err = accountCodec.Decode(r.Value); err != nil {
+			if account, err = decodeAccount(r.Value); err != nil {
 				return nil, account, 0, err
 			}
 			version = r.Version
