entry: the body of a refusal doesn't hold its request up

A request that a replica had refused was not sent to another one, and was answered 503 at its deadline, if the body of the refusal did not end.

Cause: the body was read before the next replica was tried.

Evidence: TestRefusalWithoutEndLetsRequestGoOn failed on the code before with promise_test.go:191: status 503 after 4.000971391s, want 200 at once

The body is read beside the next try. The test passes after the change, and those of refusals, faults and leaving replicas with the race detector.

--- a/internal/proof/hgsite/promise_test.go
+++ b/internal/proof/hgsite/promise_test.go
@@ -170,3 +170,32 @@
 		})
 	}
 }
+
+// Guards against a refusal whose body never ends and holds its request up until the deadline.
+func TestRefusalWithoutEndLetsRequestGoOn(t *testing.T) {
+	s := newSite(t, 1)
+	var refused atomic.Int64
+	r := useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+		if q.Replica == "tool-0" {
+			refused.Add(1)
+			return rawHead("503 Service Unavailable", hgattempt.Answer{AttemptID: q.ID, NotRun: true}, "Content-Length: 100") + "full", false, false
+		}
+		return rawAnswer(q.ID), true, false
+	})
+	statuses := map[string]int{}
+	for range 200 {
+		q := charge(0)
+		q.ID = hgsite.NewAttempt()
+		reply := callWithin(t, s, q, answerLimit)
+		if statuses[q.ID] = reply.Status; reply.Status != http.StatusOK || reply.Took > time.Second {
+			t.Errorf("status %d after %v, want 200 at once", reply.Status, reply.Took)
+		}
+		if refused.Load() > 2 {
+			break
+		}
+	}
+	wantPromisesKept(t, r.Runs(), statuses)
+	if refused.Load() == 0 {
+		t.Error("no request was refused")
+	}
+}
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -77,6 +77,19 @@
 	t.lease.Release()
 }
 
+// maxRefusalBytes is the largest body of a refusal after which its connection is reused.
+const maxRefusalBytes = 4096
+
+// drain reads the rest of the response in the background, so that the connection can be reused. The end of the request ends it too.
+func (t *try) drain() {
+	body := t.resp.Body
+	t.resp = nil
+	go func() {
+		defer body.Close()
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes)) // an error ends the connection
+	}()
+}
+
 // onceBody is a request body that can be read only once, so that the transport cannot resend the request on its own.
 type onceBody struct{ io.Reader }
 
@@ -164,10 +177,7 @@
 		if t.resp.StatusCode == http.StatusMisdirectedRequest {
 			t.lease.MarkMisdirected()
 		}
-		// Drain the body, so that the connection can be reused.
-		if _, err := io.Copy(io.Discard, io.LimitReader(t.resp.Body, 4096)); err != nil {
-			t.lease.MarkFailed()
-		}
+		t.drain()
 		return errNotRun
 	case mismatched, t.resp.StatusCode/100 == 2 && !t.answer.Sealed, t.resp.Header.Get("Content-Encoding") != "":
 		x.sent++
