hgsuspect: a row with times far ahead is old

A row of another writer with times beyond the retention ahead of now was never removed, and its crashes counted as new at each VM that started.

Such a row is old. Times that another VM's clock may explain count as now, as before.

--- a/internal/serve/hgsuspect/row.go
+++ b/internal/serve/hgsuspect/row.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// IsOld reports whether the last crash or proof of the row is older than the retention time, so that the row can be removed.
+// IsOld reports whether the last crash or proof of the row is further from now than the retention time, so that the row can be
+// removed. The clocks of VMs do not differ by as much.
 func (r Row) IsOld(now time.Time) bool {
 	newest := lo.Max(append(lo.Map(r.Breaks, func(c RowCrash, _ int) int64 { return c.At }), r.Proof.At))
-	return now.Sub(time.UnixMilli(newest)) > retention
+	return now.Sub(time.UnixMilli(newest)).Abs() > retention
 }
