--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -48,13 +48,30 @@
 	Strict bool
 }
 
+// maxClaim bounds the claim of a ledger and the sum of all claims, in tokens, so that sums with them can't overflow. It is above half of
+// the largest budget, which a single ledger claims of it.
+const maxClaim = 3 << 61
+
+// decodeAccount decodes the row of an account. Claims that no ledger can have made are an error, as they would raise the budget.
+func decodeAccount(data []byte) (row accountRow, err error) {
+	if row, err = accountCodec.Decode(data); err != nil {
+		return row, err
+	}
+	for ledger, claim := range row.Taken {
+		if claim < 0 || claim > maxClaim {
+			return accountRow{}, trace.BadParameter("claim of ledger %s on %d tokens", ledger, claim)
+		}
+	}
+	return row, nil
+}
+
 // reload sets a program's account from its row and from the copies of claims that peers have sent.
 func (l *Ledger) reload(p *program, row accountRow, version uint64, rowKnown bool) {
 	p.row, p.version, p.rowKnown = row, version, rowKnown
 	others := 0
 	for ledger, claim := range l.claims(p) {
 		if ledger != l.id {
-			others += claim
+			others += min(claim, maxClaim-others)
 		}
 	}
 	mine := row.Taken[l.id]
@@ -146,7 +163,7 @@
 
 // reloadRow sets a program's account from a row of the store.
 func (l *Ledger) reloadRow(p *program, r hgstore.Row) error {
-	row, err := accountCodec.Decode(r.Value)
+	row, err := decodeAccount(r.Value)
 	if err == nil {
 		l.reload(p, row, r.Version, true)
 	}
@@ -195,39 +212,23 @@
 		return nil, account, 0, err
 	}
 	turns = hgturn.Tree{}
-	var chunks []byte
-	last := ""
+	var text chunks
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
-			if account, err = accountCodec.Decode(r.Value); err != nil {
+			if account, err = decodeAccount(r.Value); err != nil {
 				return nil, account, 0, err
 			}
 			version = r.Version
 			continue
 		}
-		// The first byte of each row of a turn tells whether more rows of the turn follow.
-		if len(r.Value) == 0 {
-			return nil, account, 0, trace.BadParameter("row %s of a turn is empty", r.Key)
-		}
-		if id := r.Key[:strings.LastIndexByte(r.Key, '/')]; id != last {
-			// Rows of a turn whose last one is missing are not a turn: their writer has not finished, or gave up.
-			last, chunks = id, nil
-		}
-		chunks = append(chunks, r.Value[1:]...)
-		if r.Value[0] == moreChunks {
-			continue
-		}
-		turn, err := turnCodec.Decode(chunks)
-		if err != nil {
-			return nil, account, 0, err
+		turn, complete, err := text.add(strings.TrimPrefix(r.Key, prefix), r.Value)
+		switch {
+		case err != nil:
+			// The row is another writer's: the turns beside it hold.
+			l.log.Warn("ignoring a row that is no part of a turn", "row", r.Key, "error", err)
+		case complete:
+			turns[turn.ID] = turn
 		}
-		turns[turn.ID] = turn
 	}
 	return turns, account, version, nil
 }
-
-// Values of the first byte of each row of a turn: the row is the last one of the turn, or more follow.
-const (
-	lastChunk byte = iota
-	moreChunks
-)
