hgpeer: calls to a peer that reads nothing end with their context

A peer that is paused accepts bytes until the buffers of the connection are full, as a kept turn of some MB fills them. The call then blocked in its write, beyond its context, and held the lock of the connection: all later calls to that peer, the heartbeat that would have dropped the connection among them, waited for it too. The requests of callers that needed one of these calls were not answered at their deadline, for as long as the peer was paused. Not known from a run on machines; found by reading.

Failed before: stuck_test.go:59: close: no end after 3s, the limit is 300ms stuck_test.go:59: heartbeat: no end after 3s, the limit is 300ms ... extend: no end after 3s

Requests are sent beside the wait for their reply, so that each call ends with its context and the heartbeat drops the connection, which ends the write. A request may be read after its call has ended; a request for a place gets its own copy of the set of excluded replicas, which is the one value that its caller changes afterwards.

--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 func (p *Places) Take(ctx context.Context, a hgplacer.PlaceRequest) (l *hgreplica.Lease, v hgplacer.Verdict) {
 	// Callers choose the identifiers of their requests and may use one twice, but the placer needs unique ones.
 	a.ID = fmt.Sprintf("%s/%s/%d", a.ID, p.members.Self().Boot, p.sequence.Add(1))
+	// The caller adds replicas to the set between its requests for places.
+	a.Want.Exclude = maps.Clone(a.Want.Exclude)
 	placer, self := p.members.Placer()
 	if self {
 		return p.placer.Place(ctx, a)
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -189,7 +189,8 @@
 	conn.Close()
 }
 
-// call calls a method of a peer and waits for the reply until the context ends.
+// call calls a method of a peer and waits for the reply until the context ends. The request may still be read after that, so it must
+// not change.
 func call[Q, R any](ctx context.Context, c *Client, address, method string, q Q) (reply R, err error) {
 	defer func() { err = trace.Wrap(err, "call to peer %s, method %s", address, method) }()
 	conn, err := c.conn(ctx, address)
@@ -198,7 +199,9 @@
 	}
 	// A reply that arrives after the context has ended must not write into the value that the caller got.
 	result := new(R)
-	done := conn.Go(rpcName+"."+method, q, result, make(chan *rpc.Call, 1)).Done
+	done := make(chan *rpc.Call, 1)
+	// Sending blocks while the connection takes no bytes, also for the calls behind the first one that does not fit.
+	go conn.Go(rpcName+"."+method, q, result, done)
 	select {
 	case r := <-done:
 		if _, remote := r.Error.(rpc.ServerError); r.Error != nil && !remote {
