hgentryvm: keep idle programs as long as any desired state retained their turns

A program without requests was evicted, and its rows deleted, after twice the retention time of the newest desired state, and two minutes at least.

Failed before, with the time of the newest state only: retention_test.go: shorter since: want 2h0m0s, got 2m0s; route is dropped: want 2h0m0s, got 2m0s

The longest retention time since the start of the process counts. A VM that started after the change still knows only the newer state.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -40,10 +40,6 @@
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// minRetention is the least time for which programs without requests are kept, and retentionFactor that time as a
-	// multiple of the longest time for which the desired state retains turns.
-	minRetention    = 2 * time.Minute
-	retentionFactor = 2
 	// bufferShare is the share of the VM's memory for answers that are buffered until they are complete.
 	bufferShare = 0.1
 )
@@ -60,6 +56,7 @@
 	// tlsConfig secures the connections between nodes; nil if they are not encrypted.
 	tlsConfig *tls.Config
 	ledger    *hgledger.Ledger
+	retention retention
 	places    *hgpeer.Places
 	replicas  *hgreplica.Set
 	entry     *hgentry.Entry
@@ -233,13 +230,7 @@
 	n.evictSuspects()
 	ctx, cancel := context.WithTimeout(n.ctx, minRetention/4)
 	defer cancel()
-	idle := minRetention
-	if d := n.entry.Desired(); d != nil {
-		for _, r := range d.Routes {
-			idle = max(idle, retentionFactor*r.RetainFor)
-		}
-	}
-	if dropped, failed := n.ledger.EvictUnused(ctx, idle); dropped+failed > 0 {
+	if dropped, failed := n.ledger.EvictUnused(ctx, n.retention.duration()); dropped+failed > 0 {
 		n.log.Info("idle programs evicted", "programs", dropped, "failed", failed)
 	}
 }
--- a/internal/operate/hgentryvm/replica.go
+++ b/internal/operate/hgentryvm/replica.go
@@ -76,6 +76,7 @@
 		return
 	}
 	if n.entry.SetDesired(s) {
+		n.retention.apply(s)
 		n.desiredAt.Store(int64(n.timer.Now()))
 		n.log.Info("desired state applied", "version", s.Version, "routes", len(s.Routes), "services", len(s.Services))
 	}
