hgsoak: replicas answer until close

An engine or a tool answers up to 20 requests with neither a length nor chunks: whole, reset, ended inside an event or before the first one.

--- a/internal/proof/hgsoak/fault.go
+++ b/internal/proof/hgsoak/fault.go
@@ -97,6 +97,13 @@
 		s.countSetupError(s.site.SetRegisteredLeaving(id, true))
 		return func() { s.countSetupError(s.site.SetRegisteredLeaving(id, false)) }
 	}},
+	{"answers until close", func(s *soak, r *rand.Rand) func() {
+		rep := s.site.Replicas[[]string{"engine-0", "engine-1", "tool-0", "tool-1"}[r.IntN(4)]]
+		f := []hgsite.Fault{{}, {}, {ResetAfter: 2}, {CutAfterEvents: 2}, {CutAfterHeaders: true}}[r.IntN(5)]
+		f.Remaining, f.UntilClose = 20, true
+		rep.SetFault(f)
+		return func() { rep.SetFault(hgsite.Fault{}) }
+	}},
 }
 
 // countSetupError counts a fault that could not be started or ended, for instance because the store was down.
