hgsoak: remove and replace VMs, equal turns, tight budgets

These faults are drawn from a stream of their own beside the others, so that seeds keep their faults: a VM that is replaced by a new one, VMs that are removed (all but two at most), and an engine that crashes under turns with equal inputs; one thread in three sends equal inputs. TightBudgets gives one thread in three a budget of eight turns at their most; a kept turn is owed only while the budget surely holds it.

--- a/cmd/hyssopgradesoak/main.go
+++ b/cmd/hyssopgradesoak/main.go
@@ -22,6 +22,8 @@
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.FloatFlag{Name: "minutes", Usage: "time under faults with each seed", Value: 1},
 			&cli.FloatFlag{Name: "planned", Usage: "minutes of planned work only, before the faults", Value: 0.5},
+			&cli.BoolFlag{Name: "membership", Usage: "also remove and replace entry VMs", Value: true},
+			&cli.BoolFlag{Name: "tight", Usage: "also run threads with tight budgets", Value: true},
 			&cli.IntFlag{Name: "vms", Usage: "number of entry VMs", Value: 3},
 			&cli.IntFlag{Name: "callers", Usage: "number of callers", Value: 12},
 		},
@@ -48,7 +50,7 @@
 		seed := uint64(c.Uint("seed")) + uint64(i)
 		r, err := hgsoak.Run(ctx, hgsoak.Options{
 			Binary: c.String("binary"), Dir: dir, Seed: seed, For: time.Duration(c.Float("minutes") * float64(time.Minute)),
-			Planned: time.Duration(c.Float("planned") * float64(time.Minute)), VMs: c.Int("vms"), Callers: c.Int("callers"),
+			Planned: time.Duration(c.Float("planned") * float64(time.Minute)), Membership: c.Bool("membership"), TightBudgets: c.Bool("tight"), VMs: c.Int("vms"), Callers: c.Int("callers"),
 		})
 		if err != nil {
 			return err
--- a/internal/proof/hgsoak/caller.go
+++ b/internal/proof/hgsoak/caller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/internal/proof/hgsite"
 	hgplatform "hyssopgrade/platform"
 )
@@ -27,22 +29,28 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		s.programs++
-		program := fmt.Sprintf("p%d", s.programs)
+		n := s.programs
 		s.mu.Unlock()
 		if r.IntN(2) == 0 {
-			s.thread(ctx, r, program)
+			s.thread(ctx, r, n)
 		} else {
-			s.chat(ctx, r, program)
+			s.chat(ctx, r, fmt.Sprintf("p%d", n))
 		}
 	}
 }
 
-// thread runs a program whose turns are retained, sending each turn through a random entry VM.
-func (s *soak) thread(ctx context.Context, r *rand.Rand, program string) {
+// thread runs program n, whose turns are retained, sending each turn through a random entry VM. Of three programs one sends the
+// inputs of others, and one may have a tight budget.
+func (s *soak) thread(ctx context.Context, r *rand.Rand, n int) {
+	program := fmt.Sprintf("p%d", n)
+	input := lo.Ternary(n%3 == 0, equalInput, program+"-")
 	previous, history := "", ""
 	output := s.site.Replicas["engine-0"].Output()
 	for turn := 0; turn < 1+r.IntN(maxTurns) && ctx.Err() == nil; turn++ {
-		q := hgsite.Turn(hgsite.ThreadPath, program, previous, fmt.Sprintf("%s-%d ", program, turn))
+		q := hgsite.Turn(hgsite.ThreadPath, program, previous, fmt.Sprintf("%s%d ", input, turn))
+		if s.opts.TightBudgets && n%3 == 1 {
+			q.Budget = maxTurns * q.MaxTokensOut
+		}
 		s.check.expectPrompt(q.ID, history+q.Body)
 		reply, ok := s.call(ctx, r, q, false)
 		if keptDenied[reply.Status] {
@@ -51,7 +59,7 @@
 		}
 		if ok {
 			previous, history = q.ID, history+q.Body+output
-			s.check.keepTurn(keptTurn{program: program, id: previous, history: history})
+			s.check.keepTurn(keptTurn{program: program, id: previous, history: history, next: fmt.Sprintf("%s%d ", input, turn+1), budget: q.Budget})
 		}
 		s.tool(ctx, r)
 	}
@@ -97,14 +105,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
-	vm := r.IntN(len(s.procs))
+	vm := s.anyVM(r)
 	rt := route{vm: vm, generation: s.procs[vm].generation.Load(), sent: time.Now()}
 	var err error
 	if planned {
 		q.NewConn = r.IntN(2) == 0
 		reply, err = s.exchange(ctx, vm, q)
 	} else {
-		reply, err = s.site.Call(ctx, vm, q)
+		reply, err = s.site.Call(ctx, s.node(vm), q)
 	}
 	s.check.recordAnswer(q, repeatable, reply, err)
 	s.check.recordRoute(q.ID, rt, reply, err)
--- a/internal/proof/hgsoak/check.go
+++ b/internal/proof/hgsoak/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"os/exec"
 	"strings"
 	"sync"
@@ -22,7 +23,9 @@
 	prompts map[string]string
 	// delivered counts the tokens that each program's callers received; allowed is its budget and the maximum of one turn.
 	delivered, allowed map[string]int
-	counts             map[string]int
+	// spent is the most of each program's budget that its turns may have used.
+	spent  map[string]int
+	counts map[string]int
 	// routes holds the entry VM that each attempt went through, and leavingAt the time of the attempt's answer if it announced
 	// that the replica is leaving.
 	routes    map[string]route
@@ -39,7 +42,7 @@
 func newChecker() *checker {
 	return &checker{
 		atMostOnce: map[string]bool{}, notRun: map[string]bool{}, prompts: map[string]string{}, delivered: map[string]int{},
-		allowed: map[string]int{}, counts: map[string]int{}, routes: map[string]route{}, leavingAt: map[string]time.Time{}, kept: map[string]keptTurn{},
+		allowed: map[string]int{}, counts: map[string]int{}, routes: map[string]route{}, leavingAt: map[string]time.Time{}, kept: map[string]keptTurn{}, spent: map[string]int{},
 	}
 }
 
@@ -72,6 +75,13 @@
 	if !repeatable {
 		c.atMostOnce[q.ID] = true
 	}
+	switch {
+	case err == nil && notRunStatuses[reply.Status]:
+	case err == nil && reply.Complete && reply.Status == http.StatusOK:
+		c.spent[q.Program] += len(reply.Events) * hgsite.TokensPerEvent
+	default:
+		c.spent[q.Program] += q.MaxTokensOut
+	}
 	if err != nil {
 		c.counts["no answer"]++
 		return
--- a/internal/proof/hgsoak/crashing.go
+++ b/internal/proof/hgsoak/crashing.go
@@ -57,12 +57,12 @@
 // checkCrashing sends the crashing requests through all entry VMs again after propagationTime. Each may run until it has
 // maxCrashes+maxRetries runs in total, or maxRetries more times if that is more.
 func (s *soak) checkCrashing(ctx context.Context) {
-	time.Sleep(propagationTime)
+	time.Sleep(time.Until(s.calmSince.Add(propagationTime)))
 	before := s.crashingRuns()
 	for range 2 * (maxCrashes + maxRetries) {
-		for i := range s.procs {
+		for _, i := range s.runningVMs() {
 			for _, q := range crashingRequests() {
-				reply, err := s.site.Call(ctx, i, q)
+				reply, err := s.site.Call(ctx, s.node(i), q)
 				s.check.recordAnswer(q, true, reply, err)
 			}
 		}
--- a/internal/proof/hgsoak/exchange.go
+++ b/internal/proof/hgsoak/exchange.go
@@ -72,7 +72,7 @@
 func (s *soak) exchange(ctx context.Context, vm int, q hgsite.Request) (reply hgsite.Reply, err error) {
 	q.SendOnce = true
 	traced, take := observe(ctx)
-	reply, err = s.site.Call(traced, vm, q)
+	reply, err = s.site.Call(traced, s.node(vm), q)
 	e := take()
 	e.attempt, e.path, e.vm, e.ended, e.err = q.ID, q.Path, vm, time.Now(), err
 	e.answered, e.abandoned = err == nil && reply.Complete, ctx.Err() != nil
--- a/internal/proof/hgsoak/fault.go
+++ b/internal/proof/hgsoak/fault.go
@@ -115,7 +115,7 @@
 func (s *soak) restart(p *process) { s.countSetupError(p.start()) }
 
 // inject starts random faults until the context ends, and then ends the active ones.
-func (s *soak) inject(ctx context.Context, r *rand.Rand) {
+func (s *soak) inject(ctx context.Context, faults []fault, maxPause time.Duration, r *rand.Rand) {
 	type activeFault struct {
 		until time.Time
 		end   func()
@@ -127,7 +127,7 @@
 		active = append(active, activeFault{time.Now().Add(time.Duration(r.Int64N(int64(maxFaultDuration)))), f.start(s, r)})
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(r.Int64N(int64(maxFaultPause)))):
+		case <-time.After(time.Duration(r.Int64N(int64(maxPause)))):
 		}
 		active = lo.Filter(active, func(f activeFault, _ int) bool {
 			if time.Now().Before(f.until) {
--- a/internal/proof/hgsoak/kept.go
+++ b/internal/proof/hgsoak/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -33,7 +34,12 @@
 // keptTurn is the last turn of a program that was answered completely, with all inputs and outputs up to its end.
 type keptTurn struct {
 	program, id, history string
-	at                   time.Time
+	// next is the program's next input, and budget its budget.
+	next   string
+	budget int
+	at     time.Time
+	// unreached counts the tries that reached no replica, by status or error.
+	unreached map[string]int
 }
 
 // keepTurn records a turn that was answered completely in place of the program's turn before it.
@@ -44,6 +50,13 @@
 	c.kept[t.program] = t
 }
 
+// leavesTurn reports whether a program's budget surely leaves a turn: one that had no whole answer counts with its maximum.
+func (c *checker) leavesTurn(q hgsite.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return q.Budget-c.spent[q.Program] >= q.MaxTokensOut
+}
+
 // newestKept returns the kept turns to try, newest first.
 func (c *checker) newestKept() []keptTurn {
 	c.mu.Lock()
@@ -65,63 +78,75 @@
 		p.end(syscall.SIGKILL, time.Second)
 		s.restart(p)
 	}
-	deadline := time.Now().Add(recoverTime)
+	s.calmSince = time.Now()
+	deadline := s.calmSince.Add(recoverTime)
 	s.tryKept(ctx, "after the loss of all VMs", func(int) bool { return time.Now().Before(deadline) })
 }
 
 // checkKeptInCalm waits until all VMs are in touch and checks that each kept turn reaches a replica within keptTries.
 func (s *soak) checkKeptInCalm(ctx context.Context) {
-	time.Sleep(contactTime)
+	time.Sleep(time.Until(s.calmSince.Add(contactTime)))
 	s.tryKept(ctx, "in the calm", func(tries int) bool { return tries < keptTries })
 }
 
 // tryKept tries each kept turn, through one VM after the other, until it reaches a replica or goOn returns false.
 func (s *soak) tryKept(ctx context.Context, when string, goOn func(tries int) bool) {
-	turns := make(chan keptTurn)
+	slots := make(chan struct{}, keptAtOnce)
 	var wg sync.WaitGroup
-	for i := range keptAtOnce {
+	for i, t := range s.check.newestKept() {
 		wg.Go(func() {
-			for t := range turns {
-				s.tryKeptTurn(ctx, t, i, when, goOn)
+			t.unreached = map[string]int{}
+			for tries := 0; goOn(tries); tries++ {
+				slots <- struct{}{}
+				done := s.tryKeptTurn(ctx, &t, i+tries)
+				<-slots
+				if done {
+					s.check.count("kept turns tried "+when, 1)
+					return
+				}
+				time.Sleep(keptPause)
 			}
+			s.check.violateNow("turn %s of program %s reaches no replica %s: answers %v", t.id, t.program, when, t.unreached)
 		})
 	}
-	for _, t := range s.check.newestKept() {
-		turns <- t
-	}
-	close(turns)
 	wg.Wait()
 }
 
-func (s *soak) tryKeptTurn(ctx context.Context, t keptTurn, vm int, when string, goOn func(tries int) bool) {
-	var answers []any
-	for tries := 0; goOn(tries); tries++ {
-		q := hgsite.Turn(hgsite.ThreadPath, t.program, t.id, "again ")
-		s.check.expectPrompt(q.ID, t.history+q.Body)
-		reply, err := s.site.Call(ctx, (vm+tries)%len(s.procs), q)
-		s.check.recordAnswer(q, false, reply, err)
-		if err == nil && keptDenied[reply.Status] {
-			s.check.turnDenied(q.ID, t.id)
-			return
-		}
-		if _, ok := s.replicaOf(q.ID); ok {
-			if err == nil && reply.Status == http.StatusOK && reply.Complete {
-				s.check.keepTurn(keptTurn{program: t.program, id: q.ID, history: t.history + q.Body + s.site.Replicas["engine-0"].Output()})
-			}
-			s.check.count("kept turns tried "+when, 1)
-			return
-		}
-		answers = append(answers, lo.Ternary[any](err == nil, reply.Status, err))
-		time.Sleep(keptPause)
+// tryKeptTurn sends the turn that follows a kept turn; done reports whether it reached a replica or need not.
+func (s *soak) tryKeptTurn(ctx context.Context, t *keptTurn, vm int) (done bool) {
+	q := hgsite.Turn(hgsite.ThreadPath, t.program, t.id, t.next)
+	if q.Budget = t.budget; !s.check.leavesTurn(q) {
+		return true
 	}
-	s.check.violateNow("turn %s of program %s reaches no replica %s: %v", t.id, t.program, when, answers)
+	s.check.expectPrompt(q.ID, t.history+q.Body)
+	running := s.runningVMs()
+	reply, err := s.site.Call(ctx, s.node(running[vm%len(running)]), q)
+	s.check.recordAnswer(q, false, reply, err)
+	if err == nil && keptDenied[reply.Status] {
+		s.check.turnDenied(q.ID, t.id)
+	}
+	if !s.reachedEngine(q.ID) {
+		t.unreached[answerName(reply, err)]++
+		return false
+	}
+	if err == nil && reply.Status == http.StatusOK && reply.Complete {
+		s.check.keepTurn(keptTurn{program: t.program, id: q.ID, history: t.history + q.Body + s.site.Replicas["engine-0"].Output(), next: t.next, budget: t.budget})
+	}
+	return true
 }
 
 // keptDenied are the statuses that say that a turn does not exist.
 var keptDenied = map[int]bool{http.StatusNotFound: true, http.StatusGone: true}
 
-// replicaOf returns the replica that an attempt reached.
-func (s *soak) replicaOf(attempt string) (replica string, ok bool) {
-	r, ok := lo.Find(s.site.Runs(hgsite.Engines), func(r hgsite.Run) bool { return r.Attempt == attempt })
-	return r.Replica, ok
+// answerName returns the status of an answer, or the error of a call that had none.
+func answerName(reply hgsite.Reply, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(reply.Status)
+}
+
+// reachedEngine reports whether a turn reached a replica.
+func (s *soak) reachedEngine(attempt string) bool {
+	return lo.ContainsBy(s.site.Runs(hgsite.Engines), func(r hgsite.Run) bool { return r.Attempt == attempt })
 }
--- a/internal/proof/hgsoak/planned.go
+++ b/internal/proof/hgsoak/planned.go
@@ -101,6 +101,7 @@
 		}
 	}
 	work.Wait()
+	s.calmSince = time.Now()
 	stopCalling()
 	callers.Wait()
 	s.planned.Store(false)
--- a/internal/proof/hgsoak/process.go
+++ b/internal/proof/hgsoak/process.go
@@ -20,10 +20,12 @@
 // process runs an entry VM as a child process.
 type process struct {
 	binary, dir string
-	cfg         hgconfig.EntryConfig
-	// onUnexpectedExit is called when the process exits by itself or fails while it stops, with its run time and its end. A process
+	// node is the index of the VM's settings in the site.
+	node atomic.Int64
+	cfg  hgconfig.EntryConfig
+	// onUnexpectedExit is called when the process exits by itself or fails while it stops, with its name, run time and end. A process
 	// that exits by itself is started again.
-	onUnexpectedExit func(ran time.Duration, err error)
+	onUnexpectedExit func(vm string, ran time.Duration, err error)
 
 	// generation counts starts and freezes, after which the process may have lost its state or let it expire.
 	generation atomic.Int64
@@ -34,6 +36,8 @@
 	cmd      *exec.Cmd
 	done     chan struct{}
 	stopping bool
+	// removed reports whether the VM is gone for good.
+	removed bool
 }
 
 // restartAfter is the delay before a process that exited by itself is started again.
@@ -46,7 +50,7 @@
 func (p *process) start() (err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
+	if p.cmd != nil || p.removed {
 		return nil
 	}
 	var settings bytes.Buffer
@@ -70,12 +74,12 @@
 	}
 	p.generation.Add(1)
 	p.cmd, p.done, p.stopping, p.cfg.VM.FirstStart = cmd, make(chan struct{}), false, false
-	go p.wait(cmd, &stderr, p.done)
+	go p.wait(p.cfg.VM.Name, cmd, &stderr, p.done)
 	return nil
 }
 
 // wait waits until the process exits, and starts it again if it exited by itself.
-func (p *process) wait(cmd *exec.Cmd, stderr *bytes.Buffer, done chan struct{}) {
+func (p *process) wait(vm string, cmd *exec.Cmd, stderr *bytes.Buffer, done chan struct{}) {
 	began := time.Now()
 	err := cmd.Wait()
 	if text := stderr.Bytes(); len(text) > 0 {
@@ -88,17 +92,40 @@
 	close(done)
 	if stopping {
 		if cmd.ProcessState.ExitCode() > 0 {
-			p.onUnexpectedExit(time.Since(began), err)
+			p.onUnexpectedExit(vm, time.Since(began), err)
 		}
 		return
 	}
-	p.onUnexpectedExit(time.Since(began), err)
+	p.onUnexpectedExit(vm, time.Since(began), err)
 	time.Sleep(restartAfter)
 	if err := p.start(); err != nil {
-		p.onUnexpectedExit(0, err)
+		p.onUnexpectedExit(vm, 0, err)
 	}
 }
 
+// remove ends the VM for good.
+func (p *process) remove(s syscall.Signal) {
+	p.mu.Lock()
+	p.removed = true
+	p.mu.Unlock()
+	p.end(s, stopTimeout)
+}
+
+// replace starts a new VM, with a name and addresses of its own, in place of one that was removed.
+func (p *process) replace(node int, cfg hgconfig.EntryConfig) error {
+	p.mu.Lock()
+	p.cfg, p.removed = cfg, false
+	p.mu.Unlock()
+	p.node.Store(int64(node))
+	return p.start()
+}
+
+func (p *process) isRemoved() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.removed
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -21,6 +21,9 @@
 	Seed        uint64
 	// Planned is the duration of the phase with planned work only, For that of the phase with faults, which follows.
 	Planned, For time.Duration
+	// Membership adds faults that remove and replace VMs and break off equal turns, and TightBudgets threads whose budgets hold few more
+	// turns than they need.
+	Membership, TightBudgets bool
 	// VMs is the number of entry VMs, and Callers the number of concurrent callers.
 	VMs, Callers int
 }
@@ -45,13 +48,17 @@
 	site    *hgsite.Site
 	procs   []*process
 	proxies []*Proxy
-	check   *checker
-	faults  map[string]int
+	// spares are the indices of settings for VMs that replace others; only the membership faults use them.
+	spares []int
+	check  *checker
+	faults map[string]int
 
 	mu       sync.Mutex
 	programs int
 	// version is that of the last desired state; only the phase of planned work writes it.
 	version uint64
+	// calmSince is the time of the last disruption, once a phase has ended.
+	calmSince time.Time
 	// planned reports whether the phase of planned work is under way.
 	planned atomic.Bool
 }
@@ -95,7 +102,14 @@
 		r.SetCrashing(isCrashing)
 	}
 	callers.Go(func() { s.sendCrashing(calling, rand.New(rand.NewPCG(s.opts.Seed, crashingRandStream))) })
-	s.inject(faulty, rand.New(rand.NewPCG(s.opts.Seed, 0)))
+	var membership sync.WaitGroup
+	if s.opts.Membership {
+		membership.Go(func() {
+			s.inject(faulty, membershipFaults, maxMembershipPause, rand.New(rand.NewPCG(s.opts.Seed, membershipRandStream)))
+		})
+	}
+	s.inject(faulty, faults, maxFaultPause, rand.New(rand.NewPCG(s.opts.Seed, 0)))
+	membership.Wait()
 	stopCalling()
 	callers.Wait()
 	s.checkRecovered(ctx)
@@ -116,13 +130,18 @@
 			return err
 		}
 		s.proxies = append(s.proxies, proxy)
-		s.procs = append(s.procs, &process{binary: s.opts.Binary, dir: s.opts.Dir, cfg: cfg, onUnexpectedExit: func(ran time.Duration, err error) {
-			s.check.unexpectedExit(cfg.VM.Name, ran, err)
-		}})
+		s.procs = append(s.procs, &process{binary: s.opts.Binary, dir: s.opts.Dir, cfg: cfg, onUnexpectedExit: s.check.unexpectedExit})
+		s.procs[i].node.Store(int64(i))
 		if err := s.procs[i].start(); err != nil {
 			return err
 		}
 	}
+	for range s.opts.VMs {
+		if _, err := s.site.AddConfig(s.site.StoreAddress()); err != nil {
+			return err
+		}
+		s.spares = append(s.spares, len(s.site.Configs)-1)
+	}
 	return s.waitServing(recoveryLimit)
 }
 
@@ -138,9 +157,9 @@
 // waitServing waits until each entry VM serves a check.
 func (s *soak) waitServing(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
-	for i := range s.procs {
+	for _, i := range s.runningVMs() {
 		for {
-			reply, err := s.site.Call(context.Background(), i, hgsite.Request{Path: hgsite.CheckPath, Method: http.MethodGet})
+			reply, err := s.site.Call(context.Background(), s.node(i), hgsite.Request{Path: hgsite.CheckPath, Method: http.MethodGet})
 			if err == nil && reply.Status == http.StatusOK {
 				break
 			}
@@ -162,9 +181,9 @@
 		return
 	}
 	deadline := time.Now().Add(recoveryLimit)
-	for i := range s.procs {
+	for _, i := range s.runningVMs() {
 		for {
-			reply, err := s.site.Call(ctx, i, hgsite.Turn(hgsite.ThreadPath, fmt.Sprint("last", i), "", "x"))
+			reply, err := s.site.Call(ctx, s.node(i), hgsite.Turn(hgsite.ThreadPath, fmt.Sprint("last", i), "", "x"))
 			if err == nil && reply.Status == http.StatusOK && reply.Complete {
 				break
 			}
