hgsite: loopback addresses of a process of its own

Two soaks at a time used the same loopback addresses, so that a VM that was down could lose its port to the other soak; suspected before (docs/PROOFS.md), and not shown.

--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -171,10 +172,17 @@
 	return cfg, err
 }
 
+// loopback returns the address of entry VM i. It differs between processes, so that a VM that is down does not lose its port to a
+// site of another process.
+func loopback(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, i+1)
+}
+
 func entryConfig(i int, store string) (cfg hgconfig.EntryConfig, err error) {
 	addresses := make([]string, 5)
 	for k := range addresses {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", i+1))
+		l, err := net.Listen("tcp", loopback(i)+":0")
 		if err != nil {
 			return cfg, err
 		}
