hgsoak: leave out calls that are cut at their deadline

RULES.md leaves out requests whose time budget was reached; the judge of planned work counted them. TestJudgePlanned holds both sides of the bound.

--- a/internal/proof/hgsoak/exchange.go
+++ b/internal/proof/hgsoak/exchange.go
@@ -21,9 +21,11 @@
 	conn string
 	// written is the time at which the last byte of the request was written, zero if it was not, and ended the time of the end.
 	written, ended time.Time
-	// answered reports whether the answer was complete, and abandoned whether the caller gave up.
-	answered, abandoned bool
-	err                 error
+	// deadline is the time that the caller gave the request; it is shorter than the time-outs of the routes.
+	deadline time.Duration
+	// answered reports whether the answer was complete.
+	answered bool
+	err      error
 	// stopped is the time from the last SIGTERM of the VM to the end; 0 if there was none.
 	stopped time.Duration
 }
@@ -75,7 +77,7 @@
 	reply, err = s.site.Call(traced, s.node(vm), q)
 	e := take()
 	e.attempt, e.path, e.vm, e.ended, e.err = q.ID, q.Path, vm, time.Now(), err
-	e.answered, e.abandoned = err == nil && reply.Complete, ctx.Err() != nil
+	e.answered, e.deadline = err == nil && reply.Complete, q.Deadline
 	if err == nil && !reply.Complete {
 		e.err = errBrokenOff
 	}
--- a/internal/proof/hgsoak/planned.go
+++ b/internal/proof/hgsoak/planned.go
@@ -121,8 +121,8 @@
 	c.exchanges = append(c.exchanges, e)
 }
 
-// judgePlanned checks that no request that was written whole ended without a complete answer because of planned work, once it
-// had reached a replica or later than lossSlack after its last byte. Others that ended so are counted as crossed.
+// judgePlanned checks that no request that was written whole ended without a complete answer because of planned work, before its
+// deadline and once it had reached a replica or later than lossSlack after its last byte. Others that ended so are counted as crossed.
 func (c *checker) judgePlanned(runs []hgsite.Run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -137,8 +137,8 @@
 			c.counts["planned: answered, "+e.conn]++
 		case e.written.IsZero() && !passed:
 			c.counts["planned: not sent"]++
-		case e.abandoned:
-			c.counts["planned: abandoned"]++
+		case !e.written.IsZero() && e.age() >= e.deadline:
+			c.counts["planned: out of time"]++
 		case passed:
 			c.violate("%s, passed on to %s: %v", e, replica, e.err)
 		case e.age() > lossSlack:
