hgsoak: answers that end with their connection

Planned work and the membership faults have answers with neither a length nor chunks, also ones that break off inside an event; whole ones have to arrive whole, broken ones must not look so.

--- a/internal/proof/hgsoak/membership.go
+++ b/internal/proof/hgsoak/membership.go
@@ -20,8 +20,8 @@
 	minVMs = 2
 )
 
-// membershipFaults are the faults that remove VMs for good or break off equal requests of several programs. They are drawn
-// beside the other faults, so that the runs of those with a seed stay as they are.
+// membershipFaults are the faults that remove VMs for good, break off equal requests of several programs or answer without a length.
+// They are drawn beside the other faults, so that the runs of those with a seed stay as they are.
 var membershipFaults = []fault{
 	{"replaced VM", func(s *soak, r *rand.Rand) func() {
 		p, sig := s.procs[s.anyVM(r)], anyEnd(r)
@@ -53,6 +53,11 @@
 		}})
 		return func() { rep.SetFault(hgsite.Fault{}) }
 	}},
+	{"answers that end with their connection", func(s *soak, r *rand.Rand) func() {
+		rep := s.site.Replicas[[]string{"engine-0", "engine-1", "tool-0", "tool-1"}[r.IntN(4)]]
+		rep.SetFault([]hgsite.Fault{{Remaining: 20, UntilClose: true}, {Remaining: 6, UntilClose: true, CutAfterEvents: 2}}[r.IntN(2)])
+		return func() { rep.SetFault(hgsite.Fault{}) }
+	}},
 }
 
 // equalInput begins the inputs that several programs send.
--- a/internal/proof/hgsoak/planned.go
+++ b/internal/proof/hgsoak/planned.go
@@ -22,6 +22,8 @@
 	seriesPause = 5 * time.Millisecond
 	// maxReplicaPause is the longest time before an event of a stream, and before the answer of a tool.
 	maxReplicaPause = 270 * time.Millisecond
+	// maxUntilClose bounds the number of answers of a replica that end with their connection.
+	maxUntilClose = 30
 	// lossSlack is the platform's loss_slack_ms: within it after its last byte, a request that reached no replica may end
 	// without an answer.
 	lossSlack = 200 * time.Millisecond
@@ -60,6 +62,12 @@
 		}
 		return func() {}
 	}},
+	{"answers without a length", func(s *soak, r *rand.Rand) func() {
+		for _, rep := range s.site.Replicas {
+			rep.SetFault(hgsite.Fault{Remaining: r.IntN(maxUntilClose), UntilClose: true})
+		}
+		return func() {}
+	}},
 }
 
 // nextDesired returns a new desired state with other time-outs and limits and, at times, one more route.
@@ -107,6 +115,7 @@
 	s.planned.Store(false)
 	for _, rep := range s.site.Replicas {
 		rep.SetPause(hgsite.Pause)
+		rep.SetFault(hgsite.Fault{})
 	}
 	s.version++
 	s.countSetupError(s.site.SetDesired(hgsite.Desired(s.version)))
--- a/internal/proof/hgsoak/soak.go
+++ b/internal/proof/hgsoak/soak.go
@@ -145,7 +145,11 @@
 	return s.waitServing(recoveryLimit)
 }
 
+// logFlushTime is the time after which a process has written its last log lines.
+const logFlushTime = 300 * time.Millisecond
+
 func (s *soak) stop() {
+	time.Sleep(logFlushTime)
 	for _, p := range s.procs {
 		p.end(9, time.Second)
 	}
