--- a/internal/proof/hgsoak/planned.go
+++ b/internal/proof/hgsoak/planned.go
@@ -22,6 +22,8 @@
 	seriesPause = 5 * time.Millisecond
 	// maxReplicaPause is the longest time before an event of a stream, and before the answer of a tool.
 	maxReplicaPause = 270 * time.Millisecond
+	// maxUntilClose bounds the number of answers of a replica that end with their connection.
+	maxUntilClose = 30
 	// lossSlack is the platform's loss_slack_ms: within it after its last byte, a request that reached no replica may end
 	// without an answer.
 	lossSlack = 200 * time.Millisecond
@@ -60,6 +62,12 @@
 		}
 		return func() {}
 	}},
+	{"answers without a length", func(s *soak, r *rand.Rand) func() {
+		for _, rep := range s.site.Replicas {
+			rep.SetFault(hgsite.Fault{Remaining: r.IntN(maxUntilClose), UntilClose: true})
+		}
+		return func() {}
+	}},
 }
 
 // nextDesired returns a new desired state with other time-outs and limits and, at times, one more route.
@@ -101,11 +109,13 @@
 		}
 	}
 	work.Wait()
+	s.calmSince = time.Now()
 	stopCalling()
 	callers.Wait()
 	s.planned.Store(false)
 	for _, rep := range s.site.Replicas {
 		rep.SetPause(hgsite.Pause)
+		rep.SetFault(hgsite.Fault{})
 	}
 	s.version++
 	s.countSetupError(s.site.SetDesired(hgsite.Desired(s.version)))
@@ -120,8 +130,8 @@
 	c.exchanges = append(c.exchanges, e)
 }
 
-// judgePlanned checks that no request that was written whole ended without a complete answer because of planned work, once it
-// had reached a replica or later than lossSlack after its last byte. Others that ended so are counted as crossed.
+// judgePlanned checks that no request that was written whole ended without a complete answer because of planned work, before its
+// deadline and once it had reached a replica or later than lossSlack after its last byte. Others that ended so are counted as crossed.
 func (c *checker) judgePlanned(runs []hgsite.Run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,8 +146,8 @@
 			c.counts["planned: answered, "+e.conn]++
 		case e.written.IsZero() && !passed:
 			c.counts["planned: not sent"]++
-		case e.abandoned:
-			c.counts["planned: abandoned"]++
+		case !e.written.IsZero() && e.age() >= e.deadline:
+			c.counts["planned: out of time"]++
 		case passed:
 			c.violate("%s, passed on to %s: %v", e, replica, e.err)
 		case e.age() > lossSlack:
