--- a/internal/proof/hgsite/early_test.go
+++ b/internal/proof/hgsite/early_test.go
@@ -122,7 +122,6 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			e := &earlyReplica{head: tt.head, body: tt.body, untilClose: tt.untilClose}
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
--- a/internal/proof/hgsite/overflow_test.go
+++ b/internal/proof/hgsite/overflow_test.go
@@ -15,8 +15,9 @@
 func TestOddLoadDrawsNoRequests(t *testing.T) {
 	const (
 		requests = 200
-		// far is a replica in another failure domain than the VM, which gets one request in eight.
-		far = "tool-0"
+		// far is a replica in another failure domain than the VM, and pause makes it the slower one, also on a busy machine.
+		far   = "tool-0"
+		pause = 20 * time.Millisecond
 	)
 	for name, load := range map[string]hgattempt.Answer{
 		"greatest integer":        {HasLoad: true, Running: 1<<63 - 1, Slots: 8},
@@ -30,6 +31,9 @@
 			var mu sync.Mutex
 			got := map[string]int{}
 			useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+				if q.Replica == far {
+					time.Sleep(pause)
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				got[q.Replica]++
