platform: a success is no refusal

A request that a replica had answered with status 200 and a header that says that it was not run was sent to another replica, ran twice and was answered 503.

Cause: the header counted whatever the status.

--- a/internal/proof/hgsite/promise_test.go
+++ b/internal/proof/hgsite/promise_test.go
@@ -199,3 +199,20 @@
 		t.Error("no request was refused")
 	}
 }
+
+// Guards against a success that also says that it did not run the request, after which another replica ran it again.
+func TestSuccessIsNoRefusal(t *testing.T) {
+	for name, path := range map[string]string{"charge": hgsite.ChargePath, "turn": hgsite.ThreadPath} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			r := useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+				answer := hgattempt.Answer{AttemptID: q.ID, Sealed: true, NotRun: true}
+				return rawHead("200 OK", answer, "Content-Type: text/event-stream", "Connection: close") + rawEvents(1, hgsite.Events), true, true
+			})
+			q := hgsite.Turn(path, name, "", "x")
+			reply := callWithin(t, s, q, answerLimit)
+			wantPromisesKept(t, r.Runs(), map[string]int{q.ID: reply.Status})
+			wantStream(t, reply)
+		})
+	}
+}
