entry: a refusal before its request is no answer to it

The package's test TestFirstExchange ends with a panic on, which took the hook of the first byte out, and a refusal that a faulty replica writes to a new connection before any of a request is there counts for that request.

The hook is back, compared with the hook that the transport calls before it hands the head of the request to the connection, so that an answer to the request can't seem to be early: the hooks that were in either order were those of the end of the request and of the first byte.

--- a/internal/serve/hgentry/connuse.go
+++ b/internal/serve/hgentry/connuse.go
@@ -11,8 +11,8 @@
 	conn atomic.Pointer[net.Conn]
 	// reused says that the connection was idle before, or carried other requests.
 	reused atomic.Bool
-	// wroteHeaders says that the head of the request was handed to the connection.
-	wroteHeaders atomic.Bool
+	// wroteHeaders says that the head of the request was handed to the connection, and early that a response began before.
+	wroteHeaders, early atomic.Bool
 }
 
 func (u *connUse) hooks() *httptrace.ClientTrace {
@@ -21,13 +21,14 @@
 			u.conn.Store(&i.Conn)
 			u.reused.Store(i.Reused)
 		},
-		WroteHeaders: func() { u.wroteHeaders.Store(true) },
+		WroteHeaders:         func() { u.wroteHeaders.Store(true) },
+		GotFirstResponseByte: func() { u.early.Store(!u.wroteHeaders.Load()) },
 	}
 }
 
-// isFirstExchange reports whether the response is the first one on its connection. Only then it can't be a late or repeated
-// response to another request. A replica may refuse before it has read the request.
-func (u *connUse) isFirstExchange() bool { return !u.reused.Load() }
+// isFirstExchange reports whether the response is the first one on its connection and began after the headers of the request were
+// written. Only then it can't be a late or repeated response to another request.
+func (u *connUse) isFirstExchange() bool { return !u.reused.Load() && !u.early.Load() }
 
 // close closes the connection, so that the transport does not reuse it.
 func (u *connUse) close() {
