hgledger: a ledger that serves a program keeps others from deleting its rows

A ledger deletes the rows of a program that it has not served for two minutes or twice the retention time, if the account's row has not changed since it last knew it.

Failed before: evict_test.go:55: turn t5: unsure

A turn writes the account's row if its ledger has not done so for 30 s, though its share holds the turn. The row of a program that was served within the time of silence, less 30 s, has therefore changed, and its rows stay. Costs a write for each program and ledger in 30 s of use; while the store is slow the turn is granted from the share as before, without it.

After: green; all tests of the package under the race detector, and tests of kept turns, outages and stops on sites.

--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -35,6 +35,8 @@
 	// arrived.
 	copies   map[string]int
 	copiedAt time.Duration
+	// writtenAt is when this ledger last wrote the row.
+	writtenAt time.Duration
 	// checkedAt is when the row was last read before a refusal.
 	checkedAt time.Duration
 	// reservations maps the attempts of open turns to their reserved tokens.
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -115,6 +115,13 @@
 	})
 }
 
+// touchAfter is the age of this ledger's last write of a program's row after which a turn writes it again, so that ledgers that served
+// the program before do not delete its rows: they do so minutes after their last turn, if the row has not changed.
+const touchAfter = 30 * time.Second
+
+// isWriteDue reports whether a turn has to write the row although this ledger's share holds it.
+func (l *Ledger) isWriteDue(p *program) bool { return l.timer.Now()-p.writtenAt > touchAfter }
+
 // recheckAfter is the age of the last read after which the row is read again before a turn is refused because of the
 // shares of other nodes.
 const recheckAfter = 500 * time.Millisecond
@@ -145,7 +152,7 @@
 		case g.Spent:
 			l.closeAccount(ctx, p, budget, maxTokens)
 			return Spent, nil
-		case !g.NeedsWrite:
+		case !g.NeedsWrite && !l.isWriteDue(p):
 			p.account = g.Account
 			return Granted, nil
 		default:
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -143,6 +143,7 @@
 		puts:       []hgstore.Put{{Key: key, Value: value}},
 	})
 	if err == nil {
+		p.writtenAt = l.timer.Now()
 		l.setUnsaved(p, false)
 		l.reload(p, row, version, true)
 		l.log.Info("budget claimed", "program", p.id, "mine", a.Mine, "others", a.Others, "strict", row.Strict, "version", version)
