hgledger: a copy of a claim does not outlive its record in the row

What callers see: turns are refused with 402 for good, though the budget holds them, after a ledger has returned its share.

Cause: a ledger that asks its peers for their claims, as it does when a grant may exceed the budget, keeps the answers as copies, also of claims that the row records. With its next write it puts them back into the row, after the peer has returned its share too. If that peer has stopped, nobody can return the share again.

Evidence: TestReturnedSharesAreFree failed before, 'another ledger has asked for claims before: a turn is refused after 510 of 1000 tokens'.

Fix: a copy ends once a row that was read or written records as much, as mergeCopies promises and SaveClaims does after two seconds.

Measured: all tests of internal/state pass.

--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -68,6 +68,8 @@
 // reload sets a program's account from its row and from the copies of claims that peers have sent.
 func (l *Ledger) reload(p *program, row accountRow, version uint64, rowKnown bool) {
 	p.row, p.version, p.rowKnown = row, version, rowKnown
+	// A copy that outlived its record in the row would restore a share that was returned since.
+	maps.DeleteFunc(p.copies, func(ledger string, claim int) bool { return claim <= row.Taken[ledger] })
 	others := 0
 	for ledger, claim := range l.claims(p) {
 		if ledger != l.id {
