hgledger: a share is returned although its row has changed

What callers see: turns are refused with 402 for good, though the budget holds them, after a planned stop of a VM.

Cause: a stop writes each row once, on the condition that it has the version that is known. If another ledger has written it since, the row is read again, but the share is not returned; the log counts the program neither as returned nor as failed.

Evidence: TestReturnedSharesAreFree failed before, 'the row has changed since it was read: a turn is refused after 420 of 1000 tokens'.

Fix: the write is repeated with the row as it was read, within the context's limit.

Measured: all tests of internal/state pass.

--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -300,12 +300,15 @@
 		return false, ctx.Err()
 	}
 	defer p.unlock()
-	if p.account.Available() <= p.shortfall("") {
-		return false, nil
+	for p.account.Available() > p.shortfall("") {
+		// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
+		p.account = p.account.ReturnUnused(p.shortfall(""))
+		if returned, err := l.writeAccount(ctx, p, p.account); returned || err != nil {
+			return returned, err
+		}
+		// The row had changed and was read again, with the share as it was.
 	}
-	// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
-	p.account = p.account.ReturnUnused(p.shortfall(""))
-	return l.writeAccount(ctx, p, p.account)
+	return false, nil
 }
 
 // OpenTurns returns the number of turns with a reservation in this ledger. A program that is locked counts as one.
--- a/internal/state/hgledger/return_test.go
+++ b/internal/state/hgledger/return_test.go
@@ -72,6 +72,14 @@
 		most   = 300
 	)
 	tests := map[string]func(s *returnSite){
+		"the row has changed since it was read": func(s *returnSite) {
+			s.open(0, "a", most)
+			s.open(1, "b", most)
+			s.end(0, "a", 10)
+			s.ledgers[0].ReturnUnused(s.t.Context())
+			s.end(1, "b", 10)
+			s.ledgers[1].ReturnUnused(s.t.Context())
+		},
 		"another ledger has asked for claims before": func(s *returnSite) {
 			s.open(0, "a", most)
 			s.open(1, "b", most)
