hglog: a line after the writer is closed does not end the process

What happens: an entry VM closes its log when Stop has returned. Whatever still logs then, such as a turn that is settled in the background, a heartbeat that fails or a request that was cut off at the end of the grace time, sends on a closed channel: the process ends with a panic in place of its status 0.

Evidence: TestLinesAfterCloseAreDropped failed before, 'panic: send on closed channel' in Writer.Write.

Fix: the queue is never closed; a channel of its own tells the writer to write what is queued and to end.

--- a/internal/operate/hglog/writer.go
+++ b/internal/operate/hglog/writer.go
@@ -22,11 +22,13 @@
 	queue   chan []byte
 	dropped atomic.Int64
 	done    sync.WaitGroup
+	// closing is closed by Close; queue never is, since goroutines may log until the process ends.
+	closing chan struct{}
 }
 
 // NewWriter returns a writer to w with a queue of the given number of lines.
 func NewWriter(w io.Writer, lines int) *Writer {
-	a := &Writer{queue: make(chan []byte, lines)}
+	a := &Writer{queue: make(chan []byte, lines), closing: make(chan struct{})}
 	a.done.Go(func() { a.run(bufio.NewWriterSize(w, bufferBytes)) })
 	return a
 }
@@ -44,9 +46,9 @@
 // Dropped returns the number of dropped lines that are not yet reported in the output.
 func (a *Writer) Dropped() int { return int(a.dropped.Load()) }
 
-// Close writes the queued lines and stops the writer. Write must not be called afterwards.
+// Close writes the queued lines and stops the writer. Lines that are written afterwards are dropped.
 func (a *Writer) Close() {
-	close(a.queue)
+	close(a.closing)
 	a.done.Wait()
 }
 
@@ -56,11 +58,7 @@
 	pending := false
 	for {
 		select {
-		case line, ok := <-a.queue:
-			if !ok {
-				_ = w.Flush()
-				return
-			}
+		case line := <-a.queue:
 			a.writeLine(w, line)
 			if !pending {
 				pending = true
@@ -69,6 +67,12 @@
 		case <-flush.C:
 			pending = false
 			_ = w.Flush()
+		case <-a.closing:
+			for range len(a.queue) {
+				a.writeLine(w, <-a.queue)
+			}
+			_ = w.Flush()
+			return
 		}
 	}
 }
--- a/internal/operate/hglog/writer_test.go
+++ b/internal/operate/hglog/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,3 +48,27 @@
 		t.Errorf("output ends %q", got[max(0, len(got)-100):])
 	}
 }
+
+// Guards against a process that ends by a panic when something is logged at the end of a stop.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := hglog.NewWriter(&out, 10)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 1000 {
+				if _, err := w.Write([]byte("during\n")); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	w.Close()
+	if _, err := w.Write([]byte("after\n")); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if strings.Contains(out.String(), "after") {
+		t.Errorf("output: %q", out.String())
+	}
+}
