hgsuspect: save suspects that were heard of, too

Cause: a VM stores only the suspects with a change of its own. In the trace vm-5 recorded the third crash at 21.670 while it was cut from the store, and was killed 0.4 s later; vm-2 had heard of it at 21.792 and the restarted vm-5 at 22.191, which reached the store until the loss at 24.5 and did not store it. After the loss the rows named two other requests only.

Now a VM also stores a change that it heard of 1.5 s ago and that the store does not hold. In the usual case the recorder's row has come by the watch before that. Fingerprints leave out times, so that lists which agree store nothing again.

TestSuspectIsSavedWithoutItsRecorder failed before: '0 records to save, want those of content and caller'. Tests of hgsuspect, hgentryvm and those of hgsite about crashes pass.

--- a/internal/serve/hgsuspect/exchange_test.go
+++ b/internal/serve/hgsuspect/exchange_test.go
@@ -162,6 +162,34 @@
 	}
 }
 
+// Guards against suspects that are lost with all lists because only the list that recorded them would store them.
+func TestSuspectIsSavedWithoutItsRecorder(t *testing.T) {
+	// hearsayTime is the time after which a list that heard of a suspect stores it.
+	const hearsayTime = 2 * time.Second
+	c := &clock{now: time.Minute}
+	recorder, hearer, other := hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard()), hgsuspect.NewList(c, hglog.Discard())
+	for range 3 {
+		recorder.RecordCrash(request(1))
+	}
+	exchange(recorder, hearer, "recorder", "hearer", false, false)
+	exchange(recorder, other, "recorder", "other", false, false)
+	if records := hearer.Unsaved(false, 10); len(records) > 0 {
+		t.Errorf("saved at once, beside the list that recorded it: %v", records)
+	}
+	c.now += hearsayTime
+	records := hearer.Unsaved(false, 10)
+	if len(records) != 2 {
+		t.Fatalf("%d records to save, want those of content and caller", len(records))
+	}
+	hearer.Saved(records)
+	other.Load(records)
+	for name, l := range map[string]*hgsuspect.List{"hearer": hearer, "other": other} {
+		if again := l.Unsaved(false, 10); len(again) > 0 {
+			t.Errorf("%s saves again: %v", name, again)
+		}
+	}
+}
+
 // BenchmarkExchange measures an offer and its answer between lists of different sizes, with and without new changes.
 func BenchmarkExchange(b *testing.B) {
 	for name, changed := range map[string]int{"agree": 0, "10 changed": 10} {
--- a/internal/serve/hgsuspect/saved.go
+++ b/internal/serve/hgsuspect/saved.go
@@ -5,9 +5,13 @@
 // minCrashesSaved is the number of crashes from which on a request is stored; most requests never have a second crash.
 const minCrashesSaved = 2
 
+// hearsayDelay is the time after which a VM stores a change that it heard of from a peer and that the store does not hold. The VM that
+// recorded it usually stores it within a second, but may be cut from the store, or gone.
+const hearsayDelay = 1500 * time.Millisecond
+
 // Unsaved returns at most limit records to store, so that they outlive a simultaneous loss of all lists. They are those with
-// changes made at this VM that have at least minCrashesSaved crashes, or an outdated row. If the VM is isolated from most
-// peers, all with changes made at this VM are included, as no other list may have them.
+// changes made at this VM, or heard of hearsayDelay ago, that have at least minCrashesSaved crashes, or an outdated row. If the VM is
+// isolated from most peers, all with such changes are included, as no other list may have them.
 func (l *List) Unsaved(isIsolated bool, limit int) (records []Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -16,7 +20,8 @@
 		if len(records) == limit {
 			break
 		}
-		if e.localNumber > 0 && e.savedFingerprint != e.fingerprint(digest) && (e.savedFingerprint != 0 || isIsolated || e.countedCrashes(now) >= minCrashesSaved) {
+		isDue := e.localNumber > 0 || now-e.changedAt >= hearsayDelay
+		if isDue && e.savedFingerprint != e.fingerprint(digest) && (e.savedFingerprint != 0 || isIsolated || e.countedCrashes(now) >= minCrashesSaved) {
 			records = append(records, e.record(digest, now))
 		}
 	}
