peer: a VM that is gone for good ceases to count towards the majority

Cause: the majority was counted over all VMs that ever registered. No code removed a row, and a VM that left with SIGTERM counted again at each VM that started later, as its row did not tell. Class: membership that only grows.

Why this works: a live VM removes the rows of VMs that were silent for 3 s, in one transaction on the condition that they are unchanged; a VM that finds its row removed writes it again. A majority acts only with a copy of the rows that was asked for less than 2.5 s ago, a removed VM counts until 3 s after its row is gone, and a VM with a new row has no vote for as long: so nobody acts on the old rows when others act on the new ones. In an outage of the store, when copies grow old, all members together may act for 15 s. A grant that may exceed the budget also needs answers of a majority, not only recent heartbeats. VMs that stop mark their rows.

VMs that need the unused claim of a removed one are refused for about 6.5 s after the removal.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -76,6 +76,8 @@
 	public    *hgserver.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
+	// rowVersion is the version of this node's row as it last wrote it, 0 while it does so.
+	rowVersion atomic.Uint64
 	// storeOK says that the store answered at the last look, and probedAt is when it was last probed; only watchStore uses them.
 	storeOK  bool
 	probedAt time.Duration
@@ -102,7 +104,7 @@
 	n.metrics = hgtelemetry.NewRecorder(log)
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
-		Power: cfg.VM.CPUShare * cfg.VM.Cores, Started: time.Now().UnixMilli(),
+		Power: cfg.VM.CPUShare * cfg.VM.Cores, Started: time.Now().UnixMilli(), Joining: !cfg.VM.FirstStart,
 	}, cfg.VM.Domains...)
 	n.client = hgpeer.NewClient(n.tlsConfig)
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
@@ -121,6 +123,7 @@
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait),
 		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes, wait),
 	}
+	n.members.SetViewAge(n.watches[nodeTable].Age)
 	return n, nil
 }
 
@@ -148,12 +151,13 @@
 	for _, w := range n.watches {
 		n.wg.Go(func() { w.Run(n.ctx) })
 	}
-	n.wg.Go(n.register)
+	n.wg.Go(func() { n.register(n.cfg.VM.FirstStart) })
 	n.wg.Go(n.runHeartbeats)
 	n.timer.Every(minRetention/4, n.evict)
 	n.timer.Every(savePeriod, n.saveBudgets)
 	n.timer.Every(reachPeriod, n.watchStore)
 	n.timer.Every(suspectPeriod, n.suspects.save)
+	n.timer.Every(removePeriod, n.removeGone)
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
 	n.timer.After(minRetention, func(time.Duration) { n.ledger.AddKnownPrograms(nil, true) })
@@ -208,6 +212,7 @@
 		return i
 	})
 	n.broadcastHeartbeat()
+	n.wg.Go(n.markStopping)
 	leave := min(leaveTime, grace/2)
 	n.returnBudgets(leave)
 	time.Sleep(leave - (n.timer.Now() - began))
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -20,8 +20,6 @@
 	nodeTable = "hgnode"
 	// heartbeatTimeout bounds a heartbeat with its answer, and a peer's question about a program's budget.
 	heartbeatTimeout = 600 * time.Millisecond
-	// registerRetryDelay is the pause after a failed attempt to write the node's row.
-	registerRetryDelay = 300 * time.Millisecond
 )
 
 var infoCodec = hgcodec.JSON[hgpeer.Info]{}
@@ -203,22 +201,6 @@
 	}
 }
 
-// register writes the node's row to the store, with retries until it has succeeded or the node ends.
-func (n *Node) register() {
-	key := nodeTable + "//" + n.cfg.VM.Name
-	value, err := infoCodec.Encode(n.members.Self())
-	if err != nil {
-		n.log.Error("cannot encode the row of this node", "error", err)
-		return
-	}
-	for n.ctx.Err() == nil {
-		if _, err := n.store.Commit(n.ctx, hgstore.Txn{Puts: []hgstore.Put{{Key: key, Value: value}}}); err == nil {
-			return
-		}
-		time.Sleep(registerRetryDelay)
-	}
-}
-
 // applyNodes applies the rows of nodeTable: ledger markers, suspects and entry VMs.
 func (n *Node) applyNodes(rows map[string]hgstore.Row, _ time.Duration) {
 	n.ledger.SetMarkers(rows)
@@ -234,6 +216,7 @@
 		return i, err == nil
 	})
 	n.members.SetRegistered(nodes)
+	n.checkRow()
 	n.checkReady()
 }
 
@@ -259,9 +242,10 @@
 		ready = len(n.members.Live()) > 0
 	}
 	_, knowsAll := n.ledger.KnownPrograms()
+	joining := n.members.IsJoining()
 	was := n.members.Self()
 	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
-		i.StoreOK, i.Ready, i.KnowsAll, i.Unsaved = storeOK, ready, knowsAll, n.ledger.Unsaved()
+		i.StoreOK, i.Ready, i.KnowsAll, i.Unsaved, i.Joining = storeOK, ready, knowsAll, n.ledger.Unsaved(), joining
 		i.Settled = knowsAll && n.members.Age() >= hgpeer.DiscoveryTime
 		return i
 	})
--- /dev/null
+++ b/internal/operate/hgentryvm/register.go
@@ -0,0 +1,118 @@
+package hgentryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/peer/hgpeer"
+)
+
+const (
+	// registerRetryDelay is the pause after a failed attempt to write the node's row.
+	registerRetryDelay = 300 * time.Millisecond
+	// removePeriod is the time between two looks for nodes that are gone.
+	removePeriod = 250 * time.Millisecond
+	// maxRemoved bounds the rows that one transaction removes, each on a condition; the store accepts 100 entries.
+	maxRemoved = 45
+)
+
+func nodeKey(name string) string { return nodeTable + "//" + name }
+
+// register writes the node's row to the store, with retries until it has succeeded or the node ends. If counted is set, other nodes
+// count this node already.
+func (n *Node) register(counted bool) {
+	for n.ctx.Err() == nil && !n.stopping.Load() {
+		version, known, err := n.writeRow(n.ctx)
+		if err == nil {
+			n.members.Join(counted || known)
+			n.rowVersion.Store(version)
+			return
+		}
+		n.log.Debug("row of this node not written", "error", err)
+		time.Sleep(registerRetryDelay)
+	}
+}
+
+// writeRow writes the node's row. Known says that it replaced the row of an earlier process that others counted, as it had not
+// announced its stop.
+func (n *Node) writeRow(ctx context.Context) (version uint64, known bool, err error) {
+	defer func() { err = trace.Wrap(err, "write the row of this node") }()
+	self := n.members.Self()
+	key := nodeKey(self.Name)
+	old, err := n.store.Get(ctx, key)
+	if err != nil && !trace.IsNotFound(err) {
+		return 0, false, err
+	}
+	if info, decodeErr := infoCodec.Decode(old.Value); err == nil && decodeErr == nil {
+		if info.Boot == self.Boot && !self.Stopping {
+			// An earlier attempt took effect without a reply.
+			return old.Version, false, nil
+		}
+		known = info.Boot != self.Boot && !info.Stopping && (!info.Joining || time.Since(time.UnixMilli(info.Started)) > hgpeer.JoinTime)
+	}
+	self.Joining = self.Joining && !known
+	value, err := infoCodec.Encode(self)
+	if err != nil {
+		return 0, false, err
+	}
+	version, err = n.store.Commit(ctx, hgstore.Txn{
+		Conditions: []hgstore.Condition{{Key: key, Version: old.Version}}, Puts: []hgstore.Put{{Key: key, Value: value}},
+	})
+	return version, known, err
+}
+
+// markStopping records in the node's row that it stops, so that nodes that start later do not count it.
+func (n *Node) markStopping() {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	if _, _, err := n.writeRow(ctx); err != nil {
+		n.log.Info("stop not recorded in the row of this node", "error", err)
+	}
+}
+
+// checkRow writes the node's row again if another node has removed it because this one seemed to be gone.
+func (n *Node) checkRow() {
+	written := n.rowVersion.Load()
+	s := n.watches[nodeTable].Snapshot()
+	if written == 0 || s.Version < written || n.stopping.Load() {
+		return
+	}
+	if row, ok := s.Rows[nodeKey(n.cfg.VM.Name)]; ok && row.Version >= written {
+		return
+	}
+	if !n.rowVersion.CompareAndSwap(written, 0) {
+		return
+	}
+	n.log.Warn("row of this node was removed; writing it again")
+	n.members.Leave()
+	go n.register(false)
+}
+
+// removeGone removes the rows of nodes that have been silent for long, so that they no longer count.
+func (n *Node) removeGone(time.Duration) {
+	gone := n.members.Gone()
+	if len(gone) == 0 || !n.reach.ok() || n.stopping.Load() {
+		return
+	}
+	rows := n.watches[nodeTable].Snapshot().Rows
+	gone = lo.Filter(gone, func(i hgpeer.Info, _ int) bool {
+		info, err := infoCodec.Decode(rows[nodeKey(i.Name)].Value)
+		return err == nil && info == i
+	})
+	for _, batch := range lo.Chunk(gone, maxRemoved) {
+		var txn hgstore.Txn
+		for _, i := range batch {
+			key := nodeKey(i.Name)
+			txn.Conditions = append(txn.Conditions, hgstore.Condition{Key: key, Version: rows[key].Version})
+			txn.Deletes = append(txn.Deletes, key)
+		}
+		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+		_, err := n.store.Commit(ctx, txn)
+		cancel()
+		n.log.Info("rows of silent nodes removed", "nodes", lo.Map(batch, func(i hgpeer.Info, _ int) string { return i.Name }), "error", err)
+	}
+}
--- a/internal/peer/hgpeer/backup.go
+++ b/internal/peer/hgpeer/backup.go
@@ -25,31 +25,42 @@
 // implements hgledger.Backup.
 type Backup struct {
 	members *Members
-	client  *Client
+	client  claimClient
+}
+
+// claimClient calls peers about their claims on budgets.
+type claimClient interface {
+	Part(ctx context.Context, address string, q hgledger.SoleRequest) (hgledger.SoleReply, error)
+	Copy(ctx context.Context, address string, q hgledger.Copy) (OKReply, error)
 }
 
 // NewBackup returns a Backup that calls the peers in m through c.
-func NewBackup(m *Members, c *Client) *Backup { return &Backup{members: m, client: c} }
+func NewBackup(m *Members, c claimClient) *Backup { return &Backup{members: m, client: c} }
 
 // Ask asks all peers that may have taken part in a program for the claims on its budget that they know of. Each of these
 // adds one to Answers.Unanswered: a peer that does not answer, a failure domain without a known live node, a node
-// too young to know all peers, and the lack of a majority. A peer whose process has ended serves no program any more, and
+// too young to know all peers, and answers of too few members (MayClaim). A peer whose process has ended serves no program any more, and
 // other peers have the copies of its claims, so that it counts as if it had restarted.
 func (b *Backup) Ask(ctx context.Context, q hgledger.SoleRequest) (a hgledger.Answers) {
 	if b.members.Age() < DiscoveryTime {
 		a.Unanswered++
 	}
 	a.Unanswered += b.members.UnreachableDomains()
-	answers := callAll(b.members.PossibleParticipants(), func(p Info) (hgledger.SoleReply, error) { return b.part(ctx, p, q) })
-	for _, answer := range answers {
+	peers := b.members.PossibleParticipants()
+	var answered, ended []Info
+	for i, answer := range callAll(peers, func(p Info) (hgledger.SoleReply, error) { return b.part(ctx, p, q) }) {
 		switch {
 		case answer.err == nil:
+			answered = append(answered, peers[i])
 			a.Add(answer.reply)
-		case !hasEnded(answer.err):
+		case HasEnded(answer.err):
+			ended = append(ended, peers[i])
+		default:
 			a.Unanswered++
 		}
 	}
-	if !b.members.IsMajority(a.Sole + a.Holding) {
+	a.Minority = !b.members.IsMajority(lo.CountBy(answered, func(i Info) bool { return !i.Joining }))
+	if !b.members.MayClaim(answered, ended) {
 		a.Unanswered++
 	}
 	return a
@@ -58,15 +69,15 @@
 // part asks one peer. A connection that breaks is tried once more, as the new one shows whether the peer's process has ended.
 func (b *Backup) part(ctx context.Context, p Info, q hgledger.SoleRequest) (reply hgledger.SoleReply, err error) {
 	reply, err = b.client.Part(ctx, p.Peer, q)
-	if err == nil || hasEnded(err) || ctx.Err() != nil {
+	if err == nil || HasEnded(err) || ctx.Err() != nil {
 		return reply, err
 	}
 	return b.client.Part(ctx, p.Peer, q)
 }
 
-// hasEnded reports whether a call failed because the host of the peer says that nobody listens at its address. A peer that is
+// HasEnded reports whether a call failed because the host of the peer says that nobody listens at its address. A peer that is
 // cut off, frozen or without power does not answer at all.
-func hasEnded(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+func HasEnded(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // LacksMajority reports whether this node reaches no majority of the nodes, as on the minority side of a network partition.
 func (b *Backup) LacksMajority() bool { return b.members.LacksMajority() }
--- /dev/null
+++ b/internal/peer/hgpeer/electorate.go
@@ -0,0 +1,189 @@
+package hgpeer
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// The rows of the nodes in the store say who is a member. A node may spend tokens beyond what rows of budgets show, with the store
+// or without, only as part of a majority of the members. The row of a node that is gone is removed, and the node ceases to count once
+// no other node can still act on a copy of the rows that holds it. A majority of fewer nodes then never acts while
+// one of the former does.
+
+const (
+	// viewLease is the age of a node's copy of the rows up to which a majority of the nodes in it may act. It is longer than the store
+	// holds a poll, with the pause between two polls and a slow answer.
+	viewLease = 2500 * time.Millisecond
+	// unanimousLease is the age up to which all nodes in it together may act, as in an outage of the store. A node that joined later may
+	// be in nobody's copy, so that it removes no others before that time.
+	unanimousLease = 15 * time.Second
+	// JoinTime is the time after which the row of a node is in every copy that anybody may act on.
+	JoinTime = unanimousLease + leaseMargin
+	// leaseMargin is what an action that was begun within a lease takes at most, and the difference of clocks meanwhile.
+	leaseMargin = 500 * time.Millisecond
+	// removeAfter is the silence after which the row of a node is removed. It doubles each time that the node writes its row again,
+	// as it does if it is cut off from other nodes but not from the store.
+	removeAfter = 3 * time.Second
+	// removalStagger is what each live node that comes before adds to the silence, so that one node removes a row.
+	removalStagger = 500 * time.Millisecond
+	// maxRewrites bounds the doublings of removeAfter.
+	maxRewrites = 2
+	// stoppedRowTime is the silence after which the row of a node that announced its stop is removed. Nobody counts it, so that there is no
+	// hurry: it mostly starts again.
+	stoppedRowTime = time.Minute
+
+	never = time.Duration(math.MaxInt64)
+)
+
+// SetViewAge sets the function that returns how old this node's copy of the rows of the nodes is at most.
+func (m *Members) SetViewAge(age func() time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.viewAge = age
+}
+
+// Join records that this node has written its row. Known says that other nodes have counted this node all along, as it replaced
+// the row of an earlier process that had not announced its stop.
+func (m *Members) Join(known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.votesFrom, m.removesFrom = 0, 0
+	if now := m.timer.Now(); !known {
+		m.votesFrom, m.removesFrom = now+viewLease+leaseMargin, now+JoinTime
+	}
+}
+
+// Leave records that another node has removed this node's row. This node is joining again, and has no vote until after the
+// next Join.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.votesFrom, m.removesFrom = never, never
+	m.self.Joining, m.dirty = true, true
+	m.self.Revision++
+}
+
+// IsJoining reports whether this node has no vote yet.
+func (m *Members) IsJoining() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.votes()
+}
+
+// votes reports whether this node has a vote; m.mu is held.
+func (m *Members) votes() bool { return m.timer.Now() >= m.votesFrom }
+
+// SetRegistered sets the nodes that have a row in the store. A row alone does not make a node live.
+func (m *Members) SetRegistered(nodes []Info) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.timer.Now()
+	rows := map[string]bool{}
+	for _, i := range nodes {
+		rows[i.Name] = true
+		if p := m.upsert(i); p != nil && (!p.registered || p.row != i) {
+			if p.row.Boot == i.Boot {
+				p.rewrites++
+			} else {
+				p.rewrites = 0
+			}
+			p.registered, p.row, p.added = true, i, now
+		}
+	}
+	for name, p := range m.members {
+		if p.registered && !rows[name] {
+			p.registered, p.unregistered = false, now
+		}
+	}
+}
+
+// counts reports whether a peer counts as a member: it has not announced its stop, and it has a row, had one until recently or
+// is live without one; m.mu is held.
+func (m *Members) counts(p *member, now time.Duration) bool {
+	if p.info.Stopping {
+		return false
+	}
+	claimed := p.lastClaimed > 0 && now-p.lastClaimed < m.silenceTimeout(p.info.Domain)
+	return p.registered || now-p.unregistered < viewLease+leaseMargin || claimed || m.heardRecently(p, now)
+}
+
+// isMajority reports whether this node, if it has a vote, and a number of peers with one are a majority of the members; m.mu is held.
+func (m *Members) isMajority(peers int) bool {
+	now := m.timer.Now()
+	known := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
+	return 2*(peers+lo.Ternary(m.votes(), 1, 0)) > known+1
+}
+
+// IsMajority reports whether this node and a number of peers are a majority of the members that have not announced their stop.
+func (m *Members) IsMajority(peers int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isMajority(peers)
+}
+
+// LacksMajority reports whether this node and its live peers are no majority, so that the other nodes may treat it as gone, or may
+// have become members or removed others without this node knowing.
+func (m *Members) LacksMajority() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	voters := lo.CountBy(m.live(), func(i Info) bool { return !i.Joining })
+	return m.ageOfView() >= viewLease || !m.isMajority(voters)
+}
+
+// ageOfView returns how old this node's copy of the rows of the nodes is at most; m.mu is held.
+func (m *Members) ageOfView() time.Duration {
+	if m.viewAge == nil {
+		return 0
+	}
+	return m.viewAge()
+}
+
+// MayClaim reports whether the answers of some peers allow this node to claim tokens without a durable row, if the processes of
+// others have ended. With a recent copy of the rows that takes a majority of the members. As long as it lasts, an outage of the store
+// keeps nodes from being removed, and with an older copy it takes all members.
+func (m *Members) MayClaim(answered, ended []Info) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	age := m.ageOfView()
+	if age < viewLease {
+		return m.isMajority(lo.CountBy(answered, func(i Info) bool { return !i.Joining }))
+	}
+	if age >= unanimousLease || !m.votes() {
+		return false
+	}
+	now := m.timer.Now()
+	known := lo.SliceToMap(append(slices.Clone(answered), ended...), func(i Info) (string, bool) { return i.Name, true })
+	return lo.EveryBy(lo.Values(m.members), func(p *member) bool { return known[p.info.Name] || !m.counts(p, now) })
+}
+
+// Gone returns the rows that this node has to remove, as their nodes have been silent for long. The later this node comes by name
+// among the live ones that reach the store, the longer it leaves that to the others.
+func (m *Members) Gone() (gone []Info) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.timer.Now()
+	if now < m.removesFrom || m.ageOfView() >= viewLease {
+		return nil
+	}
+	before := lo.CountBy(m.live(), func(i Info) bool { return i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name })
+	wait := time.Duration(before) * removalStagger
+	for _, p := range m.members {
+		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added) >= m.removalSilence(p)+wait {
+			gone = append(gone, p.row)
+		}
+	}
+	slices.SortFunc(gone, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return gone
+}
+
+// removalSilence returns the silence after which a peer's row is removed; m.mu is held.
+func (m *Members) removalSilence(p *member) time.Duration {
+	if p.info.Stopping {
+		return stoppedRowTime
+	}
+	return max(removeAfter, m.silenceTimeout(p.info.Domain)) << min(p.rewrites, maxRewrites)
+}
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -44,9 +44,16 @@
 	lastHeard, suspectUntil time.Duration
 	// lastClaimed is when other nodes last claimed that the peer is live; on large sites only.
 	lastClaimed time.Duration
-	// added is when this node first learned of the peer, and lastMentioned when it last did: from the peer, from another
+	// added is when this node first learned of the peer or its row was written again, and lastMentioned when it last did: from the peer, from another
 	// node or from the store.
 	added, lastMentioned time.Duration
+	// registered says that the peer has a row in the store, and unregistered is when its row was found missing, or when the peer
+	// was added without one. row is what the row last held, and rewrites counts how often the same process has
+	// written it again since it was last heard.
+	registered   bool
+	unregistered time.Duration
+	row          Info
+	rewrites     int
 	// missed is the number of heartbeats to the peer since lastHeard, plus penalties for failed ones. It is used
 	// on large sites only.
 	missed int
@@ -63,8 +70,11 @@
 	lastOutage time.Duration
 	self       Info
 	members    map[string]*member
-	// registered is the set of nodes with a row in the store.
-	registered map[string]bool
+	// votesFrom is when this node has a vote among the members, and removesFrom when it may remove others; never before its row
+	// is written.
+	votesFrom, removesFrom time.Duration
+	// viewAge returns how old this node's copy of the rows of the nodes is at most; nil is up to date.
+	viewAge func() time.Duration
 	// domains are the failure domains that the settings name.
 	domains []string
 	// ownInFlight is the number of this node's requests on each replica, and lastBusy when there last was any.
@@ -90,12 +100,17 @@
 	domainPeers int
 }
 
-// NewMembers returns the membership of a node that has no peers yet; domains are the failure domains in the settings.
+// NewMembers returns the membership of a node that has no peers yet; domains are the failure domains in the settings. If self
+// is joining, it has no vote until Join.
 func NewMembers(timer hgtimer.Timer, self Info, domains ...string) *Members {
-	return &Members{
+	m := &Members{
 		timer: timer, created: timer.Now(), self: self, members: map[string]*member{}, domains: domains, dirty: true,
 		sources: map[string]*source{}, claims: newClaimLog(), programLog: newProgramLog(),
 	}
+	if self.Joining {
+		m.votesFrom, m.removesFrom = never, never
+	}
+	return m
 }
 
 // SetInFlight sets the number of this node's requests on each replica, which it reports to peers.
@@ -154,17 +169,6 @@
 	return m.lastOutage > 0 && m.timer.Now()-m.lastOutage < staleRowsTime
 }
 
-// SetRegistered sets the nodes that have a row in the store. A row alone does not make a node live.
-func (m *Members) SetRegistered(nodes []Info) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.registered = map[string]bool{}
-	for _, i := range nodes {
-		m.registered[i.Name] = true
-		m.upsert(i)
-	}
-}
-
 // upsert adds or updates the member for an Info that came from the node itself, a peer or the store. It returns nil if the
 // Info is of this node or has no name. m.mu is held.
 func (m *Members) upsert(i Info) *member {
@@ -175,7 +179,7 @@
 	have, ok := m.members[i.Name]
 	m.noteOutage(i)
 	if !ok {
-		have = &member{info: i, added: now}
+		have = &member{info: i, added: now, unregistered: now}
 		m.members[i.Name], m.dirty = have, true
 	}
 	have.lastMentioned = now
@@ -221,7 +225,7 @@
 	}
 	now := m.timer.Now()
 	m.dirty = m.dirty || !p.answered || !m.heardRecently(p, now)
-	p.answered, p.lastHeard, p.missed = true, now, 0
+	p.answered, p.lastHeard, p.missed, p.rewrites = true, now, 0, 0
 	if !b.Ask.SignOnly {
 		p.inFlight = b.InFlight
 	}
@@ -250,7 +254,7 @@
 func (m *Members) prune() {
 	now := m.timer.Now()
 	known := len(m.members)
-	maps.DeleteFunc(m.members, func(name string, p *member) bool { return !m.registered[name] && now-p.lastMentioned > forgetAfter })
+	maps.DeleteFunc(m.members, func(name string, p *member) bool { return !p.registered && now-p.lastMentioned > forgetAfter })
 	maps.DeleteFunc(m.sources, func(name string, _ *source) bool { return m.members[name] == nil })
 	m.dirty = m.dirty || len(m.members) < known
 }
@@ -348,27 +352,6 @@
 	return peers
 }
 
-// IsMajority reports whether this node and a number of peers are a majority of the known nodes that have not announced their
-// stop.
-func (m *Members) IsMajority(peers int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.isMajority(peers)
-}
-
-// isMajority is IsMajority with m.mu held.
-func (m *Members) isMajority(peers int) bool {
-	known := lo.CountBy(lo.Values(m.members), func(p *member) bool { return !p.info.Stopping })
-	return 2*(peers+1) > known+1
-}
-
-// LacksMajority reports whether this node and its live peers are no majority, so that the other nodes may treat it as gone.
-func (m *Members) LacksMajority() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.isMajority(len(m.live()))
-}
-
 // HeardWithin reports whether the peer itself was last heard from, and not only through others, within the last d.
 func (m *Members) HeardWithin(name string, d time.Duration) bool {
 	m.mu.Lock()
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -23,6 +23,8 @@
 	Power float64
 	// Ready says that the node serves callers, and Stopping that it shuts down.
 	Ready, Stopping bool
+	// Joining says that other nodes may not have read the node's row yet. The node counts as a member but has no vote.
+	Joining bool
 	// StoreOK says that the node reaches the store.
 	StoreOK bool
 	// Unsaved says that the node has claims on budgets that are not yet in a durable row, or that it has just moved an account
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -53,8 +53,10 @@
 
 	mu       sync.Mutex
 	snapshot Snapshot
-	// confirmedAt is when the store last answered, and failingSince when it began to fail; 0 while it answers.
+	// confirmedAt is when the last call that the store answered was sent, and confirmedWall the same on the wall clock. failingSince
+	// is when the store began to fail; 0 while it answers.
 	confirmedAt, failingSince time.Duration
+	confirmedWall             time.Time
 	// recoveredAt is when the store last answered again after an outage; 0 if there was none.
 	recoveredAt time.Duration
 	// listed says that the table was listed since the last failure, so that polls for changes can go on from there.
@@ -158,7 +160,7 @@
 // noteSuccess records that the store has answered; w.mu is held.
 func (w *Watch) noteSuccess() {
 	now := w.timer.Now()
-	w.confirmedAt = now
+	w.confirmedAt, w.confirmedWall = w.poll.began, w.poll.beganWall
 	if w.failingSince != 0 {
 		w.log.Info("watch of table recovered", "table", w.table, "after", now-w.failingSince)
 		w.failingSince, w.recoveredAt = 0, now
@@ -257,3 +259,10 @@
 	}
 	return w.timer.Now() - w.failingSince
 }
+
+// Age returns how old the snapshot is at most. The wall clock counts too, as the timer stands still while the VM is suspended.
+func (w *Watch) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(w.timer.Now()-w.confirmedAt, time.Now().Round(0).Sub(w.confirmedWall))
+}
--- a/internal/state/hgfeed/poll.go
+++ b/internal/state/hgfeed/poll.go
@@ -19,7 +19,9 @@
 type longPoll struct {
 	// cancel ends the call; nil if none is in flight.
 	cancel context.CancelFunc
-	began  time.Duration
+	// began and beganWall are when it was sent; the latter is a reading of the wall clock only.
+	began     time.Duration
+	beganWall time.Time
 	// wait is how long the store may hold the call.
 	wait time.Duration
 }
@@ -37,7 +39,7 @@
 	if w.peerVersion > w.snapshot.Version {
 		wait = min(wait, DefaultWait)
 	}
-	w.poll = longPoll{cancel: cancel, began: w.timer.Now(), wait: wait}
+	w.poll = longPoll{cancel: cancel, began: w.timer.Now(), beganWall: time.Now().Round(0), wait: wait}
 	return pollCtx, wait, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -44,6 +44,8 @@
 	// Sole counts the peers that replied with Sole, Holding those that replied without, and Unanswered those that did not
 	// answer.
 	Sole, Holding, Unanswered int
+	// Minority is set if the peers that answered, with this node, are no majority of all nodes.
+	Minority bool
 	// Taken maps ledgers to the largest claim that any peer knows of, in tokens.
 	Taken map[string]int
 }
@@ -189,11 +191,22 @@
 
 // fetchClaims asks peers for all claims on a program's budget that they know of.
 func (l *Ledger) fetchClaims(ctx context.Context, p *program) {
+	l.askClaims(ctx, p)
+}
+
+// fetchClaimsBeforeExcess is fetchClaims before a grant that may exceed the budget. It reports whether a majority of the nodes has
+// answered.
+func (l *Ledger) fetchClaimsBeforeExcess(ctx context.Context, p *program) (majority bool) {
+	return !l.askClaims(ctx, p).Minority
+}
+
+func (l *Ledger) askClaims(ctx context.Context, p *program) (a Answers) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if a := l.backup.Ask(ctx, SoleRequest{Program: p.id}); len(a.Taken) > 0 {
+	if a = l.backup.Ask(ctx, SoleRequest{Program: p.id}); len(a.Taken) > 0 {
 		l.mergeCopies(p, a.Taken)
 	}
+	return a
 }
 
 // mergeCopies keeps copies of the claims of other ledgers until the row records them.
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -132,10 +132,11 @@
 		mayOverrun := l.backup != nil && p.account.MayOverrun(g, budget)
 		switch {
 		case mayOverrun && l.backup.LacksMajority():
-			return Undecided, trace.LimitExceeded("no majority of the nodes is heard; other nodes may serve the program without a durable row")
+			return Undecided, errNoMajority()
 		case mayOverrun && !fetched:
-			fetched = true
-			l.fetchClaims(ctx, p)
+			if fetched = l.fetchClaimsBeforeExcess(ctx, p); !fetched {
+				return Undecided, errNoMajority()
+			}
 		case g.Spent && l.mayBeStale(p):
 			p.checkedAt = l.timer.Now()
 			if err := l.readAccount(ctx, p); err != nil {
@@ -161,6 +162,10 @@
 	}
 }
 
+func errNoMajority() error {
+	return trace.LimitExceeded("no majority of the nodes is heard; other nodes may serve the program without a durable row")
+}
+
 // closeAccount records in the row that a budget is exhausted, once. If the write fails, other nodes find out by
 // themselves.
 func (l *Ledger) closeAccount(ctx context.Context, p *program, budget, maxTokens int) {
