--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -87,13 +87,13 @@
 
 // Extend adds tokens to the reservation of a turn that was opened for a peer.
 func (h *peerHandler) Extend(q hgledger.ExtendRequest) hgledger.ExtendReply {
-	ctx, cancel := context.WithTimeout(h.ctx, heartbeatTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, closeTimeout)
 	defer cancel()
 	return h.ledger.Extend(ctx, q)
 }
 
-// closeTimeout bounds settling a turn or keeping a copy for a peer, which waits no longer for the answer, and each attempt to
-// save budgets.
+// closeTimeout bounds settling or extending a turn or keeping a copy for a peer, which waits no longer for the answer, and each
+// attempt to save budgets.
 const closeTimeout = 3 * time.Second
 
 // heartbeat returns what this node tells its peers, without the parts that depend on the peer.
