hgsoak: count retries of crashing requests as the rule does

BUDGET counts the retries that are sent later than contact_ms after a request has crashed its third replica.

A request whose third run is younger than contact_ms is now sent in a second burst after it, and no more than three runs may come later than contact_ms after the third one. For a request that crashed three replicas under faults the bound is the same as before, and a request with fewer is now tried after the bound of the rule, which the check did not do. TestSoak: no violation, 56 s.

--- a/internal/proof/hgsoak/crashing.go
+++ b/internal/proof/hgsoak/crashing.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -54,11 +55,29 @@
 	}
 }
 
-// checkCrashing sends the crashing requests through all entry VMs again after propagationTime. Each may run until it has
-// maxCrashes+maxRetries runs in total, or maxRetries more times if that is more.
+// checkCrashing sends the crashing requests through all entry VMs again after propagationTime. Each may get maxRetries runs later
+// than contactTime after its third one.
 func (s *soak) checkCrashing(ctx context.Context) {
 	time.Sleep(time.Until(s.calmSince.Add(propagationTime)))
-	before := s.crashingRuns()
+	began := time.Now()
+	s.resendCrashing(ctx)
+	if lo.SomeBy(lo.Values(s.crashingRuns()), func(runs []time.Time) bool { return began.Sub(thirdRun(runs)) < contactTime }) {
+		time.Sleep(contactTime)
+		s.resendCrashing(ctx)
+	}
+	s.check.mu.Lock()
+	defer s.check.mu.Unlock()
+	for program, runs := range s.crashingRuns() {
+		s.check.counts["runs of guilty requests"] += len(runs)
+		retries := lo.CountBy(runs, func(at time.Time) bool { return at.After(began) && at.Sub(thirdRun(runs)) > contactTime })
+		if retries > maxRetries {
+			s.check.violate("request of %s ran %d times in the calm, more than %v after its third of %d runs", program, retries, contactTime, len(runs))
+		}
+	}
+}
+
+// resendCrashing sends each crashing request several times through each entry VM.
+func (s *soak) resendCrashing(ctx context.Context) {
 	for range 2 * (maxCrashes + maxRetries) {
 		for _, i := range s.runningVMs() {
 			for _, q := range crashingRequests() {
@@ -67,17 +86,26 @@
 			}
 		}
 	}
-	s.check.mu.Lock()
-	defer s.check.mu.Unlock()
-	for program, after := range s.crashingRuns() {
-		s.check.counts["runs of guilty requests"] += after
-		if n := after - before[program]; n > max(maxRetries, maxCrashes+maxRetries-before[program]) {
-			s.check.violate("request of %s ran %d times after %d runs under faults", program, n, before[program])
-		}
+}
+
+// thirdRun returns the time of the third run, or the present if there are fewer.
+func thirdRun(runs []time.Time) time.Time {
+	if len(runs) < maxCrashes {
+		return time.Now()
 	}
+	return runs[maxCrashes-1]
 }
 
-// crashingRuns returns the number of runs of crashing requests by program.
-func (s *soak) crashingRuns() map[string]int {
-	return lo.CountValuesBy(lo.Filter(s.site.Runs(hgsite.Tools), func(r hgsite.Run, _ int) bool { return isCrashing(r) }), func(r hgsite.Run) string { return r.Program })
+// crashingRuns returns the times of the runs of crashing requests by program, oldest first.
+func (s *soak) crashingRuns() map[string][]time.Time {
+	times := map[string][]time.Time{}
+	for _, r := range s.site.Runs(hgsite.Tools) {
+		if isCrashing(r) {
+			times[r.Program] = append(times[r.Program], r.At)
+		}
+	}
+	for _, t := range times {
+		slices.SortFunc(t, time.Time.Compare)
+	}
+	return times
 }
