--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -36,6 +36,7 @@
 	// hurry: it mostly starts again.
 	stoppedRowTime = time.Minute
 
+	// never is later than any time of the timer.
 	never = time.Duration(math.MaxInt64)
 )
 
