--- a/internal/operate/hgentryvm/noderow.go
+++ b/internal/operate/hgentryvm/noderow.go
@@ -17,7 +17,7 @@
 	if i, err = infoCodec.Decode(row.Value); err != nil {
 		return i, err
 	}
-	if i.Name == "" || row.Key != nodeTable+"//"+i.Name {
+	if i.Name == "" || row.Key != nodeKey(i.Name) {
 		return i, trace.BadParameter("row of a node named %q", i.Name)
 	}
 	if i.Boot == "" || i.Started <= 0 {
--- a/internal/operate/hgentryvm/reach.go
+++ b/internal/operate/hgentryvm/reach.go
@@ -78,7 +78,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 		defer cancel()
-		if _, err := n.store.Scan(ctx, nodeTable+"//"+n.cfg.VM.Name, "", 1); err != nil {
+		if _, err := n.store.Scan(ctx, nodeKey(n.cfg.VM.Name), "", 1); err != nil {
 			n.log.Debug("probe of the store failed", "error", err)
 		}
 	}()
--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -20,6 +20,7 @@
 	maxRemoved = 45
 )
 
+// nodeKey returns the key of a node's row.
 func nodeKey(name string) string { return nodeTable + "//" + name }
 
 // register writes the node's row to the store, with retries until it has succeeded or the node ends. If counted is set, other nodes
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -44,8 +44,8 @@
 	lastHeard, suspectUntil time.Duration
 	// lastClaimed is when other nodes last claimed that the peer is live; on large sites only.
 	lastClaimed time.Duration
-	// added is when this node first learned of the peer or its row was written again, and lastMentioned when it last did: from the peer, from another
-	// node or from the store.
+	// added is when this node first learned of the peer or found its row written again, and lastMentioned when the peer was last
+	// mentioned: by itself, by another node or by the store.
 	added, lastMentioned time.Duration
 	// registered says that the peer has a row in the store, and unregistered is when its row was found missing, or when the peer
 	// was added without one. row is what the row last held, and rewrites counts how often the same process has
--- a/internal/proof/hgsite/early_test.go
+++ b/internal/proof/hgsite/early_test.go
@@ -130,13 +130,7 @@
 			defer l.Close()
 			go e.serve(l)
 			s := newSite(t, 1)
-			for _, r := range s.Replicas {
-				entry := r.Entry
-				entry.Address = l.Addr().String()
-				if err := s.Register(entry); err != nil {
-					t.Fatal(err)
-				}
-			}
+			registerAllAt(t, s, l.Addr().String())
 			time.Sleep(time.Second)
 			var wg sync.WaitGroup
 			for i := range 4 {
--- a/internal/proof/hgsite/endless_test.go
+++ b/internal/proof/hgsite/endless_test.go
@@ -106,13 +106,7 @@
 			defer l.Close()
 			go e.serve(l)
 			s := newSite(t, 1)
-			for _, r := range s.Replicas {
-				entry := r.Entry
-				entry.Address = l.Addr().String()
-				if err := s.Register(entry); err != nil {
-					t.Fatal(err)
-				}
-			}
+			registerAllAt(t, s, l.Addr().String())
 			time.Sleep(time.Second)
 			var peak atomic.Uint64
 			watch, stop := context.WithCancel(t.Context())
--- a/internal/proof/hgsite/rawreplica_test.go
+++ b/internal/proof/hgsite/rawreplica_test.go
@@ -44,13 +44,7 @@
 	t.Cleanup(func() { l.Close() })
 	r := &rawReplica{answer: answer, runs: map[string]int{}}
 	go r.serve(l)
-	for _, replica := range s.Replicas {
-		entry := replica.Entry
-		entry.Address = l.Addr().String()
-		if err := s.Register(entry); err != nil {
-			t.Fatal(err)
-		}
-	}
+	registerAllAt(t, s, l.Addr().String())
 	time.Sleep(applyLimit)
 	return r
 }
@@ -129,3 +123,15 @@
 func rawStream(id string, first, last int) string {
 	return rawStreamHead(id) + rawChunk(rawEvents(first, last)) + "0\r\n\r\n"
 }
+
+// registerAllAt registers one address for all replicas of a site, so that the stand-in that listens there takes their requests.
+func registerAllAt(t *testing.T, s *hgsite.Site, address string) {
+	t.Helper()
+	for _, r := range s.Replicas {
+		entry := r.Entry
+		entry.Address = address
+		if err := s.Register(entry); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
