hgentryvm: a VM that can't listen ends with its error

An entry VM whose Start fails, for example as a port is taken, had no server for callers yet, so that Close panicked and hid the error. The server is made with the node's other parts now.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -117,6 +117,10 @@
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.replicas, n.timer, log, n.metrics, n.suspects,
 		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)))
+	n.public = hgserver.NewServer(&http.Server{
+		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
+	}, log)
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, wait),
@@ -133,10 +137,6 @@
 	if err := n.listen(n.cfg.Listen.Peer, n.servePeers); err != nil {
 		return err
 	}
-	n.public = hgserver.NewServer(&http.Server{
-		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
-	}, n.log)
 	if err := n.listen(n.cfg.Listen.Public, n.public.Serve); err != nil {
 		return err
 	}
