hgsite: sites that start beside each other don't take each other's ports

What was kept of its log shows a store of a site that answered after NewSite had returned an error: its closures used the named result, which was nil by then. Subtests that run in parallel start eight sites at once, and all gave VM i the same host. A port is found by listening at port 0 and is free until the VM starts, so another site can take it.

Addresses come from hgloopback, which gives each call a host of its own; hgcell had the same logic and uses it too. A site that can't start is closed.

--- a/internal/proof/hgcell/cell.go
+++ b/internal/proof/hgcell/cell.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
-	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,6 +13,7 @@
 	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/peer/hgnode"
 	"hyssopgrade/internal/peer/hgnoderpc"
+	"hyssopgrade/internal/proof/hgloopback"
 	"hyssopgrade/internal/proof/hgreplay"
 	"hyssopgrade/internal/proof/hgstandin"
 	"hyssopgrade/internal/serve/hgcaller"
@@ -129,23 +127,13 @@
 	return cfg, nil
 }
 
-// loopbackHosts counts the loopback addresses that FreeAddress has used in this process.
-var loopbackHosts atomic.Uint32
-
-// FreeAddress returns an address that nothing listens at. Each call uses another host of 127.0.0.0/8, because the kernel may give a
-// free port of 127.0.0.1 to an outgoing connection before the caller listens at it. Where the system has only 127.0.0.1, it uses that.
+// FreeAddress returns an address that nothing listens at, each call one of another host.
 func FreeAddress() (address string, err error) {
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid&0xff, 1+loopbackHosts.Add(1)%254)
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		l, err = net.Listen("tcp", "127.0.0.1:0")
-	}
+	addresses, err := hgloopback.FreeAddresses(1)
 	if err != nil {
-		return "", trace.Wrap(err)
+		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses[0], nil
 }
 
 // StartNode starts a node with the given settings: an additional one, or one that was stopped. It isn't added to Nodes or Configs.
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgentryvm"
 	"hyssopgrade/internal/operate/hglog"
+	"hyssopgrade/internal/proof/hgloopback"
 	"hyssopgrade/internal/serve/hgdesired"
 	"hyssopgrade/internal/serve/hgreplica"
 	hgplatform "hyssopgrade/platform"
@@ -88,20 +88,24 @@
 	if log == nil {
 		log = hglog.Discard()
 	}
-	s = &Site{Store: hgstore.NewMemory(), Replicas: map[string]*Replica{}, log: log}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s.storeAddress = l.Addr().String()
-	handler := hgplatform.NewStoreHandler(s.Store)
-	s.store = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if slow := s.slow.Load(); slow != nil && r.URL.Query().Get("table") == slow.name {
+	site := &Site{Store: hgstore.NewMemory(), Replicas: map[string]*Replica{}, storeAddress: l.Addr().String(), log: log}
+	defer func() {
+		if err != nil {
+			site.Close()
+		}
+	}()
+	handler := hgplatform.NewStoreHandler(site.Store)
+	site.store = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if slow := site.slow.Load(); slow != nil && r.URL.Query().Get("table") == slow.name {
 			time.Sleep(slow.by)
 		}
 		handler.ServeHTTP(w, r)
 	})}
-	go func() { _ = s.store.Serve(l) }()
+	go func() { _ = site.store.Serve(l) }()
 	for i, e := range []hgreplica.Registration{
 		{ID: "engine-0", Service: Engines}, {ID: "engine-1", Service: Engines}, {ID: "tool-0", Service: Tools}, {ID: "tool-1", Service: Tools},
 	} {
@@ -110,20 +114,20 @@
 		if err != nil {
 			return nil, err
 		}
-		s.Replicas[e.ID] = r
-		if err := s.Register(r.Entry); err != nil {
+		site.Replicas[e.ID] = r
+		if err := site.Register(r.Entry); err != nil {
 			return nil, err
 		}
 	}
-	if err := s.SetDesired(Desired(1)); err != nil {
+	if err := site.SetDesired(Desired(1)); err != nil {
 		return nil, err
 	}
 	for range nodes {
-		if err := s.addNode(true); err != nil {
+		if err := site.addNode(true); err != nil {
 			return nil, err
 		}
 	}
-	return s, nil
+	return site, nil
 }
 
 // AddNode starts one more entry VM, one that has to load the state of the site before it serves.
@@ -172,22 +176,10 @@
 	return cfg, err
 }
 
-// loopback returns the address of entry VM i. It differs between processes, so that a VM that is down does not lose its port to a
-// site of another process.
-func loopback(i int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, i+1)
-}
-
 func entryConfig(i int, store string) (cfg hgconfig.EntryConfig, err error) {
-	addresses := make([]string, 5)
-	for k := range addresses {
-		l, err := net.Listen("tcp", loopback(i)+":0")
-		if err != nil {
-			return cfg, err
-		}
-		defer l.Close()
-		addresses[k] = l.Addr().String()
+	addresses, err := hgloopback.FreeAddresses(5)
+	if err != nil {
+		return cfg, err
 	}
 	cfg = hgconfig.DefaultEntryConfig()
 	cfg.VM = hgconfig.EntryVM{Name: fmt.Sprintf("vm-%d", i), Domain: Domains[i%len(Domains)], MemoryMB: 256, CPUShare: 1, Cores: 1, FirstStart: true}
