hgpeer: a VM without a row has no vote

What callers saw: nothing yet; found in review. A budget could be exceeded by two turns (BUDGET), as a VM without the store claimed tokens without a row while one with the store granted a turn that exceeds the budget.

Cause: whether a peer has a vote was its own word. A VM that was cut off, whose row was removed, and that comes back in touch with its peers but not with the store, does not know that it was removed and says that it is no newcomer. Those who hear it counted it as a member and with a vote; those on the other side of a cut, whose copy of the rows is without it, did not. Rows A, B, Q; A and B act as 2 of 3 without the store; Q acts with the removed P1 and P2 as 3 of 5.

Fix: a peer has a vote if it has a row in the copy of the one that counts the votes and is not joining. A row that was written again says itself that its VM joins, so that copy and vote agree. VMs that are heard without a row still count as members, which errs on the safe side.

TestMajority and TestVMsWithNewRowsHaveNoVote heard VMs that had no row; these now have one, as all VMs that vote. What is expected is unchanged.

--- a/internal/peer/hgpeer/backup.go
+++ b/internal/peer/hgpeer/backup.go
@@ -59,7 +59,7 @@
 			a.Unanswered++
 		}
 	}
-	a.Minority = !b.members.IsMajority(lo.CountBy(answered, func(i Info) bool { return !i.Joining }))
+	a.Minority = !b.members.IsMajority(answered)
 	if !b.members.MayClaim(answered, ended) {
 		a.Unanswered++
 	}
--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -112,18 +112,29 @@
 	return p.registered || now-p.unregistered < viewLease+leaseMargin || claimed || m.heardRecently(p, now)
 }
 
-// isMajority reports whether this node, if it has a vote, and a number of peers with one are a majority of the members; m.mu is held.
-func (m *Members) isMajority(peers int) bool {
+// hasVote reports whether a peer has a vote: it has a row and is not joining; m.mu is held. What others do not count must not vote
+// either, as they may be a majority without it.
+func (m *Members) hasVote(name string) bool {
+	p, ok := m.members[name]
+	return ok && p.registered && !p.info.Joining
+}
+
+// isMajority reports whether this node and some peers, as far as they have a vote, are a majority of the members; m.mu is held.
+func (m *Members) isMajority(peers []Info) bool {
 	now := m.timer.Now()
-	known := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
-	return 2*(peers+lo.Ternary(m.votes(), 1, 0)) > known+1
+	votes := lo.CountBy(peers, func(i Info) bool { return m.hasVote(i.Name) })
+	if m.votes() {
+		votes++
+	}
+	peersCounted := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
+	return 2*votes > peersCounted+1
 }
 
-// IsMajority reports whether this node and a number of peers are a majority of the members that have not announced their stop.
-func (m *Members) IsMajority(peers int) bool {
+// IsMajority reports whether this node and the peers that answered it are a majority of the members that have not announced their stop.
+func (m *Members) IsMajority(answered []Info) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.isMajority(peers)
+	return m.isMajority(answered)
 }
 
 // LacksMajority reports whether this node and its live peers are no majority, so that the other nodes may treat it as gone, or may
@@ -131,8 +142,7 @@
 func (m *Members) LacksMajority() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	voters := lo.CountBy(m.live(), func(i Info) bool { return !i.Joining })
-	return m.ageOfView() >= viewLease || !m.isMajority(voters)
+	return m.ageOfView() >= viewLease || !m.isMajority(m.live())
 }
 
 // ageOfView returns how old this node's copy of the rows of the nodes is at most; m.mu is held.
@@ -151,7 +161,7 @@
 	defer m.mu.Unlock()
 	age := m.ageOfView()
 	if age < viewLease {
-		return m.isMajority(lo.CountBy(answered, func(i Info) bool { return !i.Joining }))
+		return m.isMajority(answered)
 	}
 	if age >= unanimousLease || !m.votes() {
 		return false
--- a/internal/peer/hgpeer/members_test.go
+++ b/internal/peer/hgpeer/members_test.go
@@ -188,21 +188,25 @@
 		t.Run(name, func(t *testing.T) {
 			c := &clock{now: time.Minute}
 			m := hgpeer.NewMembers(c, info("self", "north"))
+			var heard, rows []hgpeer.Info
 			for i := range tc.heard + tc.silent + tc.stopped {
 				in := info(fmt.Sprint("peer", i), "north")
 				switch {
 				case i < tc.heard:
-					m.HandleReply(hgpeer.Beat{Info: in})
-				case i < tc.heard+tc.silent:
-					m.SetRegistered([]hgpeer.Info{in})
-				default:
-					m.SetRegistered([]hgpeer.Info{stopped(in.Name, in.Domain)})
+					heard = append(heard, in)
+				case i >= tc.heard+tc.silent:
+					in = stopped(in.Name, in.Domain)
 				}
+				rows = append(rows, in)
+			}
+			m.SetRegistered(rows)
+			for _, in := range heard {
+				m.HandleReply(hgpeer.Beat{Info: in})
 			}
 			if apart := m.LacksMajority(); apart != tc.apart {
 				t.Errorf("apart %v, want %v", apart, tc.apart)
 			}
-			if m.IsMajority(tc.heard) == tc.apart {
+			if m.IsMajority(heard) == tc.apart {
 				t.Error("IsMajority and LacksMajority disagree")
 			}
 		})
--- a/internal/peer/hgpeer/removal_test.go
+++ b/internal/peer/hgpeer/removal_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/internal/peer/hgpeer"
 )
 
@@ -59,9 +61,13 @@
 			self := info("self", "north")
 			self.Joining = tc.self
 			m := hgpeer.NewMembers(&clock{now: time.Minute}, self)
-			for i := range tc.joining + tc.known {
+			peers := lo.Times(tc.joining+tc.known, func(i int) hgpeer.Info {
 				in := info(fmt.Sprint("peer", i), "north")
 				in.Joining = i < tc.joining
+				return in
+			})
+			m.SetRegistered(peers)
+			for _, in := range peers {
 				m.HandleReply(hgpeer.Beat{Info: in})
 			}
 			if lacks := m.LacksMajority(); lacks != tc.lacks {
--- a/internal/peer/hgpeer/site_test.go
+++ b/internal/peer/hgpeer/site_test.go
@@ -45,6 +45,8 @@
 	up      bool
 	// powered says that the host answers that nobody listens, once the process has ended.
 	powered, stopping, slow bool
+	// storeCut says that the VM alone does not reach the store.
+	storeCut bool
 	starts, round           int
 	// rowVersion is the version of the VM's row as it wrote it, and readAt when it last read the rows.
 	rowVersion uint64
@@ -103,7 +105,7 @@
 	if !v.site.mutant.staleViews {
 		v.members.SetViewAge(func() time.Duration { return v.site.clock.now - v.readAt })
 	}
-	v.site.change(func() { v.up, v.powered, v.stopping, v.slow = true, true, false, false })
+	v.site.change(func() { v.up, v.powered, v.stopping, v.slow, v.storeCut = true, true, false, false, false })
 	v.ledger = hgledger.NewLedger(v.members.Self().Boot, cutTable{v.site.store, v.reachesStore}, timer, hglog.Discard(),
 		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(hgpeer.NewBackup(v.members, siteClient{v})),
 		hgledger.WithAllProgramsKnown(first), hgledger.WithReachability(v.state))
@@ -118,7 +120,7 @@
 func (v *siteVM) reachesStore() bool {
 	v.site.mu.Lock()
 	defer v.site.mu.Unlock()
-	return v.up && v.side < storeSides && !v.site.storeDown
+	return v.up && v.side < storeSides && !v.site.storeDown && !v.storeCut
 }
 
 func (v *siteVM) state() hgreach.State {
--- a/internal/peer/hgpeer/sitestep_test.go
+++ b/internal/peer/hgpeer/sitestep_test.go
@@ -54,7 +54,7 @@
 	}
 	v := up[r.IntN(len(up))]
 	some := lo.Filter(up, func(*siteVM, int) bool { return r.IntN(2) == 0 })
-	switch r.IntN(22) {
+	switch r.IntN(25) {
 	case 0:
 		side := r.IntN(sides)
 		s.change(func() {
@@ -105,6 +105,16 @@
 			saved, left := v.ledger.SaveClaims(context.Background())
 			s.note("save at %s: %d, %d left", v.name, saved, left)
 		}
+	case 13, 14:
+		s.change(func() { v.storeCut = !v.storeCut })
+		s.note("store cut at %s: %t", v.name, v.storeCut)
+	case 15:
+		s.change(func() {
+			for _, v := range some {
+				v.storeCut = true
+			}
+		})
+		s.note("store cut at %v", vmNames(some))
 	default:
 		for range turnsPerStep {
 			s.turn(r, fmt.Sprint("p", r.IntN(sitePrograms)), up[r.IntN(len(up))])
@@ -116,7 +126,7 @@
 	s.change(func() {
 		s.storeDown = false
 		for _, v := range s.vms {
-			v.side, v.slow = 0, false
+			v.side, v.slow, v.storeCut = 0, false, false
 		}
 	})
 	s.note("heal")
@@ -152,8 +162,7 @@
 // mayExceed reports whether a VM may grant a turn that exceeds the budget if other VMs have used what they claimed.
 func (v *siteVM) mayExceed() bool {
 	answered, _, _ := v.contacts()
-	voters := lo.CountBy(answered, func(i hgpeer.Info) bool { return !i.Joining })
-	return v.up && v.reachesStore() && !v.members.LacksMajority() && v.members.IsMajority(voters)
+	return v.up && v.reachesStore() && !v.members.LacksMajority() && v.members.IsMajority(answered)
 }
 
 // rivals returns a VM that may claim tokens without a row and one on another side that may exceed the budget with one, if there are any.
