hgpeer: a VM that stops has no vote

What callers saw: nothing yet; found in review. While one VM stopped and others were cut off, a budget could be exceeded by two turns (BUDGET).

Cause: a VM that has announced its stop does not count as a member, but its answers and heartbeats counted as votes. Of A, B, C and S, which stops, A acted with S as 2 of 3, and B and C as 2 of 3 on the other side of a cut.

Evidence: TestOnlyMembersVote failed: 'half and one that stops: lacks a majority: false, want true; may claim: true, want false'.

Fix: the votes of VMs that stop do not count.

--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -112,11 +112,11 @@
 	return p.registered || now-p.unregistered < viewLease+leaseMargin || claimed || m.heardRecently(p, now)
 }
 
-// hasVote reports whether a peer has a vote: it has a row and is not joining; m.mu is held. What others do not count must not vote
-// either, as they may be a majority without it.
+// hasVote reports whether a peer has a vote: it is a member with a row, and neither joining nor stopping; m.mu is held. What others do
+// not count must not vote either, as they may be a majority without it.
 func (m *Members) hasVote(name string) bool {
 	p, ok := m.members[name]
-	return ok && p.registered && !p.info.Joining
+	return ok && p.registered && !p.info.Joining && !p.info.Stopping
 }
 
 // isMajority reports whether this node and some peers, as far as they have a vote, are a majority of the members; m.mu is held.
@@ -172,12 +172,13 @@
 }
 
 // Gone returns the rows that this node has to remove, as their nodes have been silent for long. The later this node comes by name
-// among the live ones that reach the store, the longer it leaves that to the others.
+// among the live ones that reach the store, the longer it leaves that to the others. A node that stops removes none: all others may act
+// together in an outage of the store without counting it.
 func (m *Members) Gone() (gone []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.timer.Now()
-	if now < m.removesFrom || m.ageOfView() >= viewLease {
+	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease {
 		return nil
 	}
 	before := lo.CountBy(m.live(), func(i Info) bool { return i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name })
--- a/internal/peer/hgpeer/site_test.go
+++ b/internal/peer/hgpeer/site_test.go
@@ -46,8 +46,8 @@
 	// powered says that the host answers that nobody listens, once the process has ended.
 	powered, stopping, slow bool
 	// storeCut says that the VM alone does not reach the store.
-	storeCut bool
-	starts, round           int
+	storeCut      bool
+	starts, round int
 	// rowVersion is the version of the VM's row as it wrote it, and readAt when it last read the rows.
 	rowVersion uint64
 	readAt     time.Duration
@@ -294,13 +294,18 @@
 	return version
 }
 
-// stop stops a VM as SIGTERM does.
-func (v *siteVM) stop() {
+// announceStop is what a VM does at the beginning of a stop: it tells its peers and returns budgets, and goes on serving turns.
+func (v *siteVM) announceStop() {
 	v.stopping = true
 	v.tick()
 	if v.reachesStore() {
 		v.ledger.ReturnUnused(context.Background())
 		v.rowVersion = v.put("hgnode//"+v.name, v.members.Self())
 	}
+}
+
+// stop stops a VM as SIGTERM does, with no turn under way.
+func (v *siteVM) stop() {
+	v.announceStop()
 	v.site.change(func() { v.up = false })
 }
--- a/internal/peer/hgpeer/sitestep_test.go
+++ b/internal/peer/hgpeer/sitestep_test.go
@@ -54,7 +54,7 @@
 	}
 	v := up[r.IntN(len(up))]
 	some := lo.Filter(up, func(*siteVM, int) bool { return r.IntN(2) == 0 })
-	switch r.IntN(25) {
+	switch r.IntN(26) {
 	case 0:
 		side := r.IntN(sides)
 		s.change(func() {
@@ -115,6 +115,11 @@
 			}
 		})
 		s.note("store cut at %v", vmNames(some))
+	case 16:
+		if !v.stopping {
+			v.announceStop()
+			s.note("%s announces its stop", v.name)
+		}
 	default:
 		for range turnsPerStep {
 			s.turn(r, fmt.Sprint("p", r.IntN(sitePrograms)), up[r.IntN(len(up))])
@@ -156,7 +161,7 @@
 // mayClaim reports whether a VM may claim tokens without a row, as far as members are concerned.
 func (v *siteVM) mayClaim() bool {
 	answered, ended, complete := v.contacts()
-	return v.up && !v.stopping && complete && len(answered) > 0 && v.members.MayClaim(answered, ended)
+	return v.up && complete && len(answered) > 0 && v.members.MayClaim(answered, ended)
 }
 
 // mayExceed reports whether a VM may grant a turn that exceeds the budget if other VMs have used what they claimed.
--- a/internal/peer/hgpeer/vote_test.go
+++ b/internal/peer/hgpeer/vote_test.go
@@ -21,6 +21,9 @@
 	}{
 		"all members":                         {counted: 4, heard: 4, majority: true},
 		"half of the members":                 {counted: 3, heard: 1},
+		"half and one that stops":             {counted: 3, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
+		"one and one that stops":              {counted: 2, heard: 0, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
+		"most of the members and that":        {counted: 2, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true, majority: true},
 		"one and two without rows":            {counted: 2, heard: 0, uncounted: []hgpeer.Info{info("x", "north"), info("y", "north")}},
 		"one and two with new rows":           {counted: 2, heard: 0, uncounted: []hgpeer.Info{joining("x"), joining("y")}, registered: true},
 		"most of the members and one without": {counted: 4, heard: 3, uncounted: []hgpeer.Info{info("x", "north")}, majority: true},
