--- a/internal/peer/hgpeer/site_test.go
+++ b/internal/peer/hgpeer/site_test.go
@@ -45,7 +45,9 @@
 	up      bool
 	// powered says that the host answers that nobody listens, once the process has ended.
 	powered, stopping, slow bool
-	starts, round           int
+	// storeCut says that the VM alone does not reach the store.
+	storeCut      bool
+	starts, round int
 	// rowVersion is the version of the VM's row as it wrote it, and readAt when it last read the rows.
 	rowVersion uint64
 	readAt     time.Duration
@@ -103,7 +105,7 @@
 	if !v.site.mutant.staleViews {
 		v.members.SetViewAge(func() time.Duration { return v.site.clock.now - v.readAt })
 	}
-	v.site.change(func() { v.up, v.powered, v.stopping, v.slow = true, true, false, false })
+	v.site.change(func() { v.up, v.powered, v.stopping, v.slow, v.storeCut = true, true, false, false, false })
 	v.ledger = hgledger.NewLedger(v.members.Self().Boot, cutTable{v.site.store, v.reachesStore}, timer, hglog.Discard(),
 		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(hgpeer.NewBackup(v.members, siteClient{v})),
 		hgledger.WithAllProgramsKnown(first), hgledger.WithReachability(v.state))
@@ -118,7 +120,7 @@
 func (v *siteVM) reachesStore() bool {
 	v.site.mu.Lock()
 	defer v.site.mu.Unlock()
-	return v.up && v.side < storeSides && !v.site.storeDown
+	return v.up && v.side < storeSides && !v.site.storeDown && !v.storeCut
 }
 
 func (v *siteVM) state() hgreach.State {
@@ -292,13 +294,18 @@
 	return version
 }
 
-// stop stops a VM as SIGTERM does.
-func (v *siteVM) stop() {
+// announceStop is what a VM does at the beginning of a stop: it tells its peers and returns budgets, and goes on serving turns.
+func (v *siteVM) announceStop() {
 	v.stopping = true
 	v.tick()
 	if v.reachesStore() {
 		v.ledger.ReturnUnused(context.Background())
 		v.rowVersion = v.put("hgnode//"+v.name, v.members.Self())
 	}
+}
+
+// stop stops a VM as SIGTERM does, with no turn under way.
+func (v *siteVM) stop() {
+	v.announceStop()
 	v.site.change(func() { v.up = false })
 }
