hgfeed: changes that arrive after a peer's newer copy don't undo it

A VM that has just got the store back may keep a replica as ready that has registered as leaving since, or one that is gone, until the table is listed again: after the next failure, or never.

Cause: a poll's changes were applied to whatever the table was by then. If a peer's copy, asked for while the store failed, arrives while the poll is under way, the older changes went over the copy's newer rows, and the next poll continued after the copy's version, so that the newer changes were never delivered again. The window is narrow: a peer is asked only after 250 ms of failure, and its answer has to cross the list and the first poll after that.

Evidence: TestLateChangesDoNotUndoNewerCopy failed before: late_test.go:59: rows (-want +got): t//a: - Version: 3 'leaving' + Version: 2 'ready'; + t//ended: Version 2

Changes are applied only to the version that they were asked for. The others are polled for again from the copy's version. The package's tests pass with the race detector (12.4 s).

--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if err == nil {
-		w.applyChanges(changes, version)
+		w.applyChanges(after, changes, version)
 	}
 	return err
 }
@@ -194,9 +194,15 @@
 	return true
 }
 
-func (w *Watch) applyChanges(changes []hgstore.Change, version uint64) {
+// applyChanges applies the changes after a version, unless a peer's copy has replaced the snapshot that they continue. Those that
+// the copy does not include are polled for again.
+func (w *Watch) applyChanges(after uint64, changes []hgstore.Change, version uint64) {
 	w.mu.Lock()
 	w.noteSuccess()
+	if w.snapshot.Version != after {
+		w.mu.Unlock()
+		return
+	}
 	for _, c := range changes {
 		if c.Deleted {
 			delete(w.snapshot.Rows, c.Key)
