entry: a comment in a stream is no event

A stream with keep-alive comments was broken off midway for callers, each time and at each replica, and a stream that closed in order after a comment, before its first event, ended as complete; a turn was kept without output.

Comments used up the turn's reservation, and let a stream without an event pass for one with some.

Blocks with neither an identifier nor data are relayed as they are and are not counted, as by the format of event streams they dispatch nothing.

--- a/internal/proof/hgsite/rawreplica_test.go
+++ b/internal/proof/hgsite/rawreplica_test.go
@@ -31,7 +31,7 @@
 // rawRequest is a request that a rawReplica has received.
 type rawRequest struct {
 	hgattempt.Attempt
-	Replica string
+	Replica, Body string
 }
 
 // useRawReplica makes all replicas of a site answer with the bytes that answer returns.
@@ -67,14 +67,15 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
 			return
 		}
 		a, err := hgplatform.Dialect{}.DecodeAttempt(q.Header)
 		if err != nil {
 			return
 		}
-		data, ran, end := r.answer(n, rawRequest{Attempt: a, Replica: hgplatform.ExpectedReplica(q.Header)})
+		data, ran, end := r.answer(n, rawRequest{Attempt: a, Replica: hgplatform.ExpectedReplica(q.Header), Body: string(body)})
 		if ran {
 			r.mu.Lock()
 			r.runs[a.ID]++
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -164,7 +164,7 @@
 			}
 			resumes = false
 		}
-		if !x.fitsReservation(s) {
+		if !e.isEmpty() && !x.fitsReservation(s) {
 			return errTokenLimit
 		}
 		x.writeHead(s, t)
@@ -227,8 +227,11 @@
 	return 0, nil, nil
 }
 
-// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data.
+// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event.
 func (x *exchange) recordEvent(s *stream, e event) {
+	if e.isEmpty() {
+		return
+	}
 	s.events++
 	s.sequence = s.sequence.With(e)
 	if e.hasID {
