entry: lines of events may end with a carriage return and a line feed

All streams of a replica that ends its lines with CR LF were answered 502, after they had been held up to their end; where it ended lines so and events with two line feeds, the text of kept turns had carriage returns that belong to no event. A stream with one more empty line behind its last event was broken off behind that event.

Cause: only two line feeds in a row ended an event, and what was left at the end of a stream counted as a broken event though it was blank.

Evidence: four cases of TestEventsInAllNotations failed before: carriage_returns, some_carriage_returns: eventstream_test.go:64: status 502, 'stream ends within an event' other_carriage_returns: eventstream_test.go:71: body of the next turn: 'in word1\r\nword2\r\n...' empty_line_behind_the_last: eventstream_test.go:64: status 200, complete false

An event ends with an empty line, whichever of the two line ends the format allows beside a lone carriage return it has; bytes are passed on as they came. A stream that ends within an event is still broken, also between CR and LF (TestSplitEvent, at once and byte by byte). Lone carriage returns as line ends are not supported, as before.

--- a/internal/proof/hgsite/eventstream_test.go
+++ b/internal/proof/hgsite/eventstream_test.go
@@ -24,11 +24,17 @@
 func eventStreams() map[string]string {
 	lines := rawEvents(1, hgsite.Events)
 	return map[string]string{
-		"line feeds":                lines,
-		"comment before each event": strings.ReplaceAll(lines, "id:", ": wait\n\nid:"),
-		"comment in each event":     strings.ReplaceAll(lines, "data:", ": wait\ndata:"),
-		"comment behind the last":   lines + ": done\n\n",
-		"type of event alone":       lines + "event: end\n\n",
+		"line feeds":                 lines,
+		"comment before each event":  strings.ReplaceAll(lines, "id:", ": wait\n\nid:"),
+		"comment in each event":      strings.ReplaceAll(lines, "data:", ": wait\ndata:"),
+		"comment behind the last":    lines + ": done\n\n",
+		"type of event alone":        lines + "event: end\n\n",
+		"carriage returns":           strings.ReplaceAll(lines, "\n", "\r\n"),
+		"some carriage returns":      strings.ReplaceAll(lines, "\n\n", "\n\r\n"),
+		"other carriage returns":     strings.ReplaceAll(lines, "\n\n", "\r\n\n"),
+		"empty lines between":        strings.ReplaceAll(lines, "id:", "\n\nid:"),
+		"empty line behind the last": lines + "\n",
+		"no space behind colons":     strings.ReplaceAll(lines, ": ", ":"),
 	}
 }
 
--- a/internal/serve/hgentry/event.go
+++ b/internal/serve/hgentry/event.go
@@ -2,9 +2,46 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// errTruncatedEvent means that the stream ended without the empty line that ends an event.
+var errTruncatedEvent = errors.New("stream ends within an event")
+
+// splitEvent is a bufio.SplitFunc that returns events including the empty line that ends them. Lines end with a line feed or with a
+// carriage return and a line feed. Empty lines at the end of the stream are returned, too.
+func splitEvent(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	for end := 0; ; {
+		i := bytes.IndexByte(data[end:], '\n')
+		if i < 0 {
+			break
+		}
+		end += i + 1
+		if n := emptyLine(data[end:]); n > 0 {
+			return end + n, data[:end+n], nil
+		}
+	}
+	switch {
+	case !atEOF || len(data) == 0:
+		return 0, nil, nil
+	case len(bytes.Trim(data, "\r\n")) == 0:
+		return len(data), data, nil
+	}
+	return 0, nil, errTruncatedEvent
+}
+
+// emptyLine returns the length of the empty line at the beginning of data; 0 if there is none.
+func emptyLine(data []byte) int {
+	switch {
+	case bytes.HasPrefix(data, []byte("\n")):
+		return 1
+	case bytes.HasPrefix(data, []byte("\r\n")):
+		return 2
+	}
+	return 0
+}
+
 // event is the content of one event of a stream.
 type event struct {
 	id    string
@@ -16,7 +53,7 @@
 // parseEvent parses an event; lines that are no fields of one are ignored.
 func parseEvent(raw []byte) (e event) {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
--- a/internal/serve/hgentry/event_test.go
+++ b/internal/serve/hgentry/event_test.go
@@ -1,6 +1,53 @@
 package hgentry
 
-import "testing"
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against an event that is held back, cut or joined with the next one, however its lines end and its bytes arrive.
+func TestSplitEvent(t *testing.T) {
+	tests := map[string]struct {
+		stream string
+		want   []string
+		whole  bool
+	}{
+		"line feeds":                   {"id: 1\n\nid: 2\n\n", []string{"id: 1\n\n", "id: 2\n\n"}, true},
+		"carriage returns":             {"id: 1\r\n\r\nid: 2\r\n\r\n", []string{"id: 1\r\n\r\n", "id: 2\r\n\r\n"}, true},
+		"both":                         {"id: 1\n\r\nid: 2\r\n\n", []string{"id: 1\n\r\n", "id: 2\r\n\n"}, true},
+		"carriage return in a line":    {"data: a\rb\n\ndata: \r\r\n\n", []string{"data: a\rb\n\n", "data: \r\r\n\n"}, true},
+		"empty lines between":          {"id: 1\n\n\n\nid: 2\n\n", []string{"id: 1\n\n", "\n\n", "id: 2\n\n"}, true},
+		"empty line at the end":        {"id: 1\r\n\r\n\r\n", []string{"id: 1\r\n\r\n", "\r\n"}, true},
+		"no events":                    {"", nil, true},
+		"ends in a line":               {"id: 1\n\nid: 2", []string{"id: 1\n\n"}, false},
+		"ends behind a line":           {"id: 1\n\nid: 2\n", []string{"id: 1\n\n"}, false},
+		"ends behind carriage returns": {"id: 1\r\n\r\nid: 2\r\n\r", []string{"id: 1\r\n\r\n"}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for arrival, r := range map[string]io.Reader{"at once": strings.NewReader(tt.stream), "byte by byte": iotest.OneByteReader(strings.NewReader(tt.stream))} {
+				events := bufio.NewScanner(r)
+				events.Split(splitEvent)
+				var got []string
+				for events.Scan() {
+					got = append(got, events.Text())
+				}
+				if err := events.Err(); (err == nil) != tt.whole || err != nil && !errors.Is(err, errTruncatedEvent) {
+					t.Errorf("%s: error %v", arrival, err)
+				}
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("%s: events (-want +got):\n%s", arrival, diff)
+				}
+			}
+		})
+	}
+}
 
 func TestSequence(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"net/http"
 	"time"
@@ -213,20 +212,6 @@
 	x.w.WriteHeader(x.status)
 }
 
-// errTruncatedEvent means that the stream ended without the blank line that ends an event.
-var errTruncatedEvent = errors.New("stream ends within an event")
-
-// splitEvent is a bufio.SplitFunc that returns events including the blank line that ends them.
-func splitEvent(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
-		return i + 2, data[:i+2], nil
-	}
-	if atEOF && len(data) > 0 {
-		return 0, nil, errTruncatedEvent
-	}
-	return 0, nil, nil
-}
-
 // recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event.
 func (x *exchange) recordEvent(s *stream, e event) {
 	if e.isEmpty() {
