hgendpoint: redirects of endpoints are not followed

A call that is idempotent ran at any address that its endpoint named, as a GET without its body, and what that address answered counted as the tool's result; so did load reports, outcomes and lists of programs of another address.

Cause: only the client of calls that are not idempotent refused to follow redirects. Whoever is redirected to repeats the request's headers, so that its identifier proves nothing.

Both clients return a redirect as the endpoint's answer.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -45,7 +45,7 @@
 	return &HTTP{
 		name:   name,
 		base:   "http://" + address,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}, CheckRedirect: noRedirect},
 		// The transport of net/http resends some requests when a reused connection turns out to be closed; without
 		// keep-alive no connection is reused.
 		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
