hgendpoint: a switch of protocols is no answer

A tool call whose endpoint answered 101 and then said nothing held its place and its program beyond every deadline.

Cause: after 101 the body is the connection itself, which does not end with the request's context, and was read to its end.

A status below 200 is an error of a call that may have run. The package's tests pass with the race detector.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -209,9 +209,13 @@
 	return nil, &Error{Sent: !dialFailed, Cut: ctx.Err() == nil, Err: err}
 }
 
-// checkStatus returns an *Error for 412 and for every 5xx but 500. By 503 (draining) and 412 (newer fencing number seen) the
+// checkStatus returns an *Error for 1xx, for 412 and for every 5xx but 500. By 503 (draining) and 412 (newer fencing number seen) the
 // endpoint says that it did not run the request; after the others it may have run it. A 500 is an answer of the tool.
 func (a *answer) checkStatus(request string) (err error) {
+	if a.StatusCode < http.StatusOK {
+		// After 101 the body is the connection itself, which does not end with the request's context.
+		return &Error{Sent: true, Err: fmt.Errorf("endpoint answered request %q with status %d", request, a.StatusCode)}
+	}
 	if a.StatusCode < http.StatusInternalServerError && a.StatusCode != http.StatusPreconditionFailed {
 		return nil
 	}
