hgledger: a row with a deeper key hides no turn

A kept turn whose text takes several rows was answered 503 for good, by all programs, while another writer's row lay among its rows.

Cause: the last part of a key was taken for the number of a row and the rest for the turn, whatever it was. A row whose key goes on behind a slash sorts between the turn's rows and began another turn, and the rows behind it lacked the first ones.

Keys that are not of the form of a turn's rows are passed over. The package's tests of turns and odd rows pass with the race detector.

--- a/internal/state/hgledger/chunk.go
+++ b/internal/state/hgledger/chunk.go
@@ -29,8 +29,11 @@
 // add adds a row by the end of its key, and returns the turn if the row completes one. An error says that the row, or the rows before
 // it, belong to no turn.
 func (c *chunks) add(key string, value []byte) (turn hgturn.Turn, complete bool, err error) {
-	end := strings.LastIndexByte(key, '/')
-	name := key[:max(end, 0)]
+	// A key of another form may sort between the rows of a turn.
+	if strings.Count(key, "/") != 2 {
+		return turn, false, trace.BadParameter("no key of a turn")
+	}
+	name := key[:strings.LastIndexByte(key, '/')]
 	if name != c.turn {
 		*c = chunks{turn: name}
 	}
