hgfeed: rows of other partitions of a table are not among the watched ones

A replica that another writer had put into a part of the table was used by VMs whose watch was running, under the name of its whole key, until it answered 421, and not by VMs that started later.

Cause: tables are listed in the partition without a name, while the store reports changes in all partitions; these were taken as they came.

Evidence: TestRowsOfOtherPartitionsAreIgnored failed before: part_test.go:17: rows (-want +got): + t/changed/x

Changes elsewhere are left out. The package's tests pass with the race detector (12.8 s).

--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,7 +122,7 @@
 	pollCtx, wait, end := w.beginPoll(ctx)
 	defer end()
 	if !listed {
-		rows, version, err := w.store.List(pollCtx, w.table+"//")
+		rows, version, err := w.store.List(pollCtx, w.prefix())
 		if err == nil {
 			w.applyList(rows, version)
 		}
@@ -140,11 +141,16 @@
 		return nil
 	}
 	if err == nil {
+		// The store reports the changes of all partitions of the table.
+		changes = lo.Filter(changes, func(c hgstore.Change, _ int) bool { return strings.HasPrefix(c.Key, w.prefix()) })
 		w.applyChanges(after, changes, version)
 	}
 	return err
 }
 
+// prefix returns the prefix of the keys of the watched rows, which are in the partition without a name.
+func (w *Watch) prefix() string { return w.table + "//" }
+
 func (w *Watch) noteFailure(err error) {
 	now := w.timer.Now()
 	w.mu.Lock()
