--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"net/http"
 	"time"
@@ -164,7 +163,7 @@
 			}
 			resumes = false
 		}
-		if !x.fitsReservation(s) {
+		if !e.isEmpty() && !x.fitsReservation(s) {
 			return errTokenLimit
 		}
 		x.writeHead(s, t)
@@ -213,22 +212,11 @@
 	x.w.WriteHeader(x.status)
 }
 
-// errTruncatedEvent means that the stream ended without the blank line that ends an event.
-var errTruncatedEvent = errors.New("stream ends within an event")
-
-// splitEvent is a bufio.SplitFunc that returns events including the blank line that ends them.
-func splitEvent(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
-		return i + 2, data[:i+2], nil
-	}
-	if atEOF && len(data) > 0 {
-		return 0, nil, errTruncatedEvent
-	}
-	return 0, nil, nil
-}
-
-// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data.
+// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event.
 func (x *exchange) recordEvent(s *stream, e event) {
+	if e.isEmpty() {
+		return
+	}
 	s.events++
 	s.sequence = s.sequence.With(e)
 	if e.hasID {
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,7 +122,7 @@
 	pollCtx, wait, end := w.beginPoll(ctx)
 	defer end()
 	if !listed {
-		rows, version, err := w.store.List(pollCtx, w.table+"//")
+		rows, version, err := w.store.List(pollCtx, w.prefix())
 		if err == nil {
 			w.applyList(rows, version)
 		}
@@ -140,11 +141,16 @@
 		return nil
 	}
 	if err == nil {
-		w.applyChanges(changes, version)
+		// The store reports the changes of all partitions of the table.
+		changes = lo.Filter(changes, func(c hgstore.Change, _ int) bool { return strings.HasPrefix(c.Key, w.prefix()) })
+		w.applyChanges(after, changes, version)
 	}
 	return err
 }
 
+// prefix returns the prefix of the keys of the watched rows, which are in the partition without a name.
+func (w *Watch) prefix() string { return w.table + "//" }
+
 func (w *Watch) noteFailure(err error) {
 	now := w.timer.Now()
 	w.mu.Lock()
@@ -194,9 +200,15 @@
 	return true
 }
 
-func (w *Watch) applyChanges(changes []hgstore.Change, version uint64) {
+// applyChanges applies the changes after a version, unless a peer's copy has replaced the snapshot that they continue. Those that
+// the copy does not include are polled for again.
+func (w *Watch) applyChanges(after uint64, changes []hgstore.Change, version uint64) {
 	w.mu.Lock()
 	w.noteSuccess()
+	if w.snapshot.Version != after {
+		w.mu.Unlock()
+		return
+	}
 	for _, c := range changes {
 		if c.Deleted {
 			delete(w.snapshot.Rows, c.Key)
