hgledger: kept turns return what they did not use when they end

Callers of kept turns got 402 for good after a few VMs were killed, though most of the budget was unused: a ledger claimed half of the rest with a turn, and the claim of a ledger that has ended counts as spent.

While the store answers as usual, a kept turn claims only what open turns, and turns that wait for the program's lock, may use. When it ends, the account's row is written in the transaction that keeps the turn, with the claim reduced to what is used, reserved or held back. The rows wait for the program's lock for 2 ms at most. The write holds the lock for 50 ms at most, and is left out if the store is slow, the account is in another partition or its row is not known. A conflict drops it alone; the rows go again. The turn counts as open until it is stored, so a stop still waits for it; its tokens count whether it is stored or not. In a slow store claims and writes are as before.

A write that reduces a claim may be applied after the row was read again. A ledger that used the share it had read would then use tokens that others claim, so it is limited to the reduced claim until the row has another version (hgaccount.Reduction). ReturnUnused had the same fault, at a stop only, after which no turn is opened.

Turns that end at the same moment leave their rest claimed until the program's next kept turn ends; a kill in between still costs it.

BUDGET: the model covers returns of kept turns with lost replies and two late writes, no longer reads the row before each claim, and counts reservations as delivered. TestBudgetHoldsInCuts has cases with kept turns.

--- a/internal/state/hgaccount/account.go
+++ b/internal/state/hgaccount/account.go
@@ -66,6 +66,17 @@
 	return g
 }
 
+// ReserveOnly is ReserveBeside, but claims no more than open turns may use and, of what is unclaimed, the given number of tokens for
+// turns that are about to be opened.
+func (a Account) ReserveOnly(held, next, budget, maxTokens int) Grant {
+	g := a.ReserveBeside(held, budget, maxTokens)
+	if g.NeedsWrite {
+		needed := g.Account.Used + g.Account.Open + held
+		g.Account.Mine = needed + max(min(next, budget-a.Others-needed), 0)
+	}
+	return g
+}
+
 // MayOverrun reports whether a grant exceeds the budget in case all other nodes have used their whole shares.
 func (a Account) MayOverrun(g Grant, budget int) bool {
 	return !g.Spent && g.NeedsWrite && g.Account.Mine+a.Others > budget
--- a/internal/state/hgaccount/account_test.go
+++ b/internal/state/hgaccount/account_test.go
@@ -32,3 +32,29 @@
 		})
 	}
 }
+
+// A reservation for open turns only claims no more than they and the turns that wait may use.
+func TestReserveOnly(t *testing.T) {
+	type account = hgaccount.Account
+	tests := map[string]struct {
+		have       account
+		held, next int
+		want       hgaccount.Grant
+	}{
+		"first turn":                  {account{}, 0, 0, hgaccount.Grant{Account: account{Mine: 100, Open: 100}, NeedsWrite: true}},
+		"beside used and open tokens": {account{Mine: 150, Used: 50, Open: 100}, 0, 0, hgaccount.Grant{Account: account{Mine: 250, Used: 50, Open: 200}, NeedsWrite: true}},
+		"beside a shortfall":          {account{Mine: 50, Open: 50}, 30, 0, hgaccount.Grant{Account: account{Mine: 180, Open: 150}, NeedsWrite: true}},
+		"turns wait":                  {account{}, 0, 300, hgaccount.Grant{Account: account{Mine: 400, Open: 100}, NeedsWrite: true}},
+		"more turns wait than fit":    {account{Others: 700}, 0, 300, hgaccount.Grant{Account: account{Others: 700, Mine: 300, Open: 100}, NeedsWrite: true}},
+		"turns wait, budget is used":  {account{Others: 950}, 0, 300, hgaccount.Grant{Account: account{Others: 950, Mine: 100, Open: 100}, NeedsWrite: true}},
+		"share from a slow store":     {account{Mine: 500, Used: 50}, 0, 300, hgaccount.Grant{Account: account{Mine: 500, Used: 50, Open: 100}}},
+		"no more than the budget":     {account{Mine: 950, Used: 950}, 0, 0, hgaccount.Grant{Account: account{Mine: 950, Used: 950}, Spent: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, tt.have.ReserveOnly(tt.held, tt.next, 1000, 100)); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/state/hgaccount/model_test.go
+++ b/internal/state/hgaccount/model_test.go
@@ -1,10 +1,6 @@
 package hgaccount_test
 
-import (
-	"testing"
-
-	"hyssopgrade/internal/state/hgaccount"
-)
+import "hyssopgrade/internal/state/hgaccount"
 
 // A bounded model checker for the budget: several ledgers serve one program through one versioned row. All
 // interleavings up to a small bound are explored, with writes whose replies are lost, writes that are applied late and
@@ -14,15 +10,19 @@
 	modelMaxTokens = 2
 	// numLedgers is the number of ledgers. Each crashes at most once and is not replaced.
 	numLedgers = 2
-	// maxOpen bounds the open turns of a ledger, maxSteps the length of a history.
-	maxOpen  = 2
-	maxSteps = 8
+	// maxOpen bounds the open turns of a ledger, maxSteps the length of a history, and maxKeptSteps that of one with kept turns,
+	// which have more ways to end.
+	maxOpen      = 2
+	maxSteps     = 8
+	maxKeptSteps = 7
+	// maxDelayed bounds the writes without a reply that are not applied yet.
+	maxDelayed = 2
 )
 
 // row is the program's row, in the store or as a ledger last read it.
 type row struct {
-	version int
-	claimed [numLedgers]int
+	version uint8
+	claimed [numLedgers]int8
 	closed  bool
 }
 
@@ -31,51 +31,68 @@
 	crashed, rowKnown bool
 	row               row
 	account           hgaccount.Account
+	reduction         hgaccount.Reduction
 	// open is the number of open turns with a reservation of modelMaxTokens, short that of turns with one token, which may be
 	// extended.
-	open, short int
+	open, short int8
 }
 
 // delayedWrite is a write without a reply that may be applied later, if the row still has the expected version then.
 type delayedWrite struct {
 	pending  bool
-	expected int
+	expected uint8
 	row      row
 }
 
 // state is one state of the model.
 type state struct {
 	row     row
-	delayed delayedWrite
+	delayed [maxDelayed]delayedWrite
 	ledgers [numLedgers]ledger
 	// orphans counts open turns of crashed ledgers, and shortOrphans those with a reservation of one token; their callers may
 	// still get all tokens that are reserved.
-	orphans, shortOrphans int
+	orphans, shortOrphans int8
 	// delivered counts the tokens that callers got.
-	delivered int
+	delivered int8
 }
 
 // guards are the safeguards of the budget: writes are conditional on the row's version, turns are settled at their used
-// tokens, the shares of other ledgers count, and turns with a short reservation stay within the share. A disabled guard shows
-// whether the model detects its absence.
-type guards struct{ versions, settles, others, share bool }
+// tokens, the shares of other ledgers count, turns with a short reservation stay within the share, a share is reduced to no less than
+// what open turns may use, and a reduction whose reply is lost limits the share. A disabled guard shows whether the model detects its
+// absence.
+type guards struct{ versions, settles, others, share, reserved, limit bool }
+
+// model is a model with some guards.
+type model struct {
+	guards
+	// kept is set if the turns of the first ledger are kept: it claims no more than open turns may use, and may return the rest
+	// when a turn ends.
+	kept bool
+}
+
+var allGuards = guards{versions: true, settles: true, others: true, share: true, reserved: true, limit: true}
 
-func (g guards) reload(l *ledger, i int, r row) {
+func (g model) reload(l *ledger, i int, r row) {
 	others := 0
 	for j, claimed := range r.claimed {
 		if j != i {
-			others += claimed
+			others += int(claimed)
 		}
 	}
 	if !g.others {
 		others = 0
 	}
 	l.row, l.rowKnown = r, true
-	l.account = l.account.Reload(others, r.claimed[i], false, r.closed)
+	mine := int(r.claimed[i])
+	if g.limit {
+		mine = l.reduction.Limit(uint64(r.version), mine)
+	}
+	l.reduction = l.reduction.WithRow(uint64(r.version))
+	l.account = l.account.Reload(others, mine, false, r.closed)
 }
 
 // open returns the states after ledger i was asked for a turn: granted, refused, or with a write whose reply is lost.
-func (g guards) open(s state, i int) (next []state) {
+func (g model) open(s state, i int) (next []state) {
 	for _, n := range g.claim(s, i, modelMaxTokens) {
 		if granted := n.ledgers[i].account.Open > s.ledgers[i].account.Open; granted {
 			n.ledgers[i].open++
@@ -86,12 +103,22 @@
 }
 
 // claim returns the states after ledger i reserved tokens through the row.
-func (g guards) claim(s state, i, tokens int) (next []state) {
-	l := &s.ledgers[i]
-	if !l.rowKnown {
-		g.reload(l, i, s.row)
+func (g model) claim(s state, i, tokens int) (next []state) {
+	account := s.ledgers[i].account
+	if !g.kept || i > 0 {
+		return g.claimGrant(s, i, tokens, account.Reserve(modelBudget, tokens))
 	}
-	grant := l.account.Reserve(modelBudget, tokens)
+	alone, beside := account.ReserveOnly(0, 0, modelBudget, tokens), account.ReserveOnly(0, modelMaxTokens, modelBudget, tokens)
+	next = g.claimGrant(s, i, tokens, alone)
+	if beside != alone {
+		next = append(next, g.claimGrant(s, i, tokens, beside)...)
+	}
+	return next
+}
+
+// claimGrant returns the states after ledger i decided on a reservation.
+func (g model) claimGrant(s state, i, tokens int, grant hgaccount.Grant) (next []state) {
+	l := &s.ledgers[i]
 	switch {
 	case grant.Spent:
 		g.reload(l, i, s.row)
@@ -100,22 +127,49 @@
 		l.account = grant.Account
 		return []state{s}
 	}
-	written := l.row
-	written.claimed[i] = grant.Account.Mine
+	next = g.writeClaim(s, i, grant.Account.Mine)
+	if written := &next[0]; written.ledgers[i].rowKnown && written.row.version != s.row.version {
+		written.ledgers[i].account.Open += tokens
+	}
+	return next
+}
+
+// writeClaim returns the states after ledger i wrote its claim. In the first one the row was written and the ledger knows, or it was
+// read, as it had changed; in the others the reply is lost, and the write is applied, or may be applied later.
+func (g model) writeClaim(s state, i, claim int) (next []state) {
+	l := &s.ledgers[i]
 	if g.versions && s.row.version != l.row.version {
 		g.reload(l, i, s.row)
 		return []state{s}
 	}
-	lost := s
-	lost.ledgers[i].rowKnown = false
-	lost.delayed = delayedWrite{pending: true, expected: l.row.version, row: written}
-	s = s.write(written)
-	unanswered := s
+	l.reduction = l.reduction.WithWrite(uint64(l.row.version), int(l.row.claimed[i]), claim)
+	written := l.row
+	written.claimed[i] = int8(claim)
+	applied := s.write(written)
+	g.reload(&applied.ledgers[i], i, applied.row)
+	next = append(next, applied)
+	unanswered := s.write(written)
 	unanswered.ledgers[i].rowKnown = false
-	l = &s.ledgers[i]
-	g.reload(l, i, s.row)
-	l.account.Open += tokens
-	return []state{s, lost, unanswered}
+	next = append(next, unanswered)
+	for k := range s.delayed {
+		if !s.delayed[k].pending {
+			lost := s
+			lost.ledgers[i].rowKnown = false
+			lost.delayed[k] = delayedWrite{pending: true, expected: l.row.version, row: written}
+			return append(next, lost)
+		}
+	}
+	return next
+}
+
+// returnRest returns the states after ledger i returned what open turns can't use.
+func (g model) returnRest(s state, i int) (next []state) {
+	l := &s.ledgers[i]
+	l.account = l.account.ReturnUnused(0)
+	if !g.reserved {
+		l.account.Mine = l.account.Used
+	}
+	return g.writeClaim(s, i, l.account.Mine)
 }
 
 func (s state) write(r row) state {
@@ -125,13 +179,16 @@
 }
 
 // successors returns all states that may follow s.
-func (g guards) successors(s state) (next []state) {
-	if s.delayed.pending {
+func (g model) successors(s state) (next []state) {
+	for k, d := range s.delayed {
+		if !d.pending {
+			continue
+		}
 		dropped := s
-		dropped.delayed = delayedWrite{}
+		dropped.delayed[k] = delayedWrite{}
 		next = append(next, dropped)
-		if !g.versions || s.delayed.expected == s.row.version {
-			next = append(next, dropped.write(s.delayed.row))
+		if !g.versions || d.expected == s.row.version {
+			next = append(next, dropped.write(d.row))
 		}
 	}
 	if s.orphans > 0 {
@@ -153,7 +210,7 @@
 }
 
 // openShort returns the states after ledger i granted a turn of its share without a write, with a reservation of one token.
-func (g guards) openShort(s state, i int) (next []state) {
+func (g model) openShort(s state, i int) (next []state) {
 	l := &s.ledgers[i]
 	if g.share && l.account.Available() < 1 {
 		return nil
@@ -165,7 +222,7 @@
 
 // extend returns the states after ledger i was asked to extend a turn with a reservation of one token to modelMaxTokens: from its
 // share, or by a claim of one more token.
-func (g guards) extend(s state, i int) (next []state) {
+func (g model) extend(s state, i int) (next []state) {
 	const more = modelMaxTokens - 1
 	l := &s.ledgers[i]
 	if !g.share || l.account.Available() >= more {
@@ -186,7 +243,7 @@
 
 // step returns the states after one event at ledger i: a turn is opened or settled, the ledger crashes, or it returns
 // the unused part of its share.
-func (g guards) step(s state, i int) (next []state) {
+func (g model) step(s state, i int) (next []state) {
 	if s.ledgers[i].crashed {
 		return nil
 	}
@@ -195,107 +252,75 @@
 	}
 	if s.ledgers[i].short > 0 {
 		next = append(next, g.extend(s, i)...)
-		for _, used := range []int{0, 1} {
+		for _, used := range []int8{0, 1} {
 			s := s
 			s.delivered += used
 			s.ledgers[i].short--
-			s.ledgers[i].account = s.ledgers[i].account.Settle(1, used)
+			s.ledgers[i].account = s.ledgers[i].account.Settle(1, int(used))
 			next = append(next, s)
 		}
 	}
 	if s.ledgers[i].open > 0 {
-		for _, used := range []int{0, 1, modelMaxTokens} {
+		for _, used := range []int8{0, 1, modelMaxTokens} {
 			s := s
 			s.delivered += used
 			s.ledgers[i].open--
 			if g.settles {
-				s.ledgers[i].account = s.ledgers[i].account.Settle(modelMaxTokens, used)
+				s.ledgers[i].account = s.ledgers[i].account.Settle(modelMaxTokens, int(used))
 			} else {
 				s.ledgers[i].account = s.ledgers[i].account.Settle(modelMaxTokens, 0)
 			}
 			next = append(next, s)
+			if g.kept && i == 0 && s.ledgers[i].rowKnown {
+				next = append(next, g.returnRest(s, i)...)
+			}
 		}
 	}
+	if !s.ledgers[i].rowKnown {
+		read := s
+		g.reload(&read.ledgers[i], i, s.row)
+		next = append(next, read)
+	}
 	crash := s
 	crash.orphans += s.ledgers[i].open
 	crash.shortOrphans += s.ledgers[i].short
 	crash.ledgers[i] = ledger{crashed: true}
 	next = append(next, crash)
-	if l := s.ledgers[i]; l.rowKnown && l.account.Available() > 0 && l.row.version == s.row.version {
-		returned := s
-		l.account = l.account.ReturnUnused(0)
-		written := l.row
-		written.claimed[i] = l.account.Mine
-		returned.ledgers[i] = l
-		returned = returned.write(written)
-		g.reload(&returned.ledgers[i], i, returned.row)
-		next = append(next, returned)
+	if s.ledgers[i].rowKnown && s.ledgers[i].account.Available() > 0 {
+		next = append(next, g.returnRest(s, i)...)
 	}
 	return next
 }
 
 // usedUp is the state in which ledger 0 has claimed and delivered the whole budget.
 func usedUp() state {
-	s := state{row: row{version: 1, claimed: [numLedgers]int{modelBudget}}, delivered: modelBudget}
-	guards{others: true}.reload(&s.ledgers[0], 0, s.row)
+	s := state{row: row{version: 1, claimed: [numLedgers]int8{modelBudget}}, delivered: modelBudget}
+	s = s.read()
 	s.ledgers[0].account.Used = modelBudget
 	return s
 }
 
-// explore returns the number of states reached from a first one, and the history that leads to the first state in which
-// callers got too many tokens.
-func (g guards) explore(first state) (states int, history []state) {
-	predecessor := map[state]state{first: first}
-	frontier := []state{first}
-	for range maxSteps {
-		var reached []state
-		for _, s := range frontier {
-			for _, n := range g.successors(s) {
-				if _, ok := predecessor[n]; ok {
-					continue
-				}
-				predecessor[n] = s
-				if n.delivered > modelBudget+modelMaxTokens {
-					for n != first {
-						history = append([]state{n}, history...)
-						n = predecessor[n]
-					}
-					return len(predecessor), history
-				}
-				reached = append(reached, n)
-			}
-		}
-		frontier = reached
-	}
-	return len(predecessor), nil
+// unused is the state in which ledger 0 has claimed the whole budget, with one open turn.
+func unused() state {
+	s := state{row: row{version: 1, claimed: [numLedgers]int8{modelBudget}}}
+	s = s.read()
+	s.ledgers[0].account.Open, s.ledgers[0].open = modelMaxTokens, 1
+	return s
 }
 
-// Callers never get more than the budget plus the maximum of one turn, whatever happens to ledgers and writes. With any
-// one guard disabled, the model finds a history in which they do.
-func TestModel(t *testing.T) {
-	tests := map[string]struct {
-		guards guards
-		first  state
-		holds  bool
-	}{
-		"all guards":                       {guards{versions: true, settles: true, others: true, share: true}, state{}, true},
-		"all guards, budget used up":       {guards{versions: true, settles: true, others: true, share: true}, usedUp(), true},
-		"writes without the row's version": {guards{settles: true, others: true, share: true}, state{}, false},
-		"turns settled at nothing":         {guards{versions: true, others: true, share: true}, state{}, false},
-		"shares of others not counted":     {guards{versions: true, settles: true, share: true}, state{}, false},
-		"short turns beyond the share":     {guards{versions: true, settles: true, others: true}, usedUp(), false},
+// read returns the state in which all ledgers have read the row.
+func (s state) read() state {
+	for i := range s.ledgers {
+		model{guards: allGuards}.reload(&s.ledgers[i], i, s.row)
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			states, history := tt.guards.explore(tt.first)
-			t.Logf("%d states", states)
-			if (history == nil) == tt.holds {
-				return
-			}
-			for i, s := range history {
-				t.Logf("%d: %+v", i, s)
-			}
-			t.Errorf("holds: %v, want %v", history == nil, tt.holds)
-		})
+	return s
+}
+
+// worst returns the tokens that callers have got or may still get of all reservations.
+func (s state) worst() (tokens int8) {
+	tokens = s.delivered + s.orphans*modelMaxTokens + s.shortOrphans
+	for _, l := range s.ledgers {
+		tokens += l.open*modelMaxTokens + l.short
 	}
+	return tokens
 }
--- a/internal/state/hgledger/committer.go
+++ b/internal/state/hgledger/committer.go
@@ -122,24 +122,42 @@
 	return &committer{table: table, timer: timer, opts: o}
 }
 
-// commit applies a change and returns the version of the rows it wrote. It retries until the change is applied, a
-// condition fails or the context ends.
-func (c *committer) commit(ctx context.Context, partition int, ch change) (version uint64, err error) {
+// within returns the change with the context that bounds it.
+func (ch change) within(ctx context.Context) change {
 	ch.ctx, ch.done = ctx, make(chan outcome, 1)
+	return ch
+}
+
+// wait returns the outcome of a submitted change, or the context's error if that ends first.
+func (ch change) wait() outcome {
+	select {
+	case o := <-ch.done:
+		return o
+	case <-ch.ctx.Done():
+	}
+	select {
+	case o := <-ch.done:
+		return o
+	default:
+		return outcome{err: ch.ctx.Err()}
+	}
+}
+
+// commit applies a change and returns the version of the rows it wrote. It retries until the change is applied, a
+// condition fails or the context ends. The changes beside it, which have contexts of their own, share its transaction if that
+// has room for them; their outcomes are known no later than that of the change.
+func (c *committer) commit(ctx context.Context, partition int, ch change, beside ...change) (version uint64, err error) {
+	ch = ch.within(ctx)
 	c.mu.Lock()
 	p := &c.partitions[partition]
-	p.waiting = append(p.waiting, ch)
+	p.waiting = append(append(p.waiting, beside...), ch)
 	if !p.running {
 		p.running = true
 		go c.run(partition)
 	}
 	c.mu.Unlock()
-	select {
-	case o := <-ch.done:
-		return o.version, o.err
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
+	o := ch.wait()
+	return o.version, o.err
 }
 
 // run applies the changes of a partition, batch by batch, until none are waiting.
--- a/internal/state/hgledger/cut_test.go
+++ b/internal/state/hgledger/cut_test.go
@@ -17,6 +17,7 @@
 	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgledger"
 	"hyssopgrade/internal/state/hgreach"
+	"hyssopgrade/internal/state/hgturn"
 )
 
 var errCut = errors.New("VM is cut off from the store")
@@ -64,6 +65,8 @@
 	// forgets is set if a VM takes those that do not answer for dead. With majority, it does so only if it reaches a
 	// majority of all VMs.
 	forgets, majority bool
+	// kept says that turns are kept if their VM reaches the store, and that some replies are lost when they end.
+	kept bool
 	// delivered counts the tokens that the callers of the program got; log lists the steps.
 	delivered int
 	log       []string
@@ -182,6 +185,7 @@
 		Program: "p", Attempt: fmt.Sprint(len(n.log)), Budget: cutBudget, Most: cutMost, HasBudget: true, Offline: n.side[i] > 0,
 		Estimate: cutMost / 2, Extendable: r.IntN(2) == 0,
 	}
+	q.Kept = n.kept && !q.Offline
 	reply := n.ledgers[i].Open(context.Background(), q)
 	n.note("turn at %d: %s %d", i, reply.Verdict, reply.Most)
 	if reply.Verdict != hgledger.Granted {
@@ -200,11 +204,28 @@
 		used = r.IntN(reserved + 1)
 	}
 	n.delivered += used
+	if q.Kept {
+		n.keep(r, i, hgledger.CloseRequest{Program: q.Program, Attempt: q.Attempt, Holder: reply.Holder, Used: used, Turn: &hgturn.Turn{ID: q.Attempt}})
+		return
+	}
 	if err := n.ledgers[i].Close(context.Background(), hgledger.CloseRequest{Program: q.Program, Attempt: q.Attempt, Holder: reply.Holder, Used: used}); err != nil {
 		n.t.Fatal(err)
 	}
 }
 
+// keep ends a turn that is kept. In some cases the reply is lost, so that the rows are written again.
+func (n *network) keep(r *rand.Rand, i int, q hgledger.CloseRequest) {
+	lost := r.IntN(3) == 0
+	if lost {
+		n.store.SetFault(hgstore.Fault{LoseReplies: 1})
+	}
+	if err := n.ledgers[i].Close(context.Background(), q); err != nil {
+		n.t.Fatal(err)
+	}
+	n.store.SetFault(hgstore.Fault{})
+	n.note("kept, used %d, lost %t", q.Used, lost)
+}
+
 // note adds a step to the log.
 func (n *network) note(format string, args ...any) {
 	n.log = append(n.log, fmt.Sprintf(format, args...)+fmt.Sprintf(" [sides %v, delivered %d]", n.side, n.delivered))
@@ -249,10 +270,13 @@
 // Callers get no more than the budget plus the maximum of one turn, whichever VMs network partitions cut off, together
 // or apart, and whenever the network heals. The budget is exceeded if a minority may take silent VMs for dead.
 func TestBudgetHoldsInCuts(t *testing.T) {
-	tests := map[string]struct{ forgets, majority, holds bool }{
-		"silent VMs count":                       {false, true, true},
-		"silent VMs are forgotten":               {true, false, false},
-		"silent VMs are forgotten by a majority": {true, true, true},
+	tests := map[string]struct{ forgets, majority, kept, holds bool }{
+		"silent VMs count":                                {false, true, false, true},
+		"silent VMs are forgotten":                        {true, false, false, false},
+		"silent VMs are forgotten by a majority":          {true, true, false, true},
+		"turns are kept":                                  {false, true, true, true},
+		"turns are kept, silent VMs are forgotten":        {true, false, true, false},
+		"turns are kept, VMs are forgotten by a majority": {true, true, true, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -260,6 +284,7 @@
 			seeds := append(lo.RangeFrom(uint64(0), 400), 13168)
 			for _, seed := range seeds {
 				n := newNetwork(t, tc.forgets, tc.majority)
+				n.kept = tc.kept
 				r := rand.New(rand.NewPCG(seed, 7))
 				for range 30 {
 					n.step(r)
--- a/internal/state/hgledger/evict_test.go
+++ b/internal/state/hgledger/evict_test.go
@@ -1,6 +1,7 @@
 package hgledger_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,10 +15,12 @@
 // shiftedTimer is a timer whose clock a test can move ahead.
 type shiftedTimer struct {
 	hgtimer.Timer
-	shift time.Duration
+	shift atomic.Int64
 }
 
-func (t *shiftedTimer) Now() time.Duration { return t.Timer.Now() + t.shift }
+func (t *shiftedTimer) Now() time.Duration { return t.Timer.Now() + time.Duration(t.shift.Load()) }
+
+func (t *shiftedTimer) skip(d time.Duration) { t.shift.Add(int64(d)) }
 
 // Guards against the loss of a program that another ledger serves from its share: the one that served it before deletes the account and the
 // turns that the program's later turns follow.
@@ -46,9 +49,9 @@
 	run(second, "t2", "t1", 100)
 	// The first ledger needs more than its share, and so learns of the claim of the second one.
 	run(first, "t3", "t2", 5500)
-	timer.shift += 4 * silent / 5
+	timer.skip(4 * silent / 5)
 	run(second, "t4", "t3", 100)
-	timer.shift += 2 * silent / 5
+	timer.skip(2 * silent / 5)
 	if dropped, failed := first.EvictUnused(t.Context(), silent); dropped != 1 || failed != 0 {
 		t.Fatalf("dropped %d, failed %d", dropped, failed)
 	}
--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -52,8 +52,9 @@
 )
 
 // storeTurn makes a turn durable, in the program's home partition or, while that does not answer, in an alternate one. It
-// tries them one after the other until the context ends. A write goes on beside the next one, as it may only be slow.
-func (l *Ledger) storeTurn(ctx context.Context, program string, t hgturn.Turn) (err error) {
+// tries them one after the other until the context ends. A write goes on beside the next one, as it may only be slow. The changes
+// beside it are sent with the first write.
+func (l *Ledger) storeTurn(ctx context.Context, program string, t hgturn.Turn, beside ...change) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	home := homePartition(program)
@@ -72,12 +73,13 @@
 		}
 		writeCtx, cancelWrite := context.WithCancel(ctx)
 		writes = append(writes, cancelWrite)
-		go func() {
+		go func(beside []change) {
 			select {
-			case results <- l.putRows(writeCtx, partition, changes):
+			case results <- l.putRows(writeCtx, partition, changes, beside...):
 			case <-ctx.Done():
 			}
-		}()
+		}(beside)
+		beside = nil
 		if done, err := l.awaitWrite(ctx, results, len(changes)); done {
 			return err
 		}
@@ -123,21 +125,22 @@
 }
 
 // putRows writes the rows of a turn to a partition. It fails after a pause if the partition counts as unreachable.
-func (l *Ledger) putRows(ctx context.Context, partition int, changes []change) (err error) {
+func (l *Ledger) putRows(ctx context.Context, partition int, changes []change, beside ...change) (err error) {
 	if l.committer.isUnreachable(partition) {
 		// The pause keeps storeTurn from spinning while all partitions are unreachable.
 		return sleep(ctx, retryAfter, trace.ConnectionProblem(nil, "part %d is out of reach", partition))
 	}
-	return l.commitInOrder(ctx, partition, changes)
+	return l.commitInOrder(ctx, partition, changes, beside...)
 }
 
-// commitInOrder applies changes one after the other. The rows of a turn have the one that completes it last, so that readers find
+// commitInOrder applies changes one after the other, with others beside the first one. The rows of a turn have the one that completes it last, so that readers find
 // the turn only once all of them are durable.
-func (l *Ledger) commitInOrder(ctx context.Context, partition int, changes []change) (err error) {
+func (l *Ledger) commitInOrder(ctx context.Context, partition int, changes []change, beside ...change) (err error) {
 	for _, ch := range changes {
-		if _, err := l.committer.commit(ctx, partition, ch); err != nil {
+		if _, err := l.committer.commit(ctx, partition, ch, beside...); err != nil {
 			return err
 		}
+		beside = nil
 	}
 	return nil
 }
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	p := l.program(q.Program)
-	if !p.lock(ctx) {
+	if !p.lockForOpening(ctx, q) {
 		return OpenReply{Verdict: Undecided}
 	}
 	defer p.unlock()
@@ -212,23 +212,23 @@
 // Close settles a turn. If the request holds a turn to store, Close returns once that is durable, or with the error.
 func (l *Ledger) Close(ctx context.Context, q CloseRequest) (err error) {
 	defer func() { err = trace.Wrap(err, "turn %s of program %s", q.Attempt, q.Program) }()
-	if q.Turn != nil {
-		if err := l.storeTurn(ctx, q.Program, *q.Turn); err != nil {
-			l.settle(q, false)
-			return err
-		}
+	if q.Turn == nil {
+		l.settle(q, q.Used, false)
+		return nil
 	}
-	l.settle(q, true)
-	return nil
+	used, beside := l.settleBeside(q)
+	err = l.storeTurn(ctx, q.Program, *q.Turn, beside...)
+	l.settle(q, used, err == nil)
+	return err
 }
 
-// settle releases the reservation of a turn and updates the program in memory. It does not depend on the context of the
+// settle releases the reservation of a turn and updates the program in memory; used are the tokens that do not count yet. It does not depend on the context of the
 // request, so that the turn is settled even if the caller has left. While other turns hold the program's lock for longer than openTimeout,
 // for example as they wait for a slow store, the turn is settled later.
-func (l *Ledger) settle(q CloseRequest, stored bool) {
+func (l *Ledger) settle(q CloseRequest, used int, stored bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	l.withLock(ctx, l.program(q.Program), q, func(p *program) { l.settleLocked(p, q, stored) })
+	l.withLock(ctx, l.program(q.Program), q, func(p *program) { l.settleLocked(p, q, used, stored) })
 }
 
 // withLock calls do with the program locked: at once if the lock is free before the context ends, and later otherwise.
@@ -248,17 +248,17 @@
 }
 
 // settleLocked is settle for a locked program.
-func (l *Ledger) settleLocked(p *program, q CloseRequest, stored bool) {
+func (l *Ledger) settleLocked(p *program, q CloseRequest, used int, stored bool) {
 	p.lastUsed = l.timer.Now()
 	if q.Holder == l.id || q.Holder == "" {
-		l.release(p, q.Attempt, q.Used)
+		l.release(p, q.Attempt, used)
 	} else {
 		l.releaseExtension(p, q)
 	}
 	if q.Replica != "" {
 		p.cached.add(q.Replica, q.Prompt, q.Used)
 	}
-	if stored && q.Turn != nil {
+	if stored {
 		p.turns[q.Turn.ID] = *q.Turn
 	}
 }
@@ -289,28 +289,6 @@
 	return int(succeeded.Load()), int(errored.Load())
 }
 
-// ReturnUnused reduces this ledger's shares of all budgets to what is used or reserved by open turns, so that other nodes can
-// claim the rest. It returns the numbers of rows written and of programs that failed.
-func (l *Ledger) ReturnUnused(ctx context.Context) (returned, failed int) {
-	return l.forEachProgram(func(p *program) (done bool, err error) { return l.returnUnused(ctx, p) })
-}
-
-func (l *Ledger) returnUnused(ctx context.Context, p *program) (returned bool, err error) {
-	if !p.lock(ctx) {
-		return false, ctx.Err()
-	}
-	defer p.unlock()
-	for p.account.Available() > p.shortfall("") {
-		// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
-		p.account = p.account.ReturnUnused(p.shortfall(""))
-		if returned, err := l.writeAccount(ctx, p, p.account); returned || err != nil {
-			return returned, err
-		}
-		// The row had changed and was read again, with the share as it was.
-	}
-	return false, nil
-}
-
 // OpenTurns returns the number of turns with a reservation in this ledger. A program that is locked counts as one.
 func (l *Ledger) OpenTurns() (turns int) {
 	for _, p := range l.all() {
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -18,6 +18,9 @@
 	id string
 	// sem is the lock: it holds an element while the program is locked.
 	sem chan struct{}
+	// waiting is the sum of the maximum outputs of the kept turns that wait for the lock to be opened. One write claims the tokens
+	// of all of them.
+	waiting atomic.Int64
 
 	// isNew is set if neither this ledger nor a peer that reports its programs to it had served the program before.
 	isNew bool
@@ -28,6 +31,8 @@
 	version  uint64
 	row      accountRow
 	account  hgaccount.Account
+	// reduction is the last reduction of the claim whose outcome is not known.
+	reduction hgaccount.Reduction
 	// unsaved is set if account.Mine exceeds the claim in the row, as tokens were claimed while the store was
 	// unreachable.
 	unsaved bool
@@ -93,6 +98,15 @@
 	}
 }
 
+// lockForOpening is lock for the opening of a turn, which counts as waiting until then.
+func (p *program) lockForOpening(ctx context.Context, q OpenRequest) bool {
+	if q.HasBudget && q.Kept {
+		p.waiting.Add(int64(q.Most))
+		defer p.waiting.Add(-int64(q.Most))
+	}
+	return p.lock(ctx)
+}
+
 // partition returns the partition of the store that holds the account's row, and moveTo changes it.
 func (p *program) partition() int { return int(p.part.Load()) }
 
@@ -110,6 +124,13 @@
 	return lo.Sum(lo.Values(p.shortfalls)) - p.shortfalls[attempt]
 }
 
+// settleTokens replaces the reservation of an open turn by its used tokens. The turn counts as open until it is released.
+func (p *program) settleTokens(attempt string, used int) {
+	p.account = p.account.Settle(p.reservations[attempt], used)
+	p.reservations[attempt] = 0
+	delete(p.shortfalls, attempt)
+}
+
 // all returns the programs in memory.
 func (l *Ledger) all() (programs []*program) {
 	for i := range l.shards {
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"hyssopgrade/internal/state/hgaccount"
 	"hyssopgrade/internal/state/hgreach"
 )
 
@@ -99,7 +100,10 @@
 	ctx, cancel := l.cancelAfter(ctx, limit)
 	defer cancel()
 	l.cancelIfUnreachable(ctx, cancel)
-	return l.reserveOnline(ctx, p, q.Attempt, q.Budget, q.Most)
+	// A kept turn returns the unused rest when it ends, so that little is lost with a VM that is killed. While the store is slow, its rows
+	// are not delayed by that, and a share that is claimed ahead lets turns begin without the store.
+	ahead := !q.Kept || l.reach() != hgreach.Reachable
+	return l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: q.Most, ahead: ahead})
 }
 
 // cancelIfUnreachable calls cancel when the store turns out to be unreachable before the context ends.
@@ -126,17 +130,33 @@
 // shares of other nodes.
 const recheckAfter = 500 * time.Millisecond
 
-// reserveOnline reserves tokens of the budget for an attempt, beside what other open turns may still need. It writes the row if
-// this ledger's share is too small.
-func (l *Ledger) reserveOnline(ctx context.Context, p *program, attempt string, budget, maxTokens int) (v Verdict, err error) {
+// claim asks for tokens of a budget for an attempt.
+type claim struct {
+	attempt        string
+	budget, tokens int
+	// ahead is set if a share for later turns is to be claimed as well.
+	ahead bool
+}
+
+// grant decides on a claim, beside what other open turns may still need.
+func (p *program) grant(c claim) hgaccount.Grant {
+	held := p.shortfall(c.attempt)
+	if c.ahead {
+		return p.account.ReserveBeside(held, c.budget, c.tokens)
+	}
+	return p.account.ReserveOnly(held, int(p.waiting.Load()), c.budget, c.tokens)
+}
+
+// reserveOnline reserves tokens of the budget. It writes the row if this ledger's share is too small.
+func (l *Ledger) reserveOnline(ctx context.Context, p *program, c claim) (v Verdict, err error) {
 	if !p.rowKnown && l.failedOver[p.partition()].Load() {
 		if err := l.readAccount(ctx, p); err != nil {
 			return Undecided, err
 		}
 	}
 	for fetched := false; ; {
-		g := p.account.ReserveBeside(p.shortfall(attempt), budget, maxTokens)
-		mayOverrun := l.backup != nil && p.account.MayOverrun(g, budget)
+		g := p.grant(c)
+		mayOverrun := l.backup != nil && p.account.MayOverrun(g, c.budget)
 		switch {
 		case mayOverrun && l.backup.LacksMajority():
 			return Undecided, errNoMajority()
@@ -151,7 +171,7 @@
 				return Undecided, err
 			}
 		case g.Spent:
-			l.closeAccount(ctx, p, budget, maxTokens)
+			l.closeAccount(ctx, p, c.budget, c.tokens)
 			return Spent, nil
 		case !g.NeedsWrite && !l.isWriteDue(p):
 			p.account = g.Account
@@ -162,7 +182,7 @@
 				return Undecided, err
 			}
 			if written {
-				p.account.Open += maxTokens
+				p.account.Open += c.tokens
 				return Granted, nil
 			}
 		}
@@ -212,7 +232,7 @@
 		l.fetchUnsavedClaims(ctx, p)
 		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
 		defer cancel()
-		if v, err := l.reserveOnline(ctx, p, q.Attempt, q.Budget, rest); v == Granted {
+		if v, err := l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: rest, ahead: true}); v == Granted {
 			reply.Tokens += rest
 		} else if err != nil {
 			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
--- /dev/null
+++ b/internal/state/hgledger/return.go
@@ -0,0 +1,91 @@
+package hgledger
+
+import (
+	"context"
+	"time"
+
+	"hyssopgrade/internal/state/hgreach"
+)
+
+const (
+	// returnTimeout bounds the write of a program's row at the end of a turn, as other turns of the program wait for the lock
+	// meanwhile. A write usually takes 5 to 10 ms.
+	returnTimeout = 50 * time.Millisecond
+	// returnLockTimeout bounds the wait for the program's lock before that write, which delays the turn's own rows. It is shorter than
+	// a write, so that turns which end at the same time do not wait for each other: what they leave is returned with the next one.
+	returnLockTimeout = 2 * time.Millisecond
+)
+
+// ReturnUnused reduces this ledger's shares of all budgets to what is used or reserved by open turns, so that other nodes can
+// claim the rest. It returns the numbers of rows written and of programs that failed.
+func (l *Ledger) ReturnUnused(ctx context.Context) (returned, failed int) {
+	return l.forEachProgram(func(p *program) (done bool, err error) { return l.returnUnused(ctx, p) })
+}
+
+func (l *Ledger) returnUnused(ctx context.Context, p *program) (returned bool, err error) {
+	if !p.lock(ctx) {
+		return false, ctx.Err()
+	}
+	defer p.unlock()
+	for p.account.Available() > p.shortfall("") {
+		// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
+		p.account = p.account.ReturnUnused(p.shortfall(""))
+		if returned, err := l.writeAccount(ctx, p, p.account); returned || err != nil {
+			return returned, err
+		}
+		// The row had changed and was read again, with the share as it was.
+	}
+	return false, nil
+}
+
+// settleBeside settles the tokens of a turn whose rows are about to be written, and returns the tokens that do not count yet and
+// a change that returns the unused part of this ledger's share, to be written beside those rows. There is no change, and nothing is
+// settled, if the change could delay the rows.
+func (l *Ledger) settleBeside(q CloseRequest) (used int, beside []change) {
+	p := l.program(q.Program)
+	ctx, cancel := context.WithTimeout(context.Background(), returnLockTimeout)
+	defer cancel()
+	if q.Holder != l.id || !p.lock(ctx) {
+		return q.Used, nil
+	}
+	if _, open := p.reservations[q.Attempt]; !open || !l.canReturnBeside(p) {
+		p.unlock()
+		return q.Used, nil
+	}
+	p.settleTokens(q.Attempt, q.Used)
+	w, ok := l.returnWrite(p)
+	if !ok {
+		p.unlock()
+		return 0, nil
+	}
+	writeCtx, cancelWrite := context.WithTimeout(context.Background(), returnTimeout)
+	w.change = w.change.within(writeCtx)
+	go func() {
+		defer cancelWrite()
+		defer p.unlock()
+		if err := l.finishWrite(p, w, w.change.wait()); err != nil {
+			l.log.Debug("unused tokens not returned", "program", p.id, "error", err)
+		}
+	}()
+	return 0, []change{w.change}
+}
+
+// canReturnBeside reports whether the program's row can be written in the transaction that keeps a turn, and soon.
+func (l *Ledger) canReturnBeside(p *program) bool {
+	return l.reach() == hgreach.Reachable && p.rowKnown && !p.unsaved && p.partition() == homePartition(p.id) &&
+		!l.committer.isUnreachable(p.partition())
+}
+
+// returnWrite reduces this ledger's share of a program's budget and returns the write of the row, if there is anything to return.
+func (l *Ledger) returnWrite(p *program) (w accountWrite, ok bool) {
+	held := p.shortfall("")
+	if p.account.Available() <= held {
+		return w, false
+	}
+	p.account = p.account.ReturnUnused(held)
+	w, err := l.newAccountWrite(p, p.account)
+	if err != nil {
+		l.log.Warn("unused tokens not returned", "program", p.id, "error", err)
+	}
+	return w, err == nil
+}
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"maps"
 	"net/url"
@@ -76,7 +77,8 @@
 			others += min(claim, maxClaim-others)
 		}
 	}
-	mine := row.Taken[l.id]
+	mine := p.reduction.Limit(version, row.Taken[l.id])
+	p.reduction = p.reduction.WithRow(version)
 	if p.unsaved {
 		mine = max(mine, p.account.Mine)
 	}
@@ -127,41 +129,71 @@
 	return fmt.Sprintf("%s/%02d/%s", TurnTable, partition, keyID(turn))
 }
 
-// writeAccount writes this ledger's claim, on the condition that the row still has the known version. On a version
-// conflict it writes nothing and reads the row, which also shows a claim of this ledger from an earlier write without a
-// reply. After any other error the row counts as not known.
-func (l *Ledger) writeAccount(ctx context.Context, p *program, a hgaccount.Account) (written bool, err error) {
+// accountWrite is a write of a program's row, on the condition that the row still has the known version.
+type accountWrite struct {
+	account hgaccount.Account
+	row     accountRow
+	key     string
+	change  change
+}
+
+// newAccountWrite returns the write that records this ledger's claim.
+func (l *Ledger) newAccountWrite(p *program, a hgaccount.Account) (w accountWrite, err error) {
 	row := accountRow{Taken: lo.Assign(l.claims(p), map[string]int{l.id: a.Mine}), Closed: a.Closed, Strict: p.row.Strict}
 	if p.version == 0 && !p.isNew && !p.unsaved && len(p.copies) == 0 {
 		row.Strict = true
 	}
 	value, err := accountCodec.Encode(row)
 	if err != nil {
-		return false, err
+		return w, err
 	}
+	p.reduction = p.reduction.WithWrite(p.version, p.row.Taken[l.id], a.Mine)
 	key := accountKey(p.partition(), p.id)
-	version, err := l.committer.commit(ctx, p.partition(), change{
+	return accountWrite{account: a, row: row, key: key, change: change{
 		conditions: []hgstore.Condition{{Key: key, Version: p.version}},
 		puts:       []hgstore.Put{{Key: key, Value: value}},
-	})
-	if err == nil {
+	}}, nil
+}
+
+// writeAccount writes this ledger's claim, on the condition that the row still has the known version. On a version
+// conflict it writes nothing and reads the row, which also shows a claim of this ledger from an earlier write without a
+// reply. After any other error the row counts as not known.
+func (l *Ledger) writeAccount(ctx context.Context, p *program, a hgaccount.Account) (written bool, err error) {
+	w, err := l.newAccountWrite(p, a)
+	if err != nil {
+		return false, err
+	}
+	version, err := l.committer.commit(ctx, p.partition(), w.change)
+	switch err = l.finishWrite(p, w, outcome{version: version, err: err}); {
+	case err == nil:
+		return true, nil
+	case conflictOf(err) == nil:
+		return false, err
+	case p.rowKnown:
+		return false, nil
+	}
+	return false, l.readAccount(ctx, p)
+}
+
+// finishWrite updates a program after a write of its row, and returns the error of the write. After a conflict the row is known if the
+// store has sent it.
+func (l *Ledger) finishWrite(p *program, w accountWrite, o outcome) (err error) {
+	if o.err == nil {
 		p.writtenAt = l.timer.Now()
 		l.setUnsaved(p, false)
-		l.reload(p, row, version, true)
-		l.log.Info("budget claimed", "program", p.id, "mine", a.Mine, "others", a.Others, "strict", row.Strict, "version", version)
-		return true, nil
+		l.reload(p, w.row, o.version, true)
+		l.log.Info("budget claimed", "program", p.id, "mine", w.account.Mine, "others", w.account.Others, "strict", w.row.Strict, "version", o.version)
+		return nil
 	}
 	p.rowKnown = false
-	conflict := conflictOf(err)
-	if conflict == nil {
-		return false, err
-	}
-	for _, r := range conflict.Rows {
-		if r.Key == key {
-			return false, l.reloadRow(p, r)
+	if conflict := conflictOf(o.err); conflict != nil {
+		for _, r := range conflict.Rows {
+			if r.Key == w.key {
+				return errors.Join(o.err, l.reloadRow(p, r))
+			}
 		}
 	}
-	return false, l.readAccount(ctx, p)
+	return o.err
 }
 
 // reloadRow sets a program's account from a row of the store.
