hgmemory: buffers of answers are used again

Cause: the pool bounds what buffers hold, not what they leave behind. Each answer doubled a buffer of its own up to 8 MB and left all of them to the garbage collector, and the freed reservation was taken again at once. Under one VM's load the garbage is several times the limit whenever the collector is late, which it is on a busy machine.

Trace ('plain body', landed code, race detector, one core shared with two busy loops, GOMAXPROCS 4 and 8, gctrace): collections like '96->112->30 MB', '79->87->30 MB': about 30 MB live of which 25.6 MB are the pool's limit, the rest garbage.

A buffer is a list of blocks of 16 KB now, and released blocks are kept for later buffers. What the pool has allocated never exceeds its limit, whenever the collector runs; nothing is copied when a buffer grows, and an answer of 8 MB takes 8 MB, no longer 12 in between. A small answer reserves 16 KB instead of 4, and a pool that was full once keeps its blocks.

Evidence: TestReleasedMemoryIsNotAllocatedAgain on the landed code: '240 MB allocated, want 16 at most'.

--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -51,7 +51,6 @@
 		return errors.Join(errAnswerLost, err)
 	}
 	defer answer.Release()
-	body := answer.Bytes
 	if t.resp.StatusCode >= http.StatusInternalServerError && x.canRetry(errAnswerLost) {
 		return errAnswerLost
 	}
@@ -63,12 +62,12 @@
 	}
 	x.copyHead(t.resp)
 	if x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		x.w.Header().Set("Content-Length", strconv.Itoa(answer.Len()))
 	}
 	x.w.WriteHeader(t.resp.StatusCode)
 	x.entry.metrics.Observe(string(x.route.Kind), x.entry.timer.Now()-x.start)
 	reason := ""
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := answer.WriteTo(x.w); err != nil {
 		reason = "caller did not take the answer"
 	}
 	x.logResult(t.resp.StatusCode, reason)
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -130,7 +130,7 @@
 	x.copyHead(t.resp)
 	x.status = t.resp.StatusCode
 	x.w.WriteHeader(x.status)
-	if _, err := x.w.Write(answer.Bytes); err != nil {
+	if _, err := answer.WriteTo(x.w); err != nil {
 		return errors.Join(errCallerLeft, err)
 	}
 	return nil
--- a/internal/serve/hgmemory/pool.go
+++ b/internal/serve/hgmemory/pool.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
+	"sync"
 )
 
 // Errors of Read. Their texts are sent to callers.
@@ -14,40 +14,68 @@
 	ErrFull = errors.New("no memory is left for more bytes")
 )
 
-// firstBytes is the initial size of a buffer, which doubles whenever it is full.
-const firstBytes = 4 << 10
+// blockBytes is the size of the blocks that buffers consist of: the least that a response reserves, and the most that one call
+// reads or writes.
+const blockBytes = 16 << 10
 
-// Pool limits the total size of buffers; it is safe for concurrent use.
+// Pool limits the total size of buffers; it is safe for concurrent use. It keeps the blocks of released buffers for later ones:
+// blocks that are left to the garbage collector can add up to several times the limit before it frees them.
 type Pool struct {
-	// limit is the most bytes that buffers may have reserved together.
-	limit    int64
-	reserved atomic.Int64
+	mu   sync.Mutex
+	free [][]byte
+	// unused is the number of blocks that may still be allocated.
+	unused int
 }
 
 // NewPool returns a pool that allows a total of limit bytes.
-func NewPool(limit int64) *Pool { return &Pool{limit: limit} }
+func NewPool(limit int64) *Pool { return &Pool{unused: int(limit / blockBytes)} }
 
-// reserve reserves n bytes and reports whether so many were free.
-func (p *Pool) reserve(n int64) bool {
-	if p.reserved.Add(n) > p.limit {
-		p.reserved.Add(-n)
-		return false
+// take returns an empty block, or nil if the pool has none left.
+func (p *Pool) take() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := len(p.free) - 1; last >= 0 {
+		block := p.free[last]
+		p.free = p.free[:last]
+		return block
 	}
-	return true
+	if p.unused == 0 {
+		return nil
+	}
+	p.unused--
+	return make([]byte, 0, blockBytes)
 }
 
 // Buffer holds bytes that were read from a source; Release returns their memory to the pool.
 type Buffer struct {
-	Bytes []byte
-	pool  *Pool
-	// size is the number of bytes reserved in the pool.
-	size int64
+	pool   *Pool
+	blocks [][]byte
+	size   int
 }
 
-// Release returns the memory to the pool; Bytes must not be used afterwards.
+// Len returns the number of bytes.
+func (b *Buffer) Len() int { return b.size }
+
+// WriteTo writes the bytes to w; it implements io.WriterTo.
+func (b *Buffer) WriteTo(w io.Writer) (written int64, err error) {
+	for _, block := range b.blocks {
+		n, err := w.Write(block)
+		written += int64(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// Release returns the memory to the pool; the buffer is empty afterwards.
 func (b *Buffer) Release() {
-	b.pool.reserved.Add(-b.size)
-	b.size, b.Bytes = 0, nil
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	for _, block := range b.blocks {
+		b.pool.free = append(b.pool.free, block[:0])
+	}
+	b.blocks, b.size = nil, 0
 }
 
 // Read reads r to its end into a new buffer; more than maxBytes are an error. On an error the buffer is released already.
@@ -59,35 +87,33 @@
 		}
 	}()
 	for {
-		if len(b.Bytes) == cap(b.Bytes) {
-			if err := b.grow(maxBytes); err != nil {
-				return b, err
-			}
+		block, err := b.last()
+		if err != nil {
+			return b, err
 		}
-		n, err := r.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
-		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		n, err := r.Read((*block)[len(*block):cap(*block)])
+		*block = (*block)[:len(*block)+n]
+		b.size += n
 		switch {
-		case errors.Is(err, io.EOF) && len(b.Bytes) <= maxBytes:
+		case errors.Is(err, io.EOF) && b.size <= maxBytes:
 			return b, nil
 		case err != nil && !errors.Is(err, io.EOF):
 			return b, err
-		case len(b.Bytes) > maxBytes:
+		case b.size > maxBytes:
 			return b, ErrTooLong
 		}
 	}
 }
 
-// grow doubles the buffer, to at most maxBytes+1 bytes: the extra byte shows that the source is too long. Until the bytes are
-// copied the old and the new memory are both reserved.
-func (b *Buffer) grow(maxBytes int) error {
-	size := min(max(2*cap(b.Bytes), firstBytes), maxBytes+1)
-	if !b.pool.reserve(int64(size)) {
-		return ErrFull
+// last returns the last block, a new one if that is full.
+func (b *Buffer) last() (block *[]byte, err error) {
+	if last := len(b.blocks) - 1; last >= 0 && len(b.blocks[last]) < blockBytes {
+		return &b.blocks[last], nil
+	}
+	next := b.pool.take()
+	if next == nil {
+		return nil, ErrFull
 	}
-	bytes := make([]byte, len(b.Bytes), size)
-	copy(bytes, b.Bytes)
-	b.Bytes = bytes
-	b.pool.reserved.Add(-b.size)
-	b.size = int64(size)
-	return nil
+	b.blocks = append(b.blocks, next)
+	return &b.blocks[len(b.blocks)-1], nil
 }
--- a/internal/serve/hgmemory/pool_test.go
+++ b/internal/serve/hgmemory/pool_test.go
@@ -1,12 +1,16 @@
 package hgmemory_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hyssopgrade/internal/serve/hgmemory"
 )
 
@@ -40,3 +44,58 @@
 		})
 	}
 }
+
+func TestBuffersHoldWhatWasRead(t *testing.T) {
+	p := hgmemory.NewPool(1 << 20)
+	sizes := map[string]int{"nothing": 0, "one byte": 1, "16 KB": 16 << 10, "more than 16 KB": 16<<10 + 1, "100,000 bytes": 100_000}
+	var held []*hgmemory.Buffer
+	var want, got []string
+	for name, size := range sizes {
+		text := strings.Repeat(name+".", size/(len(name)+1)+1)[:size]
+		// The second of three buffers is released, so that the third one takes its memory.
+		for i := range 3 {
+			b, err := p.Read(strings.NewReader(text), size)
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if b.Len() != size {
+				t.Errorf("%s: %d bytes, want %d", name, b.Len(), size)
+			}
+			if i == 1 {
+				b.Release()
+				continue
+			}
+			held, want = append(held, b), append(want, text)
+		}
+	}
+	for _, b := range held {
+		var out bytes.Buffer
+		if n, err := b.WriteTo(&out); err != nil || n != int64(out.Len()) {
+			t.Errorf("%d bytes written of %d: %v", n, out.Len(), err)
+		}
+		got = append(got, out.String())
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against buffers that become garbage, which adds up to more than the limit before it is collected.
+func TestReleasedMemoryIsNotAllocatedAgain(t *testing.T) {
+	const limit, size = 16 << 20, 4 << 20
+	source := bytes.Repeat([]byte("x"), size)
+	p := hgmemory.NewPool(limit)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 20 {
+		b, err := p.Read(bytes.NewReader(source), size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Release()
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > limit {
+		t.Errorf("%d MB allocated, want %d at most", n>>20, limit>>20)
+	}
+}
