hgsite: the endless replica does not measure its own garbage

TestEndlessBytes bounds the heap of a process that holds the VM, the callers and the stand-in.

It writes the same bytes from one slice now. Bound, load and bytes are as before, so that the bound falls on the VM.

--- a/internal/proof/hgsite/endless_test.go
+++ b/internal/proof/hgsite/endless_test.go
@@ -48,9 +48,9 @@
 		return
 	}
 	_, err = io.WriteString(conn, strings.ReplaceAll(e.head, attemptPlaceholder, a.ID))
-	chunk := strings.Repeat(e.repeated, 1+8192/len(e.repeated))
+	chunk := []byte(strings.Repeat(e.repeated, 1+8192/len(e.repeated)))
 	for err == nil {
-		_, err = io.WriteString(conn, chunk)
+		_, err = conn.Write(chunk)
 	}
 }
 
