hgledger: an account that can't be decoded hides no turn from other programs

A program that continues a kept turn of another program was answered 503 for good while the row of the other program's account held bytes of another writer.

Cause: the turns of a program were read together with its account, and one error stood for both.

Evidence: TestOddAccountHidesNoTurn failed before: oddrow_test.go:102: verdict unsure, text ""

The error of the account is returned beside the turns; only who serves the program itself, and has to know its budget, stops at it. Turns of the program itself stay undecided (same test). The package's tests of turns and odd rows pass with the race detector.

--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -238,7 +238,7 @@
 		if row == nil {
 			continue
 		}
-		turns, _, _, readErr := l.readProgram(ctx, partition, string(row.Value))
+		turns, _, readErr := l.readProgram(ctx, partition, string(row.Value))
 		if _, ok := turns[turn]; ok {
 			return turns, nil
 		}
--- a/internal/state/hgledger/oddrow_test.go
+++ b/internal/state/hgledger/oddrow_test.go
@@ -93,6 +93,20 @@
 	}
 }
 
+// Guards against the loss of a program's turns for other programs, if another writer has overwritten the row of its account.
+func TestOddAccountHidesNoTurn(t *testing.T) {
+	store := hgstore.NewMemory()
+	keep(t, newLedger(t, "a/1", store), "p", hgturn.Turn{ID: "t1", Input: []byte("in "), Output: []byte("out\n")})
+	putRow(t, store, fmt.Sprintf("hgprogram/%02d/p/a", hgledger.Partition("p")), []byte("\xff"))
+	if reply := open(newLedger(t, "b/1", store), "q", "x", "t1"); reply.Verdict != hgledger.Granted || string(reply.Text) != "in out\n" {
+		t.Errorf("verdict %s, text %q", reply.Verdict, reply.Text)
+	}
+	q := hgledger.OpenRequest{Program: "p", Attempt: "x", Previous: "t1", Budget: 100, Most: 10, HasBudget: true}
+	if v := newLedger(t, "c/1", store).Open(t.Context(), q).Verdict; v != hgledger.Undecided {
+		t.Errorf("verdict %s without a known budget, want %s", v, hgledger.Undecided)
+	}
+}
+
 // Guards against a budget that grows by claims that no ledger can have made.
 func TestOddClaimsGrantNoTokens(t *testing.T) {
 	type row struct {
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -196,32 +196,41 @@
 // loadProgram reads all rows of a program in its home partition.
 func (l *Ledger) loadProgram(ctx context.Context, p *program) (err error) {
 	defer func() { err = trace.Wrap(err, "load program %s", p.id) }()
-	turns, account, version, err := l.readProgram(ctx, homePartition(p.id), p.id)
+	turns, account, err := l.readProgram(ctx, homePartition(p.id), p.id)
 	if err != nil {
 		return err
 	}
+	if account.err != nil {
+		return account.err
+	}
 	maps.Copy(p.turns, turns)
-	if p.partition() == homePartition(p.id) && (version > 0 || !l.failedOver[p.partition()].Load()) {
-		l.reload(p, account, version, true)
+	if p.partition() == homePartition(p.id) && (account.version > 0 || !l.failedOver[p.partition()].Load()) {
+		l.reload(p, account.row, account.version, true)
 	}
 	return nil
 }
 
-// readProgram reads the turns and the account of a program from one partition. The version is 0 if there is no account.
-func (l *Ledger) readProgram(ctx context.Context, partition int, program string) (turns hgturn.Tree, account accountRow, version uint64, err error) {
+// storedAccount is the account of a program as its row says, and the version of the row; 0 if there is none. err is set if the row
+// can't be decoded.
+type storedAccount struct {
+	row     accountRow
+	version uint64
+	err     error
+}
+
+// readProgram reads the turns and the account of a program from one partition.
+func (l *Ledger) readProgram(ctx context.Context, partition int, program string) (turns hgturn.Tree, account storedAccount, err error) {
 	prefix := programPrefix(partition, program)
 	rows, err := l.table.Scan(ctx, prefix, "", maxRows)
 	if err != nil {
-		return nil, account, 0, err
+		return nil, account, err
 	}
 	turns = hgturn.Tree{}
 	var text chunks
 	for _, r := range rows {
 		if r.Key == prefix+"a" {
-			if account, err = decodeAccount(r.Value); err != nil {
-				return nil, account, 0, err
-			}
-			version = r.Version
+			account.row, account.err = decodeAccount(r.Value)
+			account.version = r.Version
 			continue
 		}
 		turn, complete, err := text.add(strings.TrimPrefix(r.Key, prefix), r.Value)
@@ -233,5 +242,5 @@
 			turns[turn.ID] = turn
 		}
 	}
-	return turns, account, version, nil
+	return turns, account, nil
 }
