hgentryvm: a VM whose row was overwritten writes it again

The row of a VM that another writer had overwritten stayed as it was for good: VMs that read the table did not count the VM as a member.

Cause: a VM looked whether its row was there and no older than what it had written, and not at what it holds.

Evidence: TestOverwrittenRowOfVMIsWrittenAgain failed before: oddnode_test.go:86: row "\xff" after 8 s

A row that names no VM counts as removed. One that names another process of the VM is left to that one, as before, so that two processes of one name don't overwrite each other's. The tests of odd rows, removed rows and the package's pass with the race detector.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -75,7 +75,8 @@
 	}
 }
 
-// checkRow writes the node's row again if another node has removed it because this one seemed to be gone.
+// checkRow writes the node's row again if another node has removed it because this one seemed to be gone, or another writer has left
+// what names no node in it.
 func (n *Node) checkRow() {
 	written := n.rowVersion.Load()
 	s := n.watches[nodeTable].Snapshot()
@@ -83,12 +84,14 @@
 		return
 	}
 	if row, ok := s.Rows[nodeKey(n.cfg.VM.Name)]; ok && row.Version >= written {
-		return
+		if _, err := decodeNode(row); err == nil {
+			return
+		}
 	}
 	if !n.rowVersion.CompareAndSwap(written, 0) {
 		return
 	}
-	n.log.Warn("row of this node was removed; writing it again")
+	n.log.Warn("row of this node was removed or overwritten; writing it again")
 	n.members.Leave()
 	go n.register(false)
 }
--- a/internal/proof/hgsite/oddnode_test.go
+++ b/internal/proof/hgsite/oddnode_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"hyssopgrade/hgcodec"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/proof/hgsite"
 )
 
@@ -64,3 +66,24 @@
 	restart(t, s, 1)
 	serve("after a restart")
 }
+
+// Guards against a VM that does not count for good, as another writer has overwritten its row.
+func TestOverwrittenRowOfVMIsWrittenAgain(t *testing.T) {
+	s := newSettledSite(t, 3)
+	const key = "hgnode//vm-1"
+	if _, err := s.Store.Commit(t.Context(), hgstore.Txn{Puts: []hgstore.Put{{Key: key, Value: []byte("\xff")}}}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(8 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		row, err := s.Store.Get(t.Context(), key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if info, err := (hgcodec.JSON[hgpeer.Info]{}).Decode(row.Value); err == nil && info.Name == "vm-1" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("row %q after 8 s", row.Value)
+		}
+	}
+}
