hgfeed: an answer that is not applied confirms no older copy

A VM may act as part of a majority only with a copy of a known age.

An answer that is left out confirms the table only if the table holds all that it holds.

--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -204,8 +204,13 @@
 // the copy does not include are polled for again.
 func (w *Watch) applyChanges(after uint64, changes []hgstore.Change, version uint64) {
 	w.mu.Lock()
+	replaced := w.snapshot.Version != after
+	if replaced && version > w.snapshot.Version {
+		w.mu.Unlock()
+		return
+	}
 	w.noteSuccess()
-	if w.snapshot.Version != after {
+	if replaced {
 		w.mu.Unlock()
 		return
 	}
