entry: a turn that can't be kept is not answered with success

A kept turn whose replica answered with a success other than 200 was passed on as served, and the next turn got 404.

Cause: only a stream with status 200 is kept; every other status went to the caller as it came, by its form.

Evidence: all four cases of TestOtherSuccessIsNoTurn failed before, for one: 206_Partial_Content: eventstream_test.go:105: status 206, then 404 of the next turn, want 502 and 404

Such an answer is answered 502, like others whose status does not hold, and promises nothing. Routes that keep no turns pass it on as before. The tests of statuses, promises and resumed streams pass with the race detector.

--- a/internal/proof/hgsite/eventstream_test.go
+++ b/internal/proof/hgsite/eventstream_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -85,3 +86,24 @@
 		t.Errorf("the next turn got status %d, want 404", next.Status)
 	}
 }
+
+// Guards against a turn that was answered with success and then does not exist, since only a stream with status 200 is kept.
+func TestOtherSuccessIsNoTurn(t *testing.T) {
+	s := newSite(t, 1)
+	var status atomic.Pointer[string]
+	useRawReplica(t, s, func(_ int, q rawRequest) (data string, ran, end bool) {
+		answer := hgattempt.Answer{AttemptID: q.ID, Sealed: true}
+		return rawHead(*status.Load(), answer, "Content-Type: text/event-stream", "Content-Length: 0"), true, false
+	})
+	for _, text := range []string{"201 Created", "204 No Content", "205 Reset Content", "206 Partial Content"} {
+		t.Run(text, func(t *testing.T) {
+			status.Store(&text)
+			q := hgsite.Turn(hgsite.ThreadPath, text, "", "x")
+			reply := callWithin(t, s, q, answerLimit)
+			next := callWithin(t, s, hgsite.Turn(hgsite.ThreadPath, text, q.ID, "y"), answerLimit)
+			if reply.Status != http.StatusBadGateway || next.Status != http.StatusNotFound {
+				t.Errorf("status %d, then %d of the next turn, want 502 and 404", reply.Status, next.Status)
+			}
+		})
+	}
+}
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -47,8 +47,8 @@
 	errNotRun = errors.New("replica refused the request")
 	// errAnswerLost means that there is no usable response although the replica may have run the request.
 	errAnswerLost = errors.New("answer was lost")
-	// errFalsePromise means that the replica may have run the request, although its status tells callers that it was not run.
-	errFalsePromise = errors.New("replica ran the request and answered as if it had not")
+	// errFalsePromise means that the status of the response promises callers what does not hold, as that the request was not run.
+	errFalsePromise = errors.New("replica answered with a status that does not hold")
 	// errNoReplica means that the service has no usable replica that was not tried yet.
 	errNoReplica = errors.New("no replica is left")
 	// errBusy means that replicas are too busy for a new program.
@@ -191,7 +191,7 @@
 }
 
 // isFalsePromise reports whether the status of an accepted response would tell the caller what the replica does not vouch for: that
-// the request was not run, or that its previous turn does not exist. Such a response can't be relayed under another status, as it
+// the request was not run, that its previous turn does not exist, or that a turn was served which is not retained. Such a response can't be relayed under another status, as it
 // carries the replica's seal.
 func (x *exchange) isFalsePromise(t *try) bool {
 	switch t.resp.StatusCode {
@@ -202,7 +202,7 @@
 	case http.StatusNotFound, http.StatusGone:
 		return x.turn != nil && x.attempt.Previous != ""
 	}
-	return false
+	return x.turn != nil && x.turn.retained && t.resp.StatusCode/100 == 2 && t.resp.StatusCode != http.StatusOK
 }
 
 // target returns the URL of the request at a replica's address, with path and query exactly as the caller sent them.
