hgpeer: two VMs that stop are no majority each

What callers saw: nothing yet; found in review. While two VMs stopped on the two sides of a cut, a budget could be exceeded by two turns (BUDGET).

Cause: a VM that stops counts itself, and nobody else counts it. With an even number of other members each of the two is a majority with half of them.

Evidence: TestOnlyMembersVote failed: 'half of the members, to one that stops itself: lacks a majority: false, want true; may claim: true, want false'.

Fix: a VM that stops neither counts itself nor has a vote. It still goes on as a majority with most of the others.

--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -72,11 +72,14 @@
 func (m *Members) IsJoining() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.votes()
+	return m.isJoining()
 }
 
+// isJoining is IsJoining; m.mu is held.
+func (m *Members) isJoining() bool { return m.timer.Now() < m.votesFrom }
+
 // votes reports whether this node has a vote; m.mu is held.
-func (m *Members) votes() bool { return m.timer.Now() >= m.votesFrom }
+func (m *Members) votes() bool { return !m.isJoining() && !m.self.Stopping }
 
 // SetRegistered sets the nodes that have a row in the store. A row alone does not make a node live.
 func (m *Members) SetRegistered(nodes []Info) {
@@ -126,8 +129,11 @@
 	if m.votes() {
 		votes++
 	}
-	peersCounted := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
-	return 2*votes > peersCounted+1
+	members := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
+	if !m.self.Stopping {
+		members++
+	}
+	return 2*votes > members
 }
 
 // IsMajority reports whether this node and the peers that answered it are a majority of the members that have not announced their stop.
--- a/internal/peer/hgpeer/vote_test.go
+++ b/internal/peer/hgpeer/vote_test.go
@@ -17,20 +17,25 @@
 		counted, heard int
 		uncounted      []hgpeer.Info
 		registered     bool
+		stopping       bool
 		majority       bool
 	}{
-		"all members":                         {counted: 4, heard: 4, majority: true},
-		"half of the members":                 {counted: 3, heard: 1},
-		"half and one that stops":             {counted: 3, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
-		"one and one that stops":              {counted: 2, heard: 0, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
-		"most of the members and that":        {counted: 2, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true, majority: true},
-		"one and two without rows":            {counted: 2, heard: 0, uncounted: []hgpeer.Info{info("x", "north"), info("y", "north")}},
-		"one and two with new rows":           {counted: 2, heard: 0, uncounted: []hgpeer.Info{joining("x"), joining("y")}, registered: true},
-		"most of the members and one without": {counted: 4, heard: 3, uncounted: []hgpeer.Info{info("x", "north")}, majority: true},
+		"all members":                                   {counted: 4, heard: 4, majority: true},
+		"half of the members":                           {counted: 3, heard: 1},
+		"half and one that stops":                       {counted: 3, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
+		"one and one that stops":                        {counted: 2, heard: 0, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true},
+		"most of the members and that":                  {counted: 2, heard: 1, uncounted: []hgpeer.Info{stopped("x", "north")}, registered: true, majority: true},
+		"half of the members, to one that stops itself": {counted: 4, heard: 2, stopping: true},
+		"most of the members, to one that stops itself": {counted: 3, heard: 2, stopping: true, majority: true},
+		"one and two without rows":                      {counted: 2, heard: 0, uncounted: []hgpeer.Info{info("x", "north"), info("y", "north")}},
+		"one and two with new rows":                     {counted: 2, heard: 0, uncounted: []hgpeer.Info{joining("x"), joining("y")}, registered: true},
+		"most of the members and one without":           {counted: 4, heard: 3, uncounted: []hgpeer.Info{info("x", "north")}, majority: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			m := hgpeer.NewMembers(&clock{now: time.Minute}, info("self", "north"))
+			self := info("self", "north")
+			self.Stopping = tt.stopping
+			m := hgpeer.NewMembers(&clock{now: time.Minute}, self)
 			members := lo.Times(tt.counted, func(i int) hgpeer.Info { return info(fmt.Sprint("peer", i), "north") })
 			m.SetRegistered(append(members, lo.Ternary(tt.registered, tt.uncounted, nil)...))
 			answered := append(members[:tt.heard:tt.heard], tt.uncounted...)
