hgentryvm: the age of a row is the time since it was written

What callers saw: nothing yet; found in review.

Cause: a restarted VM takes over the vote of the row that it replaces if that row is old enough to be in every copy. The age was taken from the start of the process that wrote the row. A VM that ran for an hour, was removed as it was cut off, wrote its row again and was killed had a row that looked an hour old a moment after it was written: its next process voted, and removed others, at once. The same for a process that started long before it reached the store.

Evidence: TestVMVotesAtOnceOnlyForARowThatOthersCount failed: 'row that was written again just now: joins: false, want true'.

Fix: a row says when it was written (Info.Registered), and its age counts from that. A row without it counts as old, as before.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -42,6 +42,10 @@
 // announced its stop.
 func (n *Node) writeRow(ctx context.Context) (version uint64, known bool, err error) {
 	defer func() { err = trace.Wrap(err, "write the row of this node") }()
+	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
+		i.Registered = time.Now().UnixMilli()
+		return i
+	})
 	self := n.members.Self()
 	key := nodeKey(self.Name)
 	old, err := n.store.Get(ctx, key)
@@ -53,7 +57,7 @@
 			// An earlier attempt took effect without a reply.
 			return old.Version, false, nil
 		}
-		known = info.Boot != self.Boot && !info.Stopping && (!info.Joining || time.Since(time.UnixMilli(info.Started)) > hgpeer.JoinTime)
+		known = info.Boot != self.Boot && !info.Stopping && (!info.Joining || time.Since(time.UnixMilli(info.Registered)) > hgpeer.JoinTime)
 	}
 	self.Joining = self.Joining && !known
 	value, err := infoCodec.Encode(self)
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -19,6 +19,8 @@
 	// Started is when the process started, in Unix milliseconds, and Revision grows with each change of the Info.
 	Started  int64
 	Revision uint64
+	// Registered is when the process last wrote its row, in Unix milliseconds.
+	Registered int64
 	// Power is the processor capacity of the node, in cores.
 	Power float64
 	// Ready says that the node serves callers, and Stopping that it shuts down.
--- a/internal/peer/hgpeer/site_test.go
+++ b/internal/peer/hgpeer/site_test.go
@@ -254,10 +254,10 @@
 	self := v.members.Self()
 	if v.rowVersion == 0 && !v.stopping {
 		old := lo.Ternary(exists, v.decode(own), hgpeer.Info{Stopping: true})
-		age := v.site.clock.now - time.Duration(old.Started)*time.Millisecond
+		age := v.site.clock.now - time.Duration(old.Registered)*time.Millisecond
 		known := old.Boot != self.Boot && !old.Stopping && (!old.Joining || age > hgpeer.JoinTime)
 		first := !self.Joining && v.starts == 1
-		self.Joining = self.Joining && !known
+		self.Joining, self.Registered = self.Joining && !known, v.site.clock.now.Milliseconds()
 		v.rowVersion = v.put(key(v.name), self)
 		v.members.Join(known || first)
 	}
--- /dev/null
+++ b/internal/proof/hgsite/rejoin_test.go
@@ -0,0 +1,84 @@
+package hgsite_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssopgrade/hgcodec"
+	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/proof/hgsite"
+)
+
+// Guards against a VM that votes at once because of a row under its name that others may not have read, or do not count.
+func TestVMVotesAtOnceOnlyForARowThatOthersCount(t *testing.T) {
+	const longAgo = time.Hour
+	codec := hgcodec.JSON[hgpeer.Info]{}
+	tests := map[string]struct {
+		// change makes the row before the start from one that an earlier process has written long ago; nil is no row.
+		change func(i hgpeer.Info) hgpeer.Info
+		joins  bool
+	}{
+		"no row":                    {nil, true},
+		"row of an earlier process": {func(i hgpeer.Info) hgpeer.Info { return i }, false},
+		"one that counted from first": {func(i hgpeer.Info) hgpeer.Info {
+			i.Joining = false
+			return i
+		}, false},
+		"one that announced its stop": {func(i hgpeer.Info) hgpeer.Info {
+			i.Stopping = true
+			return i
+		}, true},
+		"row that was written again just now": {func(i hgpeer.Info) hgpeer.Info {
+			i.Registered = time.Now().UnixMilli()
+			return i
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1)
+			cfg, err := s.AddConfig(s.StoreAddress())
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Configs[1].VM.FirstStart = false
+			key := "hgnode//" + cfg.VM.Name
+			if tt.change != nil {
+				at := time.Now().Add(-longAgo).UnixMilli()
+				value, err := codec.Encode(tt.change(hgpeer.Info{
+					Name: cfg.VM.Name, Boot: "earlier", Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain, Started: at, Registered: at, Joining: true,
+				}))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := s.Store.Commit(t.Context(), hgstore.Txn{Puts: []hgstore.Put{{Key: key, Value: value}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.Nodes = append(s.Nodes, nil)
+			if err := s.StartNode(1); err != nil {
+				t.Fatal(err)
+			}
+			if i := awaitRow(t, s, cfg.VM.Name); i.Joining != tt.joins {
+				t.Errorf("joins: %t, want %t", i.Joining, tt.joins)
+			}
+		})
+	}
+}
+
+// awaitRow returns the row of a VM once its present process has written it.
+func awaitRow(t *testing.T, s *hgsite.Site, name string) (i hgpeer.Info) {
+	t.Helper()
+	for deadline := time.Now().Add(applyLimit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		row, err := s.Store.Get(t.Context(), "hgnode//"+name)
+		if err != nil {
+			continue
+		}
+		if i, err = (hgcodec.JSON[hgpeer.Info]{}).Decode(row.Value); err == nil && i.Boot != "earlier" && i.Boot != "" {
+			return i
+		}
+	}
+	t.Fatal("the VM has written no row")
+	return i
+}
