hgentryvm: a row of another writer under a VM's name is none of its own

What callers saw: nothing yet; found in review. A VM whose row was replaced by bytes of another writer counted nowhere for good; one that started over such a row voted at once, though nobody counted it.

Cause: others skip a row that no VM can have written, as its form is checked (decodeNode). The VM itself took any row under its name for its own, if that was newer than the one that it had written, and any row that could be decoded for that of its earlier process.

Evidence: TestVMVotesAtOnceOnlyForARowThatOthersCount failed: 'row of another writer: joins: false, want true', and TestRowThatWasReplacedIsWrittenAgain: 'the VM has written no row'.

Fix: the VM checks its own row as others do, and writes it again if it describes no node. A valid row of another process under the same name stays. Measured: both tests pass.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -52,7 +52,7 @@
 	if err != nil && !trace.IsNotFound(err) {
 		return 0, false, err
 	}
-	if info, decodeErr := infoCodec.Decode(old.Value); err == nil && decodeErr == nil {
+	if info, decodeErr := decodeNode(old); err == nil && decodeErr == nil {
 		if info.Boot == self.Boot && !self.Stopping {
 			// An earlier attempt took effect without a reply.
 			return old.Version, false, nil
@@ -79,7 +79,8 @@
 	}
 }
 
-// checkRow writes the node's row again if another node has removed it because this one seemed to be gone.
+// checkRow writes the node's row again if another node has removed it because this one seemed to be gone, or if another writer has
+// replaced it by one that describes no node.
 func (n *Node) checkRow() {
 	written := n.rowVersion.Load()
 	s := n.watches[nodeTable].Snapshot()
@@ -87,12 +88,14 @@
 		return
 	}
 	if row, ok := s.Rows[nodeKey(n.cfg.VM.Name)]; ok && row.Version >= written {
-		return
+		if _, err := decodeNode(row); err == nil {
+			return
+		}
 	}
 	if !n.rowVersion.CompareAndSwap(written, 0) {
 		return
 	}
-	n.log.Warn("row of this node was removed; writing it again")
+	n.log.Warn("row of this node is gone; writing it again")
 	n.members.Leave()
 	go n.register(false)
 }
--- a/internal/proof/hgsite/rejoin_test.go
+++ b/internal/proof/hgsite/rejoin_test.go
@@ -33,6 +33,7 @@
 			i.Registered = time.Now().UnixMilli()
 			return i
 		}, true},
+		"row of another writer": {func(i hgpeer.Info) hgpeer.Info { return hgpeer.Info{Name: i.Name} }, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,6 +68,21 @@
 	}
 }
 
+// Guards against a VM that counts nowhere, for good, after another writer has replaced its row.
+func TestRowThatWasReplacedIsWrittenAgain(t *testing.T) {
+	s := newSite(t, 3)
+	name := s.Configs[1].VM.Name
+	awaitRow(t, s, name)
+	for _, value := range []string{"", "{}", `{"Name":"vm-1"}`} {
+		if _, err := s.Store.Commit(t.Context(), hgstore.Txn{Puts: []hgstore.Put{{Key: "hgnode//" + name, Value: []byte(value)}}}); err != nil {
+			t.Fatal(err)
+		}
+		if i := awaitRow(t, s, name); !i.Joining {
+			t.Errorf("row after %q: %+v", value, i)
+		}
+	}
+}
+
 // awaitRow returns the row of a VM once its present process has written it.
 func awaitRow(t *testing.T, s *hgsite.Site, name string) (i hgpeer.Info) {
 	t.Helper()
