hgentryvm: a VM that returns at another address joins as a new one

What callers saw: nothing yet; found in review.

Cause: with an old copy of the rows all members have to act together, or those whose processes have ended, as the host at their address says. A VM that came back under its old name at another address took over vote and right to remove at once. A and B, without the store, went on hearing from the old host that C had ended and acted for up to 15 s; C, with the store, removed them after 3 s and was the majority 3.5 s later.

Evidence: TestVMVotesAtOnceOnlyForARowThatOthersCount failed: 'row at another address, of a host that may be up: joins: false, want true'. The sequence itself was not played: the model knows no addresses.

Fix: only a VM at the address of the earlier process takes its place; there the host can't say that it has ended. Others join as new ones, without vote for 3 s and without removals for 15.5 s. Measured: the test passes.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -57,7 +57,7 @@
 			// An earlier attempt took effect without a reply.
 			return old.Version, false, nil
 		}
-		known = info.Boot != self.Boot && !info.Stopping && (!info.Joining || time.Since(time.UnixMilli(info.Registered)) > hgpeer.JoinTime)
+		known = takesOver(info, self)
 	}
 	self.Joining = self.Joining && !known
 	value, err := infoCodec.Encode(self)
@@ -70,6 +70,13 @@
 	return version, known, err
 }
 
+// takesOver reports whether a node takes the place of the earlier process that wrote its row: all others have counted that one until now,
+// and the address at which they may have found that it has ended is the node's own.
+func takesOver(old, self hgpeer.Info) bool {
+	wasCounted := !old.Joining || time.Since(time.UnixMilli(old.Registered)) > hgpeer.JoinTime
+	return old.Boot != self.Boot && old.Peer == self.Peer && !old.Stopping && wasCounted
+}
+
 // markStopping records in the node's row that it stops, so that nodes that start later do not count it.
 func (n *Node) markStopping() {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
--- a/internal/proof/hgsite/rejoin_test.go
+++ b/internal/proof/hgsite/rejoin_test.go
@@ -33,6 +33,10 @@
 			i.Registered = time.Now().UnixMilli()
 			return i
 		}, true},
+		"row at another address, of a host that may be up": {func(i hgpeer.Info) hgpeer.Info {
+			i.Peer = "127.0.0.1:9"
+			return i
+		}, true},
 		"row of another writer": {func(i hgpeer.Info) hgpeer.Info { return hgpeer.Info{Name: i.Name} }, true},
 	}
 	for name, tt := range tests {
