hgpeer: a VM that did not run for a while removes nobody for it

What callers saw: nothing yet; found in review. After a freeze of one VM all VMs could be without a vote for 3 s, so that turns that need the unused share of another VM, or begin without the store, are told 503.

Cause: the silence of a peer was the time since it was last heard, also if the VM had asked nobody meanwhile. A VM that was stopped for over 3 s and goes on takes all others for gone until its first heartbeats are answered. If it has read the rows before that, which takes one call of the store, it removes them all.

Evidence: TestVMThatDidNotRunRemovesNobody failed: 'paused, others live: removes [b c] just after the pause'. Not seen with processes; the watch mostly pauses for 200 ms first.

Fix: silence counts from the last pause in this VM's own heartbeats, of three periods or more.

--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -184,13 +184,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.timer.Now()
-	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease {
+	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease || m.hasPaused(now) {
 		return nil
 	}
 	before := lo.CountBy(m.live(), func(i Info) bool { return i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name })
 	wait := time.Duration(before) * removalStagger
 	for _, p := range m.members {
-		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added) >= m.removalSilence(p)+wait {
+		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added, m.runsSince) >= m.removalSilence(p)+wait {
 			gone = append(gone, p.row)
 		}
 	}
@@ -198,6 +198,20 @@
 	return gone
 }
 
+// noteRound records that this node sends heartbeats; m.mu is held.
+func (m *Members) noteRound(now time.Duration) {
+	if m.hasPaused(now) {
+		m.runsSince = now
+	}
+	m.lastRound = now
+}
+
+// hasPaused reports whether this node has sent no heartbeats for so long that it did not run, as when it was frozen. Its peers then seem
+// silent only because it did not ask them; m.mu is held.
+func (m *Members) hasPaused(now time.Duration) bool {
+	return now-m.lastRound >= maxMissedBeats*m.period()
+}
+
 // removalSilence returns the silence after which a peer's row is removed; m.mu is held.
 func (m *Members) removalSilence(p *member) time.Duration {
 	if p.info.Stopping {
--- a/internal/peer/hgpeer/hub.go
+++ b/internal/peer/hgpeer/hub.go
@@ -70,6 +70,7 @@
 func (m *Members) Targets(round int) (local, remote []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteRound(m.timer.Now())
 	m.prune()
 	if !m.isLarge() {
 		for _, p := range m.members {
