--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -42,18 +42,22 @@
 // announced its stop.
 func (n *Node) writeRow(ctx context.Context) (version uint64, known bool, err error) {
 	defer func() { err = trace.Wrap(err, "write the row of this node") }()
+	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
+		i.Registered = time.Now().UnixMilli()
+		return i
+	})
 	self := n.members.Self()
 	key := nodeKey(self.Name)
 	old, err := n.store.Get(ctx, key)
 	if err != nil && !trace.IsNotFound(err) {
 		return 0, false, err
 	}
-	if info, decodeErr := infoCodec.Decode(old.Value); err == nil && decodeErr == nil {
+	if info, decodeErr := decodeNode(old); err == nil && decodeErr == nil {
 		if info.Boot == self.Boot && !self.Stopping {
 			// An earlier attempt took effect without a reply.
 			return old.Version, false, nil
 		}
-		known = info.Boot != self.Boot && !info.Stopping && (!info.Joining || time.Since(time.UnixMilli(info.Started)) > hgpeer.JoinTime)
+		known = takesOver(info, self)
 	}
 	self.Joining = self.Joining && !known
 	value, err := infoCodec.Encode(self)
@@ -66,6 +70,13 @@
 	return version, known, err
 }
 
+// takesOver reports whether a node takes the place of the earlier process that wrote its row: all others have counted that one until now,
+// and the address at which they may have found that it has ended is the node's own.
+func takesOver(old, self hgpeer.Info) bool {
+	wasCounted := !old.Joining || time.Since(time.UnixMilli(old.Registered)) > hgpeer.JoinTime
+	return old.Boot != self.Boot && old.Peer == self.Peer && !old.Stopping && wasCounted
+}
+
 // markStopping records in the node's row that it stops, so that nodes that start later do not count it.
 func (n *Node) markStopping() {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -72,11 +72,14 @@
 func (m *Members) IsJoining() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.votes()
+	return m.isJoining()
 }
 
+// isJoining is IsJoining; m.mu is held.
+func (m *Members) isJoining() bool { return m.timer.Now() < m.votesFrom }
+
 // votes reports whether this node has a vote; m.mu is held.
-func (m *Members) votes() bool { return m.timer.Now() >= m.votesFrom }
+func (m *Members) votes() bool { return !m.isJoining() && !m.self.Stopping }
 
 // SetRegistered sets the nodes that have a row in the store. A row alone does not make a node live.
 func (m *Members) SetRegistered(nodes []Info) {
@@ -126,8 +129,11 @@
 	if m.votes() {
 		votes++
 	}
-	peersCounted := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
-	return 2*votes > peersCounted+1
+	members := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
+	if !m.self.Stopping {
+		members++
+	}
+	return 2*votes > members
 }
 
 // IsMajority reports whether this node and the peers that answered it are a majority of the members that have not announced their stop.
@@ -178,13 +184,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.timer.Now()
-	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease {
+	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease || m.hasPaused(now) {
 		return nil
 	}
 	before := lo.CountBy(m.live(), func(i Info) bool { return i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name })
 	wait := time.Duration(before) * removalStagger
 	for _, p := range m.members {
-		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added) >= m.removalSilence(p)+wait {
+		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added, m.runsSince) >= m.removalSilence(p)+wait {
 			gone = append(gone, p.row)
 		}
 	}
@@ -192,6 +198,20 @@
 	return gone
 }
 
+// noteRound records that this node sends heartbeats; m.mu is held.
+func (m *Members) noteRound(now time.Duration) {
+	if m.hasPaused(now) {
+		m.runsSince = now
+	}
+	m.lastRound = now
+}
+
+// hasPaused reports whether this node has sent no heartbeats for so long that it did not run, as when it was frozen. Its peers then seem
+// silent only because it did not ask them; m.mu is held.
+func (m *Members) hasPaused(now time.Duration) bool {
+	return now-m.lastRound >= maxMissedBeats*m.period()
+}
+
 // removalSilence returns the silence after which a peer's row is removed; m.mu is held.
 func (m *Members) removalSilence(p *member) time.Duration {
 	if p.info.Stopping {
