hgledger: kept turns keep a small share for the next ones

Evidence: TestKeptTurnsInSlowStore on: 'turn 0 of program p6: status 503 after 801.93215ms: {"error":"state of the program is not known"}' for 11 programs, '31 of 80 turns took longer than 600ms'. Cause: the claim was reduced to what was used, so that neither the owner nor the VM that a turn is sent on to had a share when the store became slow.

A kept turn now claims, beside what open turns may use, as many whole turns as fit into an eighth of the unclaimed budget (Account.Ahead), and the end of a turn adjusts the share, in either direction, only if it holds more than that or too little for the next turn. A VM that is killed takes an eighth of the rest with it and what open turns may use; where the budget holds fewer than eight turns more, only the latter. A raised share counts once the row is written.

--- a/internal/state/hgaccount/account.go
+++ b/internal/state/hgaccount/account.go
@@ -71,12 +71,32 @@
 func (a Account) ReserveOnly(held, next, budget, maxTokens int) Grant {
 	g := a.ReserveBeside(held, budget, maxTokens)
 	if g.NeedsWrite {
-		needed := g.Account.Used + g.Account.Open + held
-		g.Account.Mine = needed + max(min(next, budget-a.Others-needed), 0)
+		g.Account = g.Account.ClaimOnly(held, next, budget)
 	}
 	return g
 }
 
+// ClaimOnly sets the node's share to what is used, reserved or held back for open turns and, of what is unclaimed, the given number of
+// tokens for later turns. A share that has grown may be used once the row is written.
+func (a Account) ClaimOnly(held, next, budget int) Account {
+	needed := a.Used + a.Open + held
+	a.Mine = needed + max(min(next, budget-a.Others-needed), 0)
+	return a
+}
+
+// aheadDivisor is the part of the unclaimed budget that a node which ends may take with it: after five such ends half of it is left.
+const aheadDivisor = 8
+
+// Ahead returns the tokens to claim for later turns of the given maximum, beside what is used, reserved or held back: as many whole turns
+// as fit into a part of the unclaimed budget.
+func (a Account) Ahead(held, budget, maxTokens int) int {
+	rest := budget - a.Others - a.Used - a.Open - held
+	if rest <= 0 || maxTokens <= 0 {
+		return 0
+	}
+	return rest / aheadDivisor / maxTokens * maxTokens
+}
+
 // MayOverrun reports whether a grant exceeds the budget in case all other nodes have used their whole shares.
 func (a Account) MayOverrun(g Grant, budget int) bool {
 	return !g.Spent && g.NeedsWrite && g.Account.Mine+a.Others > budget
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -194,6 +194,9 @@
 	}
 	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] = reply.Most
+	if q.Kept {
+		p.lastKept = OpenRequest{Budget: q.Budget, Most: q.Most}
+	}
 	if reply.Most < q.Most {
 		p.shortfalls[q.Attempt] = q.Most - reply.Most
 	}
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -44,6 +44,8 @@
 	writtenAt time.Duration
 	// checkedAt is when the row was last read before a refusal.
 	checkedAt time.Duration
+	// lastKept is the last kept turn that was opened.
+	lastKept OpenRequest
 	// reservations maps the attempts of open turns to their reserved tokens.
 	reservations map[string]int
 	// shortfalls maps the attempts of open turns to the tokens by which their reservations are below the turns' maximum.
--- a/internal/state/hgledger/reserve.go
+++ b/internal/state/hgledger/reserve.go
@@ -100,10 +100,8 @@
 	ctx, cancel := l.cancelAfter(ctx, limit)
 	defer cancel()
 	l.cancelIfUnreachable(ctx, cancel)
-	// A kept turn returns the unused rest when it ends, so that little is lost with a VM that is killed. While the store is slow, its rows
-	// are not delayed by that, and a share that is claimed ahead lets turns begin without the store.
-	ahead := !q.Kept || l.reach() != hgreach.Reachable
-	return l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: q.Most, ahead: ahead})
+	kept := q.Kept && l.reach() == hgreach.Reachable
+	return l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: q.Most, kept: kept})
 }
 
 // cancelIfUnreachable calls cancel when the store turns out to be unreachable before the context ends.
@@ -134,17 +132,19 @@
 type claim struct {
 	attempt        string
 	budget, tokens int
-	// ahead is set if a share for later turns is to be claimed as well.
-	ahead bool
+	// kept is set if the turn returns most of what it leaves when it ends. The claim is then small, as it is lost with a VM that is
+	// killed before.
+	kept bool
 }
 
 // grant decides on a claim, beside what other open turns may still need.
 func (p *program) grant(c claim) hgaccount.Grant {
 	held := p.shortfall(c.attempt)
-	if c.ahead {
+	if !c.kept {
 		return p.account.ReserveBeside(held, c.budget, c.tokens)
 	}
-	return p.account.ReserveOnly(held, int(p.waiting.Load()), c.budget, c.tokens)
+	next := max(int(p.waiting.Load()), p.account.Ahead(held+c.tokens, c.budget, c.tokens))
+	return p.account.ReserveOnly(held, next, c.budget, c.tokens)
 }
 
 // reserveOnline reserves tokens of the budget. It writes the row if this ledger's share is too small.
@@ -232,7 +232,7 @@
 		l.fetchUnsavedClaims(ctx, p)
 		ctx, cancel := l.cancelAfter(ctx, extendTimeout)
 		defer cancel()
-		if v, err := l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: rest, ahead: true}); v == Granted {
+		if v, err := l.reserveOnline(ctx, p, claim{attempt: q.Attempt, budget: q.Budget, tokens: rest}); v == Granted {
 			reply.Tokens += rest
 		} else if err != nil {
 			l.log.Debug("reservation not extended through the store", "program", p.id, "attempt", q.Attempt, "error", err)
--- a/internal/state/hgledger/return.go
+++ b/internal/state/hgledger/return.go
@@ -39,7 +39,7 @@
 }
 
 // settleBeside settles the tokens of a turn whose rows are about to be written, and returns the tokens that do not count yet and
-// a change that returns the unused part of this ledger's share, to be written beside those rows. There is no change, and nothing is
+// a change that adjusts this ledger's share, to be written beside those rows. There is no change, and nothing is
 // settled, if the change could delay the rows.
 func (l *Ledger) settleBeside(q CloseRequest) (used int, beside []change) {
 	p := l.program(q.Program)
@@ -53,7 +53,7 @@
 		return q.Used, nil
 	}
 	p.settleTokens(q.Attempt, q.Used)
-	w, ok := l.returnWrite(p)
+	w, ok := l.adjustShare(p)
 	if !ok {
 		p.unlock()
 		return 0, nil
@@ -64,7 +64,7 @@
 		defer cancelWrite()
 		defer p.unlock()
 		if err := l.finishWrite(p, w, w.change.wait()); err != nil {
-			l.log.Debug("unused tokens not returned", "program", p.id, "error", err)
+			l.log.Debug("share not adjusted", "program", p.id, "error", err)
 		}
 	}()
 	return 0, []change{w.change}
@@ -72,20 +72,25 @@
 
 // canReturnBeside reports whether the program's row can be written in the transaction that keeps a turn, and soon.
 func (l *Ledger) canReturnBeside(p *program) bool {
-	return l.reach() == hgreach.Reachable && p.rowKnown && !p.unsaved && p.partition() == homePartition(p.id) &&
+	return l.reach() == hgreach.Reachable && p.rowKnown && !p.unsaved && !p.account.Closed && p.partition() == homePartition(p.id) &&
 		!l.committer.isUnreachable(p.partition())
 }
 
-// returnWrite reduces this ledger's share of a program's budget and returns the write of the row, if there is anything to return.
-func (l *Ledger) returnWrite(p *program) (w accountWrite, ok bool) {
+// adjustShare returns the write that adjusts this ledger's share at the end of a kept turn, if one is due: the share is to hold what open
+// turns may use and a small part of the rest, so that the next turns need no write.
+func (l *Ledger) adjustShare(p *program) (w accountWrite, ok bool) {
 	held := p.shortfall("")
-	if p.account.Available() <= held {
+	ahead := p.account.Ahead(held, p.lastKept.Budget, p.lastKept.Most)
+	left := p.account.Available() - held
+	if left <= ahead && (left >= p.lastKept.Most || ahead < p.lastKept.Most) {
 		return w, false
 	}
-	p.account = p.account.ReturnUnused(held)
-	w, err := l.newAccountWrite(p, p.account)
+	adjusted := p.account.ClaimOnly(held, ahead, p.lastKept.Budget)
+	// The write may be applied even if no reply arrives, so returned tokens must not be used from here on.
+	p.account.Mine = min(p.account.Mine, adjusted.Mine)
+	w, err := l.newAccountWrite(p, adjusted)
 	if err != nil {
-		l.log.Warn("unused tokens not returned", "program", p.id, "error", err)
+		l.log.Warn("share not adjusted", "program", p.id, "error", err)
 	}
 	return w, err == nil
 }
