--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -184,6 +184,9 @@
 	if !q.HasBudget {
 		return reply
 	}
+	if q.Kept {
+		p.lastKept = OpenRequest{Budget: q.Budget, Most: q.Most}
+	}
 	if reply.Most, verdict, err = l.reserve(ctx, p, q, isNew); verdict != Granted {
 		l.logRefusal("turn not granted", q, verdict, err)
 		reply = OpenReply{Verdict: verdict}
