hgentry: reading a replica's body ends with the request and lets others run

TestEndlessBytes 'plain body in chunks' failed beside load with 'the caller got no end of its answer' of 6 s, where the route ends after 4 s.

Cause, as far as a trace shows it: two parts. In a dump of a stalled run dozens of goroutines were in semacquire inside an allocation: 38 of the stand-in's in io.WriteString and bufio.NewReader, 11 in http.ReadResponse, 4 in hgmemory, the VM's readRequest and runHeartbeats, so that handlers began up to 3.6 s after the first one, and a caller's 6 s ended before the 4 s of its late request. The smaller one is here: a body that comes faster than it is read never makes its reader wait. With chunks of four bytes 87 % of the processor time of a run was in the VM's own reads (chunkedReader), each a whole time slice of 10 ms, and the end of the request reached a reader only through the transport: timer, its read loop, the close of the connection, each of them behind 48 readers. Reads went on for 0.3 to 1.2 s after the deadline.

A read looks at the request's context first, and a reader yields after each 16 KB. An answer of less is read as before.

--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -140,6 +140,7 @@
 		}
 		return errors.Join(errNotSent, err)
 	}
+	t.resp.Body = &replicaBody{ReadCloser: t.resp.Body, ctx: x.ctx}
 	t.answer = x.entry.dialect.DecodeAnswer(t.resp.StatusCode, t.resp.Header)
 	x.headTime = x.entry.timer.Now() - t.began
 	x.entry.metrics.Observe(string(x.route.Kind)+"Head", x.headTime)
