hgentryvm: a stop does not wait for turns of processes that have ended

A stop that was over in 2.5 s took the whole grace time, 7.3 of 8 s, if an entry VM had crashed during a turn of a program that this VM serves.

Cause: a stop waits until no turn holds a reservation of its ledger, as the entry VMs of these turns extend and settle them there (LOST). The reservation of an entry VM that has crashed is settled by nobody, and the ledger did not know whose it was.

A request to open a turn names the process that asks (Opener: its boot and its address). A stopping VM asks the openers of the open turns four times a second for a sign of life, and does not wait for those whose processes have ended: nobody listens at the address, or another process answers there. An opener that does not answer, or one that an older version does not name, is waited for as before. The reservations stay in the ledger's share, since what was delivered of them is not known, so that nothing of the budget is granted twice.

Open: an opener that runs and no longer knows the turn is still waited for, as is one that is without power.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
+	"github.com/samber/lo"
 
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/operate/hgconfig"
@@ -195,8 +196,10 @@
 	closeReserve = 700 * time.Millisecond
 	// lastReturnTime bounds the return of budgets after the last turn has ended; it is part of closeReserve.
 	lastReturnTime = 300 * time.Millisecond
-	// turnCheckPeriod is the time between two looks at the open turns of a stopping node.
-	turnCheckPeriod = 20 * time.Millisecond
+	// turnCheckPeriod is the time between two looks at the open turns of a stopping node, and openerCheckPeriod the time between two
+	// questions to the peers that opened them.
+	turnCheckPeriod   = 20 * time.Millisecond
+	openerCheckPeriod = 250 * time.Millisecond
 )
 
 // Stop shuts the node down gracefully within the platform's grace time. It tells peers, returns budgets, accepts requests
@@ -227,19 +230,40 @@
 	n.Close()
 }
 
-// awaitTurns waits until no turn holds a reservation of this node's ledger, which extends and settles it, and until this node's own
-// turns are settled, or until the context ends.
+// awaitTurns waits until no turn of a node that runs holds a reservation of this node's ledger, which extends and settles it, and until
+// this node's own turns are settled, or until the context ends. The reservations of processes that have ended stay: what they
+// delivered of them is not known.
 func (n *Node) awaitTurns(ctx context.Context) {
-	for n.entry.Running()+n.ledger.OpenTurns() > 0 {
+	ended := map[hgledger.Opener]bool{}
+	askedAt := n.timer.Now() - openerCheckPeriod
+	for {
+		turns := lo.OmitBy(n.ledger.OpenTurns(), func(o hgledger.Opener, _ int) bool { return ended[o] })
+		if n.entry.Running()+len(turns) == 0 {
+			return
+		}
+		if now := n.timer.Now(); now-askedAt >= openerCheckPeriod {
+			askedAt = now
+			for _, o := range hgpeer.EndedOpeners(ctx, n.members, n.client, n.peersOf(turns)) {
+				ended[o] = true
+				n.log.Info("not waiting for turns of a peer that has ended", "boot", o.Boot, "open", turns[o])
+			}
+			continue
+		}
 		select {
 		case <-ctx.Done():
-			n.log.Warn("turns are left without their ledger", "settling", n.entry.Running(), "open", n.ledger.OpenTurns())
+			n.log.Warn("turns are left without their ledger", "settling", n.entry.Running(), "open", lo.Sum(lo.Values(turns)))
 			return
 		case <-time.After(turnCheckPeriod):
 		}
 	}
 }
 
+// peersOf returns the other nodes among those that opened turns, without the unknown one.
+func (n *Node) peersOf(turns map[hgledger.Opener]int) []hgledger.Opener {
+	self := n.members.Self().Boot
+	return lo.Filter(lo.Keys(turns), func(o hgledger.Opener, _ int) bool { return o.Boot != "" && o.Boot != self })
+}
+
 // returnBudgets gives back the unused part of the node's shares of programs' budgets, so that the nodes that serve these
 // programs next can claim it.
 func (n *Node) returnBudgets(limit time.Duration) {
--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -38,6 +38,8 @@
 func (p *Programs) Open(ctx context.Context, q hgledger.OpenRequest) (reply hgledger.OpenReply, owner Info) {
 	owner, self, offline := p.members.Owner(q.Program)
 	q.Offline = offline
+	node := p.members.Self()
+	q.Opener = hgledger.Opener{Boot: node.Boot, Address: node.Peer}
 	if disconnected, isSelf, ok := p.members.DisconnectedOwner(q.Program); ok && disconnected.Name != owner.Name && !q.Kept {
 		// The disconnected owner goes on with the share it has claimed already. Turns that need more go to a node that
 		// reaches the store, if there is one.
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -35,9 +35,14 @@
 	Busy Verdict = "busy"
 )
 
+// Opener identifies a process of a node that opens turns in ledgers of others, with its address for calls of peers.
+type Opener struct{ Boot, Address string }
+
 // OpenRequest asks whether a turn of a program may run. Peers exchange it with encoding/gob under its Go field names.
 type OpenRequest struct {
 	Program, Attempt string
+	// Opener is the node that asks and extends and settles the turn.
+	Opener Opener
 	// Previous identifies the turn to continue; it is empty if the turn continues none.
 	Previous string
 	// Budget is the program's budget and Most the maximum output of the turn, in tokens; both are ignored without
@@ -194,6 +199,7 @@
 	}
 	l.known.add(q.Program, p.lastUsed)
 	p.reservations[q.Attempt] = reply.Most
+	p.openers[q.Attempt] = q.Opener
 	if reply.Most < q.Most {
 		p.shortfalls[q.Attempt] = q.Most - reply.Most
 	}
@@ -311,15 +317,19 @@
 	return false, nil
 }
 
-// OpenTurns returns the number of turns with a reservation in this ledger. A program that is locked counts as one.
-func (l *Ledger) OpenTurns() (turns int) {
+// OpenTurns returns the numbers of turns with a reservation in this ledger, by the nodes that opened them. A program that is locked
+// counts as one turn of an unknown node, which is the zero Opener.
+func (l *Ledger) OpenTurns() (turns map[Opener]int) {
+	turns = map[Opener]int{}
 	for _, p := range l.all() {
 		select {
 		case p.sem <- struct{}{}:
-			turns += len(p.reservations)
+			for attempt := range p.reservations {
+				turns[p.openers[attempt]]++
+			}
 			p.unlock()
 		default:
-			turns++
+			turns[Opener{}]++
 		}
 	}
 	return turns
@@ -335,6 +345,7 @@
 	}
 	delete(p.reservations, attempt)
 	delete(p.shortfalls, attempt)
+	delete(p.openers, attempt)
 	p.account = p.account.Settle(reserved, used)
 }
 
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -41,6 +41,8 @@
 	checkedAt time.Duration
 	// reservations maps the attempts of open turns to their reserved tokens.
 	reservations map[string]int
+	// openers maps the attempts of open turns to the nodes that opened them; a turn that was only extended here has none.
+	openers map[string]Opener
 	// shortfalls maps the attempts of open turns to the tokens by which their reservations are below the turns' maximum.
 	shortfalls map[string]int
 	// closedEarly holds attempts that were closed here before they were opened, as their entry VM had given up on them.
@@ -65,7 +67,7 @@
 	p, ok := s.programs[id]
 	if !ok {
 		p = &program{
-			id: id, sem: make(chan struct{}, 1), reservations: map[string]int{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
+			id: id, sem: make(chan struct{}, 1), reservations: map[string]int{}, openers: map[string]Opener{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
 			lastUsed: l.timer.Now(),
 		}
 		p.moveTo(homePartition(id))
