hgendpoint: an outcome is asked for on a connection of its own

A call that may not run twice ran again, or got the outcome of another one, if an endpoint sent its answer to an earlier question for an outcome once more on a kept connection.

Cause: the answer about an outcome names no request, and was trusted on connections that had carried others. By 'unseen' a new owner sends the call again under the next fencing number.

Outcomes are asked for on new connections, as calls that may not run twice are sent. Load reports, orders and lists of programs still share kept connections; no promise rests on them.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -35,7 +35,8 @@
 	base string
 	// client reuses connections; it is for idempotent requests.
 	client *http.Client
-	// unpooled opens a connection for each request, so that net/http never sends the request a second time.
+	// unpooled opens a connection for each request, so that net/http never sends the request a second time and no answer belongs to an
+	// earlier request.
 	unpooled *http.Client
 }
 
@@ -262,28 +263,29 @@
 
 // Status returns the endpoint's current load report.
 func (h *HTTP) Status(ctx context.Context) (s Status, err error) {
-	return s, h.get(ctx, "/load", &s)
+	return s, h.get(ctx, h.client, "/load", &s)
 }
 
-// Outcome returns what the endpoint knows of a tool request, or a trace.NotFound error if it keeps no outcomes.
+// Outcome returns what the endpoint knows of a tool request, or a trace.NotFound error if it keeps no outcomes. The answer names no
+// request, so that it has to be the first one of a connection.
 func (h *HTTP) Outcome(ctx context.Context, request string, f Fence) (o Outcome, err error) {
 	q := url.Values{"request": {request}, "fence": {f.String()}}
-	return o, h.get(ctx, "/outcome?"+q.Encode(), &o)
+	return o, h.get(ctx, h.unpooled, "/outcome?"+q.Encode(), &o)
 }
 
 // Programs returns the number of cached tokens of each program that holds engine memory.
 func (h *HTTP) Programs(ctx context.Context) (tokens map[string]int, err error) {
-	return tokens, h.get(ctx, "/cache/programs", &tokens)
+	return tokens, h.get(ctx, h.client, "/cache/programs", &tokens)
 }
 
 // get reads a JSON document; a 404 becomes a trace.NotFound error, any other status but 200 a trace.ConnectionProblem.
-func (h *HTTP) get(ctx context.Context, path string, out any) (err error) {
+func (h *HTTP) get(ctx context.Context, client *http.Client, path string, out any) (err error) {
 	defer func() { err = trace.Wrap(err, "endpoint %s %s", h.name, path) }()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
 	if err != nil {
 		return err
 	}
-	w, err := h.client.Do(r)
+	w, err := client.Do(r)
 	if err != nil {
 		return err
 	}
