entry: a refusal of other weights takes no replica out of use

A caller whose request named a version of weights that no replica had took up to four replicas out of use with each request, at the VM that it asked and for good: the service then had no replica for anybody.

Cause: a replica answers 421 if its address was taken over, and also if the request demands another version of the weights. Each 421 counted as the former, and such a replica is not used again until it restarts or registers elsewhere.

Evidence: TestRefusedVersionTakesNoReplicaOut failed before: version_test.go:29: status 503, complete true: {"error":"the service has no replica"}

A 421 for a request that names a version says nothing of the address; the request is refused as before. The test passes with the race detector, as do TestLeavingReplica and the tests of hgentry and platform.

--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -29,6 +29,8 @@
 	HasBudget bool
 	// Previous is the identifier of the turn that this one continues, which is that of its attempt; empty for a first turn.
 	Previous string
+	// Version is the version of the weights that a replica must have, or else refuse the request; empty for any.
+	Version string
 }
 
 // Part is a part of a prompt; several requests may contain the same part.
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -174,7 +174,8 @@
 		t.lease.MarkFailed()
 		return errAnswerLost
 	case t.answer.NotRun && !mismatched:
-		if t.resp.StatusCode == http.StatusMisdirectedRequest {
+		// A replica refuses other weights with the same status.
+		if t.resp.StatusCode == http.StatusMisdirectedRequest && x.attempt.Version == "" {
 			t.lease.MarkMisdirected()
 		}
 		t.drain()
