hgreplica: one wrong load report does not fill a service

New programs were refused with 503, as if all replicas were busy, by a VM that had got one answer with a load far too high; about once a second the odd replica was tried again, and its next answer renewed the refusals.

Cause: the load of a service is the sum of what its replicas report, of which each was bounded only so that sums can't overflow.

Evidence: a case of TestOddLoadReportFillsNoService failed before: one_of_five: load_test.go:32: load 104857.8, want 1.1 or more: false

A replica adds at most three requests per slot, which is what placers send one at most. If all replicas report too much, the service is still full (the other case). In a load below that nothing changes. The tests of hgreplica and hgplacer pass with the race detector.

--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -346,6 +346,10 @@
 	return false
 }
 
+// maxLoadPerSlot bounds the requests per slot that a replica adds to the load of its service, so that one wrong report does not make all
+// of its replicas look busy. Placers send no replica more.
+const maxLoadPerSlot = 3
+
 // Load returns the requests in flight per slot on the replicas of a service, without those that are leaving.
 func (s *Set) Load(service string) float64 {
 	now := s.timer.Now()
@@ -354,7 +358,7 @@
 	requests, slots := 0, 0
 	for _, r := range s.byService[service] {
 		if !r.isLeaving() {
-			requests += r.inFlight + r.othersInFlight(now)
+			requests += min(r.inFlight+r.othersInFlight(now), maxLoadPerSlot*r.Slots)
 			slots += r.Slots
 		}
 	}
