hgpeer: an owner that was given up is not asked again for the same turn

If the VM that owns a program did not answer, its caller's VM withdrew the question and asked its own ledger. If that could not grant the turn in a slow store, the owner was asked once more, for the same attempt, while the withdrawal was still on its way.

Cause: the second question did not look at the first one's end. A peer handles each call in a goroutine of its own; if it wakes up with both calls waiting, the withdrawal may come behind the grant and release its reservation. The turn then runs and its tokens are counted nowhere.

Evidence: TestOwnerThatWasGivenUpIsNotAskedAgain failed before: silentowner_test.go:85: calls to the owner (-want +got): close, + close, + open, open The test shows the second question beside the withdrawal; the released reservation follows from reading release and was not played.

A node that did not answer is not asked again within one opening; the VM's own ledger waits for the store instead. 3 of 3 runs pass; the package's tests pass with the race detector (224 s, beside those of hgsite).

--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -34,10 +34,12 @@
 	return &Programs{ledger: l, members: m, client: c, log: log}
 }
 
-// Open asks the owner of a program whether a turn may run. It returns the node that decided, which Close needs.
+// Open asks the owner of a program whether a turn may run. It returns the node that decided, which Close needs. A node that did not
+// answer is not asked again, as the withdrawal of the first question might overtake the second one.
 func (p *Programs) Open(ctx context.Context, q hgledger.OpenRequest) (reply hgledger.OpenReply, owner Info) {
 	owner, self, offline := p.members.Owner(q.Program)
 	q.Offline = offline
+	silent := map[string]bool{}
 	if disconnected, isSelf, ok := p.members.DisconnectedOwner(q.Program); ok && disconnected.Name != owner.Name && !q.Kept {
 		// The disconnected owner goes on with the share it has claimed already. Turns that need more go to a node that
 		// reaches the store, if there is one.
@@ -47,12 +49,14 @@
 		if reply.Verdict == hgledger.Granted || reply.Verdict == hgledger.Spent {
 			return reply, server
 		}
+		silent[disconnected.Name] = server.Name != disconnected.Name
 	}
 	reply, server := p.openAt(ctx, owner, self, q)
 	if reply.Verdict != hgledger.Outage || reply.Elsewhere == "" {
 		return reply, server
 	}
-	if holder, isSelf, ok := p.members.ByBoot(reply.Elsewhere); ok {
+	silent[owner.Name] = server.Name != owner.Name
+	if holder, isSelf, ok := p.members.ByBoot(reply.Elsewhere); ok && !silent[holder.Name] {
 		known := q
 		known.Offline, known.KnownOnly = true, true
 		if r, server := p.openAt(ctx, holder, isSelf, known); r.Verdict == hgledger.Granted || r.Verdict == hgledger.Spent {
@@ -63,6 +67,9 @@
 		return reply, server
 	}
 	q.Here = true
+	if silent[owner.Name] {
+		return p.ledger.Open(ctx, q), p.members.Self()
+	}
 	return p.openAt(ctx, owner, self, q)
 }
 
