hgentryvm: a VM whose clock was set back is no earlier process of its own

What callers saw: nothing yet; found in review. A VM that stopped, had its clock set back and started again under its name served no programs for as long as it lived, was in no directory and counted nowhere.

Cause: of two processes under one name others take the one with the later start, by the clock of the VM, for the present one. What the VM said after the clock was set back was older than what it had said before, also to those who heard it, and its row kept the earlier process from being forgotten.

Evidence: TestVMWhoseClockWasSetBackIsHeard failed: 'peers of the other VM: [{Name:vm-1 Domain:south Live:true Ready:false StoreOK:false}]', long after vm-1 was ready.

Fix: a VM that finds the row of an earlier process starts after it, whatever its clock says. Without such a row others forget the earlier process after a minute, as before. Measured: the tests of rejoin_test.go and TestRowsOfVMsThatAreGone pass.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -42,34 +42,53 @@
 // announced its stop.
 func (n *Node) writeRow(ctx context.Context) (version uint64, known bool, err error) {
 	defer func() { err = trace.Wrap(err, "write the row of this node") }()
+	old, oldVersion, err := n.readRow(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	self := n.members.Self()
+	if old.Boot == self.Boot && !self.Stopping {
+		// An earlier attempt took effect without a reply.
+		return oldVersion, false, nil
+	}
+	known = takesOver(old, self)
 	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
 		i.Registered = time.Now().UnixMilli()
+		if old.Boot != i.Boot {
+			// Of two processes under one name others take the one that started later for the present one, but the clock may have been set back.
+			i.Started = max(i.Started, old.Started+1)
+		}
 		return i
 	})
-	self := n.members.Self()
-	key := nodeKey(self.Name)
-	old, err := n.store.Get(ctx, key)
-	if err != nil && !trace.IsNotFound(err) {
-		return 0, false, err
-	}
-	if info, decodeErr := decodeNode(old); err == nil && decodeErr == nil {
-		if info.Boot == self.Boot && !self.Stopping {
-			// An earlier attempt took effect without a reply.
-			return old.Version, false, nil
-		}
-		known = takesOver(info, self)
-	}
+	self = n.members.Self()
 	self.Joining = self.Joining && !known
 	value, err := infoCodec.Encode(self)
 	if err != nil {
 		return 0, false, err
 	}
+	key := nodeKey(self.Name)
 	version, err = n.store.Commit(ctx, hgstore.Txn{
-		Conditions: []hgstore.Condition{{Key: key, Version: old.Version}}, Puts: []hgstore.Put{{Key: key, Value: value}},
+		Conditions: []hgstore.Condition{{Key: key, Version: oldVersion}}, Puts: []hgstore.Put{{Key: key, Value: value}},
 	})
 	return version, known, err
 }
 
+// readRow returns the present row of this node and its version; the zero Info if there is none or it describes no node.
+func (n *Node) readRow(ctx context.Context) (i hgpeer.Info, version uint64, err error) {
+	row, err := n.store.Get(ctx, nodeKey(n.cfg.VM.Name))
+	if trace.IsNotFound(err) {
+		return i, 0, nil
+	}
+	if err != nil {
+		return i, 0, err
+	}
+	if i, err = decodeNode(row); err != nil {
+		n.log.Warn("row of this node describes no node", "error", err)
+		return hgpeer.Info{}, row.Version, nil
+	}
+	return i, row.Version, nil
+}
+
 // takesOver reports whether a node takes the place of the earlier process that wrote its row: all others have counted that one until now,
 // and the address at which they may have found that it has ended is the node's own.
 func takesOver(old, self hgpeer.Info) bool {
--- a/internal/proof/hgsite/rejoin_test.go
+++ b/internal/proof/hgsite/rejoin_test.go
@@ -6,6 +6,7 @@
 
 	"hyssopgrade/hgcodec"
 	"hyssopgrade/hgstore"
+	"hyssopgrade/internal/operate/hgstatus"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/proof/hgsite"
 )
@@ -102,3 +103,39 @@
 	t.Fatal("the VM has written no row")
 	return i
 }
+
+// Guards against a VM that others take for its earlier process, which stopped, for good, because its clock is behind that one's.
+func TestVMWhoseClockWasSetBackIsHeard(t *testing.T) {
+	s := newSite(t, 1)
+	cfg, err := s.AddConfig(s.StoreAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configs[1].VM.FirstStart = false
+	ahead := time.Now().Add(time.Minute).UnixMilli()
+	value, err := hgcodec.JSON[hgpeer.Info]{}.Encode(hgpeer.Info{
+		Name: cfg.VM.Name, Boot: "earlier", Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain, Started: ahead, Registered: ahead, Stopping: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Store.Commit(t.Context(), hgstore.Txn{Puts: []hgstore.Put{{Key: "hgnode//" + cfg.VM.Name, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(applyLimit)
+	s.Nodes = append(s.Nodes, nil)
+	if err := s.StartNode(1); err != nil {
+		t.Fatal(err)
+	}
+	var peers []hgstatus.Peer
+	for deadline := time.Now().Add(applyLimit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		status, err := hgstatus.Get(t.Context(), s.Configs[0].Listen.Metrics)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if peers = status.Peers; len(peers) == 1 && peers[0].Live && peers[0].Ready {
+			return
+		}
+	}
+	t.Errorf("peers of the other VM: %+v", peers)
+}
