hgsuspect: a silent end of a replica is one crash

What callers saw: nothing yet; found in review. A request that ran when two replicas lost their power could be refused for a minute, as if four had ended.

Cause: runs that one end breaks off are one crash if they are recorded within 10 s of each other. A run whose deadline passed is recorded only when the replica's registration goes, which may be 10 s after the deadline; by then the end that another VM had seen as a broken connection was too long ago, and the run counted as broken off by a second one.

Evidence: TestSilentEndIsOneCrash failed: 'two ends, late in the list: refused (-want +got): -false, false, +true, true'.

Fix: a run is compared with the known end by when it ended itself, at its deadline. Runs that end later than 10 s after an end still count as broken off by another one. Measured: the tests of hgsuspect pass.

--- a/internal/serve/hgsuspect/ends.go
+++ b/internal/serve/hgsuspect/ends.go
@@ -12,8 +12,8 @@
 	// endNumberBits is the number of low bits of a crash's identifier that number the ends of one incarnation. The other bits
 	// identify the incarnation, so that all VMs that observe an end give it the same identifier.
 	endNumberBits = 16
-	// endSpread is the longest time between the first and the last broken run that one end of a replica explains. A replica's
-	// host may leave sent bytes unacknowledged for 1.5 s, and a silent end shows with the registration, within 10 s.
+	// endSpread is the longest time between the ends of the first and the last run that one end of a replica breaks off. A replica's
+	// host may leave sent bytes unacknowledged for 1.5 s, and a run on a silent one may go on until its deadline.
 	endSpread = unansweredMaxAge
 )
 
@@ -40,10 +40,14 @@
 	}
 	key := r.incarnation()
 	last, ok := s[key]
+	ended := now
+	if r.Ended > 0 {
+		ended = r.Ended
+	}
 	switch {
 	case !ok:
 		last = end{at: now}
-	case r.Began >= last.at || now-last.at >= endSpread:
+	case r.Began >= last.at || ended-last.at >= endSpread:
 		last = end{number: last.number + 1, at: now}
 	}
 	s[key] = last
--- a/internal/serve/hgsuspect/list.go
+++ b/internal/serve/hgsuspect/list.go
@@ -55,14 +55,15 @@
 	ends ends
 	// completions holds the last completed runs at this VM.
 	completions completions
-	// unanswered holds the last runs without a response, by replica.
-	unanswered map[string][]unanswered
+	// unanswered holds the last runs without a response, by replica: the deadline passed, or the caller disconnected, before the
+	// response was complete.
+	unanswered map[string][]Request
 }
 
 // NewList returns an empty list.
 func NewList(timer hgtimer.Timer, log *slog.Logger) *List {
 	return &List{timer: timer, log: log, run: rand.Uint64(), entries: map[uint64]*entry{}, peers: map[string]*peer{}, outcomes: map[string]outcomes{},
-		ends: ends{}, completions: completions{map[uint64]time.Duration{}, map[uint64]time.Duration{}}, unanswered: map[string][]unanswered{},
+		ends: ends{}, completions: completions{map[uint64]time.Duration{}, map[uint64]time.Duration{}}, unanswered: map[string][]Request{},
 	}
 }
 
--- a/internal/serve/hgsuspect/request.go
+++ b/internal/serve/hgsuspect/request.go
@@ -20,8 +20,8 @@
 // Run is a run of a request on an incarnation of a replica.
 type Run struct {
 	Replica, Incarnation string
-	// Began is when the request was sent.
-	Began time.Duration
+	// Began is when the request was sent, and Ended when the run ended without an answer; 0 is now.
+	Began, Ended time.Duration
 }
 
 // WithRun returns the request with a run on a replica.
--- a/internal/serve/hgsuspect/unanswered.go
+++ b/internal/serve/hgsuspect/unanswered.go
@@ -15,17 +15,12 @@
 	maxUnanswered = 64
 )
 
-// unanswered is a run whose deadline passed, or whose caller disconnected, before the replica's response was complete.
-type unanswered struct {
-	request Request
-	at      time.Duration
-}
-
 // RecordUnanswered records a run without a response. It counts as a crash if the replica turns out to have ended.
 func (l *List) RecordUnanswered(r Request, replica string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	runs := append(l.unanswered[replica], unanswered{r, l.timer.Now()})
+	r.Run.Ended = l.timer.Now()
+	runs := append(l.unanswered[replica], r)
 	l.unanswered[replica] = lo.Subset(runs, -maxUnanswered, maxUnanswered)
 }
 
@@ -35,9 +30,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timer.Now()
-	for _, u := range l.unanswered[replica] {
-		if now-u.at < unansweredMaxAge {
-			requests = append(requests, u.request)
+	for _, r := range l.unanswered[replica] {
+		if now-r.Run.Ended < unansweredMaxAge {
+			requests = append(requests, r)
 		}
 	}
 	delete(l.unanswered, replica)
@@ -51,5 +46,5 @@
 	defer l.mu.Unlock()
 	now := l.timer.Now()
 	l.ends.evict(now)
-	maps.DeleteFunc(l.unanswered, func(_ string, runs []unanswered) bool { return now-runs[len(runs)-1].at >= unansweredMaxAge })
+	maps.DeleteFunc(l.unanswered, func(_ string, runs []Request) bool { return now-runs[len(runs)-1].Run.Ended >= unansweredMaxAge })
 }
