hgpeer: the loss of hubs removes no rows of live VMs

What callers saw: nothing yet; found in review. On a site of more than 16 VMs the loss of the strongest VMs of its failure domains took the vote of most live VMs for 3 s, so that turns that need the unused share of another VM, or begin without the store, are told 503, and cost a write for each of them.

Cause: on a large site VMs hear of others through hubs. If the hubs and those that would be hubs next are lost together, the others try them three by three, and meanwhile everybody seems silent to everybody; after 3 s all removed all.

Evidence: TestLossOfHubsRemovesNoLiveVM failed: '62, a third of all VMs: 14 rows of live VMs removed, the first after 3.75s'; '150, twice the hubs: 122 rows of live VMs removed, the first after 3.75s'.

Fix: on a large site silence counts only while the VM hears of its own failure domain, from a hub or as one, and VMs of other domains remove rows only where no VM is live, as those of the domain hear more of it. The stagger between VMs counts within the domain.

--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -187,10 +187,22 @@
 	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease || m.hasPaused(now) {
 		return nil
 	}
-	before := lo.CountBy(m.live(), func(i Info) bool { return i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name })
-	wait := time.Duration(before) * removalStagger
+	before := map[string]int{}
+	for _, i := range m.live() {
+		before[i.Domain] += lo.Ternary(i.StoreOK && !i.Joining && !i.Stopping && i.Name < m.self.Name, 1, 0)
+	}
 	for _, p := range m.members {
-		if p.registered && now-max(p.lastHeard, p.lastClaimed, p.added, m.runsSince) >= m.removalSilence(p)+wait {
+		_, live := before[p.info.Domain]
+		wait := lo.Sum(lo.Values(before))
+		switch {
+		case !m.isLarge():
+		case p.info.Domain == m.self.Domain:
+			wait = before[m.self.Domain]
+		case live:
+			continue // The nodes of that domain hear more of it.
+		}
+		silence := now - max(p.lastHeard, p.lastClaimed, p.added, m.observesSince)
+		if p.registered && silence >= m.removalSilence(p)+time.Duration(wait)*removalStagger {
 			gone = append(gone, p.row)
 		}
 	}
@@ -200,12 +212,21 @@
 
 // noteRound records that this node sends heartbeats; m.mu is held.
 func (m *Members) noteRound(now time.Duration) {
-	if m.hasPaused(now) {
-		m.runsSince = now
+	if m.hasPaused(now) || m.isLarge() && !m.hearsOwnDomain(now) {
+		m.observesSince = now
 	}
 	m.lastRound = now
 }
 
+// hearsOwnDomain reports whether this node of a large site hears of the nodes of its failure domain: from a hub, or as one itself. On the way
+// to new hubs, all better ones have to be tried, now and then once more; m.mu is held.
+func (m *Members) hearsOwnDomain(now time.Duration) bool {
+	if m.hubRank(m.currentView()) >= 0 {
+		m.lastHub = now
+	}
+	return m.hasFreshSource(m.self.Domain, now) || m.lastHub > 0 && now-m.lastHub < hubRetryPeriods*m.period()
+}
+
 // hasPaused reports whether this node has sent no heartbeats for so long that it did not run, as when it was frozen. Its peers then seem
 // silent only because it did not ask them; m.mu is held.
 func (m *Members) hasPaused(now time.Duration) bool {
--- a/internal/peer/hgpeer/fleet_test.go
+++ b/internal/peer/hgpeer/fleet_test.go
@@ -30,6 +30,10 @@
 	// down nodes neither send nor answer; loss is the share of messages that get lost.
 	down map[string]bool
 	loss float64
+	// timeout is the time after which heartbeats to nodes that are down fail, as if these had lost power; lateFailures are those
+	// that will.
+	timeout      time.Duration
+	lateFailures []lateFailure
 	// inFlight is the load report of every node.
 	inFlight map[string]int
 	// sent counts the heartbeats that each node sent, handled those that it answered, and bytes the size of both with their
@@ -45,6 +49,12 @@
 	remoteBeats int
 }
 
+// lateFailure is the failure of a heartbeat between two nodes.
+type lateFailure struct {
+	from, to string
+	at       time.Duration
+}
+
 // newFleet returns a site whose nodes are all registered in the store; one node in six is strong.
 func newFleet(size, domains int) *fleet {
 	f := &fleet{
@@ -76,6 +86,7 @@
 func (f *fleet) run(d time.Duration) {
 	const step = 10 * time.Millisecond
 	for end := f.clock.now + d; f.clock.now < end; f.clock.now += step {
+		f.failLate()
 		for _, name := range f.names {
 			if f.down[name] || f.clock.now < f.nextBeat[name] {
 				continue
@@ -96,13 +107,23 @@
 	}
 }
 
+// failLate has the heartbeats fail whose timeout has passed.
+func (f *fleet) failLate() {
+	due := lo.CountBy(f.lateFailures, func(l lateFailure) bool { return l.at <= f.clock.now })
+	for _, l := range f.lateFailures[:due] {
+		f.nodes[l.from].HeartbeatFailed(l.to)
+	}
+	f.lateFailures = f.lateFailures[due:]
+}
+
 // beat sends a heartbeat from a node and delivers the reply to it.
 func (f *fleet) beat(name string, to hgpeer.Info, programs []uint64) {
 	m := f.nodes[name]
 	b := hgpeer.Beat{Info: m.Self(), InFlight: f.inFlight, Programs: programs, Ask: m.GossipQueryFor(to), Suspects: f.suspects[name].Offer(to.Name)}
 	f.sent[name]++
 	if f.down[to.Name] {
-		m.HeartbeatFailed(to.Name)
+		f.lateFailures = append(f.lateFailures, lateFailure{name, to.Name, f.clock.now + f.timeout})
+		f.failLate()
 		return
 	}
 	if f.random.Float64() < f.loss {
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -73,8 +73,9 @@
 	// votesFrom is when this node has a vote among the members, and removesFrom when it may remove others; never before its row
 	// is written.
 	votesFrom, removesFrom time.Duration
-	// lastRound is when this node last sent heartbeats, and runsSince when it began to do so without a pause.
-	lastRound, runsSince time.Duration
+	// lastRound is when this node last sent heartbeats. It has observed its peers since observesSince: it has sent heartbeats without a pause
+	// and, on a large site, heard of its failure domain all the time. lastHub is when it last was a hub; 0 is never.
+	lastRound, observesSince, lastHub time.Duration
 	// viewAge returns how old this node's copy of the rows of the nodes is at most; nil is up to date.
 	viewAge func() time.Duration
 	// domains are the failure domains that the settings name.
@@ -109,7 +110,7 @@
 		timer: timer, created: timer.Now(), self: self, members: map[string]*member{}, domains: domains, dirty: true,
 		sources: map[string]*source{}, claims: newClaimLog(), programLog: newProgramLog(),
 	}
-	m.lastRound, m.runsSince = m.created, m.created
+	m.lastRound, m.observesSince = m.created, m.created
 	if self.Joining {
 		m.votesFrom, m.removesFrom = never, never
 	}
