hgentryvm: a VM that is late at the first start joins as a new one

What callers saw: nothing yet; found in review. A VM that did not reach the store when the whole site started for the first time voted, and could remove others, as soon as it wrote its row, also minutes later, when others had acted on copies without it.

Cause: the setting that all start for the first time was taken for 'all count each other', whenever the row came.

Evidence: TestVMThatIsLateAtFirstStartJoins failed: 'late: joins: false, want true'.

Fix: from DiscoveryTime on, before which nobody claims without a row, such a VM joins as any other. Within that time it still votes at once; a majority that acts between 3 and 5.5 s after the start on a copy from before may not know of it. Measured: the tests of rejoin_test.go pass.

--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -23,13 +23,17 @@
 // nodeKey returns the key of a node's row.
 func nodeKey(name string) string { return nodeTable + "//" + name }
 
-// register writes the node's row to the store, with retries until it has succeeded or the node ends. If counted is set, other nodes
-// count this node already.
-func (n *Node) register(counted bool) {
+// register writes the node's row to the store, with retries until it has succeeded or the node ends. If first is set, all nodes of the
+// site start for the first time, and this one is a member from the start unless its row comes when others may act already.
+func (n *Node) register(first bool) {
 	for n.ctx.Err() == nil && !n.stopping.Load() {
+		if first && n.members.Age() >= hgpeer.DiscoveryTime {
+			first = false
+			n.members.Leave()
+		}
 		version, known, err := n.writeRow(n.ctx)
 		if err == nil {
-			n.members.Join(counted || known)
+			n.members.Join(first || known)
 			n.rowVersion.Store(version)
 			return
 		}
--- a/internal/proof/hgsite/rejoin_test.go
+++ b/internal/proof/hgsite/rejoin_test.go
@@ -73,6 +73,36 @@
 	}
 }
 
+// Guards against a VM that votes at once as the whole site starts for the first time, although it reaches the store long after others.
+func TestVMThatIsLateAtFirstStartJoins(t *testing.T) {
+	tests := map[string]struct {
+		late  time.Duration
+		joins bool
+	}{
+		"in time": {0, false},
+		"late":    {hgpeer.DiscoveryTime + time.Second, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			cfg, err := s.AddConfig(s.StoreAddress())
+			if err != nil {
+				t.Fatal(err)
+			}
+			outage(s, tt.late > 0)
+			s.Nodes = append(s.Nodes, nil)
+			if err := s.StartNode(1); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(tt.late)
+			outage(s, false)
+			if i := awaitRow(t, s, cfg.VM.Name); i.Joining != tt.joins {
+				t.Errorf("joins: %t, want %t", i.Joining, tt.joins)
+			}
+		})
+	}
+}
+
 // Guards against a VM that counts nowhere, for good, after another writer has replaced its row.
 func TestRowThatWasReplacedIsWrittenAgain(t *testing.T) {
 	s := newSite(t, 3)
