hgpeer, hgsuspect: wording of members and blame

No change of behaviour. The copy of the rows was called copy and view, which is also the name of the derived state of the members: rowsLease, SetRowsAge and ageOfRows now. Gone, Leave and votes did not say whose: RowsToRemove, LoseRow, hasOwnVote. The comment of isMoreSuspect said that of two requests with three crashes neither is to blame, where each is explained by the other.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -127,7 +127,7 @@
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait),
 		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes, wait),
 	}
-	n.members.SetViewAge(n.watches[nodeTable].Age)
+	n.members.SetRowsAge(n.watches[nodeTable].Age)
 	return n, nil
 }
 
--- a/internal/operate/hgentryvm/register.go
+++ b/internal/operate/hgentryvm/register.go
@@ -29,7 +29,7 @@
 	for n.ctx.Err() == nil && !n.stopping.Load() {
 		if first && n.members.Age() >= hgpeer.DiscoveryTime {
 			first = false
-			n.members.Leave()
+			n.members.LoseRow()
 		}
 		version, known, err := n.writeRow(n.ctx)
 		if err == nil {
@@ -126,13 +126,13 @@
 		return
 	}
 	n.log.Warn("row of this node is gone; writing it again")
-	n.members.Leave()
+	n.members.LoseRow()
 	go n.register(false)
 }
 
 // removeGone removes the rows of nodes that have been silent for long, so that they no longer count.
 func (n *Node) removeGone(time.Duration) {
-	gone := n.members.Gone()
+	gone := n.members.RowsToRemove()
 	if len(gone) == 0 || !n.reach.ok() || n.stopping.Load() {
 		return
 	}
--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -15,11 +15,11 @@
 // one of the former does.
 
 const (
-	// viewLease is the age of a node's copy of the rows up to which a majority of the nodes in it may act. It is longer than the store
+	// rowsLease is the age of a node's copy of the rows up to which a majority of the members may act. It is longer than the store
 	// holds a poll, with the pause between two polls and a slow answer.
-	viewLease = 2500 * time.Millisecond
-	// unanimousLease is the age up to which all nodes in it together may act, as in an outage of the store. A node that joined later may
-	// be in nobody's copy, so that it removes no others before that time.
+	rowsLease = 2500 * time.Millisecond
+	// unanimousLease is the age of a copy up to which all members together may act, as in an outage of the store. A node that joined
+	// later may be in nobody's copy, so that it removes no others before that time.
 	unanimousLease = 15 * time.Second
 	// JoinTime is the time after which the row of a node is in every copy that anybody may act on.
 	JoinTime = unanimousLease + leaseMargin
@@ -40,27 +40,27 @@
 	never = time.Duration(math.MaxInt64)
 )
 
-// SetViewAge sets the function that returns how old this node's copy of the rows of the nodes is at most.
-func (m *Members) SetViewAge(age func() time.Duration) {
+// SetRowsAge sets the function that returns how old this node's copy of the rows of the nodes is at most.
+func (m *Members) SetRowsAge(age func() time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.viewAge = age
+	m.rowsAge = age
 }
 
-// Join records that this node has written its row. Known says that other nodes have counted this node all along, as it replaced
-// the row of an earlier process that had not announced its stop.
-func (m *Members) Join(known bool) {
+// Join records that this node has written its row. Counted says that other nodes have counted this node all along, as it replaced
+// the row of an earlier process that had not announced its stop. Else it has no vote, and removes no rows, until others know of it.
+func (m *Members) Join(counted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.votesFrom, m.removesFrom = 0, 0
-	if now := m.timer.Now(); !known {
-		m.votesFrom, m.removesFrom = now+viewLease+leaseMargin, now+JoinTime
+	if now := m.timer.Now(); !counted {
+		m.votesFrom, m.removesFrom = now+rowsLease+leaseMargin, now+JoinTime
 	}
 }
 
-// Leave records that another node has removed this node's row. This node is joining again, and has no vote until after the
+// LoseRow records that the store no longer holds this node's row, as another node has removed it. This node is joining again, and has no vote until after the
 // next Join.
-func (m *Members) Leave() {
+func (m *Members) LoseRow() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.votesFrom, m.removesFrom = never, never
@@ -78,8 +78,8 @@
 // isJoining is IsJoining; m.mu is held.
 func (m *Members) isJoining() bool { return m.timer.Now() < m.votesFrom }
 
-// votes reports whether this node has a vote; m.mu is held.
-func (m *Members) votes() bool { return !m.isJoining() && !m.self.Stopping }
+// hasOwnVote reports whether this node has a vote; m.mu is held.
+func (m *Members) hasOwnVote() bool { return !m.isJoining() && !m.self.Stopping }
 
 // SetRegistered sets the nodes that have a row in the store. A row alone does not make a node live.
 func (m *Members) SetRegistered(nodes []Info) {
@@ -112,7 +112,7 @@
 		return false
 	}
 	claimed := p.lastClaimed > 0 && now-p.lastClaimed < m.silenceTimeout(p.info.Domain)
-	return p.registered || now-p.unregistered < viewLease+leaseMargin || claimed || m.heardRecently(p, now)
+	return p.registered || now-p.unregistered < rowsLease+leaseMargin || claimed || m.heardRecently(p, now)
 }
 
 // hasVote reports whether a peer has a vote: it is a member with a row, and neither joining nor stopping; m.mu is held. What others do
@@ -126,7 +126,7 @@
 func (m *Members) isMajority(peers []Info) bool {
 	now := m.timer.Now()
 	votes := lo.CountBy(peers, func(i Info) bool { return m.hasVote(i.Name) })
-	if m.votes() {
+	if m.hasOwnVote() {
 		votes++
 	}
 	members := lo.CountBy(lo.Values(m.members), func(p *member) bool { return m.counts(p, now) })
@@ -148,15 +148,15 @@
 func (m *Members) LacksMajority() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ageOfView() >= viewLease || !m.isMajority(m.live())
+	return m.ageOfRows() >= rowsLease || !m.isMajority(m.live())
 }
 
-// ageOfView returns how old this node's copy of the rows of the nodes is at most; m.mu is held.
-func (m *Members) ageOfView() time.Duration {
-	if m.viewAge == nil {
+// ageOfRows returns how old this node's copy of the rows of the nodes is at most; m.mu is held.
+func (m *Members) ageOfRows() time.Duration {
+	if m.rowsAge == nil {
 		return 0
 	}
-	return m.viewAge()
+	return m.rowsAge()
 }
 
 // MayClaim reports whether the answers of some peers allow this node to claim tokens without a durable row, if the processes of
@@ -165,11 +165,11 @@
 func (m *Members) MayClaim(answered, ended []Info) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	age := m.ageOfView()
-	if age < viewLease {
+	age := m.ageOfRows()
+	if age < rowsLease {
 		return m.isMajority(answered)
 	}
-	if age >= unanimousLease || !m.votes() {
+	if age >= unanimousLease || !m.hasOwnVote() {
 		return false
 	}
 	now := m.timer.Now()
@@ -177,14 +177,14 @@
 	return lo.EveryBy(lo.Values(m.members), func(p *member) bool { return known[p.info.Name] || !m.counts(p, now) })
 }
 
-// Gone returns the rows that this node has to remove, as their nodes have been silent for long. The later this node comes by name
+// RowsToRemove returns the rows that this node has to remove, as their nodes have been silent for long. The later this node comes by name
 // among the live ones that reach the store, the longer it leaves that to the others. A node that stops removes none: all others may act
 // together in an outage of the store without counting it.
-func (m *Members) Gone() (gone []Info) {
+func (m *Members) RowsToRemove() (gone []Info) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.timer.Now()
-	if m.self.Stopping || now < m.removesFrom || m.ageOfView() >= viewLease || m.hasPaused(now) {
+	if m.self.Stopping || now < m.removesFrom || m.ageOfRows() >= rowsLease || m.hasPaused(now) {
 		return nil
 	}
 	before := map[string]int{}
--- a/internal/peer/hgpeer/hubloss_test.go
+++ b/internal/peer/hgpeer/hubloss_test.go
@@ -58,7 +58,7 @@
 					if f.down[name] {
 						continue
 					}
-					for _, gone := range f.nodes[name].Gone() {
+					for _, gone := range f.nodes[name].RowsToRemove() {
 						if _, ok := removed[gone.Name]; !ok {
 							removed[gone.Name] = f.clock.now - began
 						}
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -76,8 +76,8 @@
 	// lastRound is when this node last sent heartbeats. It has observed its peers since observesSince: it has sent heartbeats without a pause
 	// and, on a large site, heard of its failure domain all the time. lastHub is when it last was a hub; 0 is never.
 	lastRound, observesSince, lastHub time.Duration
-	// viewAge returns how old this node's copy of the rows of the nodes is at most; nil is up to date.
-	viewAge func() time.Duration
+	// rowsAge returns how old this node's copy of the rows of the nodes is at most; nil is up to date.
+	rowsAge func() time.Duration
 	// domains are the failure domains that the settings name.
 	domains []string
 	// ownInFlight is the number of this node's requests on each replica, and lastBusy when there last was any.
--- a/internal/peer/hgpeer/site_test.go
+++ b/internal/peer/hgpeer/site_test.go
@@ -103,7 +103,7 @@
 	})
 	v.rowVersion, v.readAt = 0, 0
 	if !v.site.mutant.staleViews {
-		v.members.SetViewAge(func() time.Duration { return v.site.clock.now - v.readAt })
+		v.members.SetRowsAge(func() time.Duration { return v.site.clock.now - v.readAt })
 	}
 	v.site.change(func() { v.up, v.powered, v.stopping, v.slow, v.storeCut = true, true, false, false, false })
 	v.ledger = hgledger.NewLedger(v.members.Self().Boot, cutTable{v.site.store, v.reachesStore}, timer, hglog.Discard(),
@@ -248,7 +248,7 @@
 	v.members.SetRegistered(infos)
 	own, exists := byKey[key(v.name)]
 	if v.rowVersion > 0 && (!exists || own.Version < v.rowVersion) {
-		v.members.Leave()
+		v.members.LoseRow()
 		v.rowVersion = 0
 	}
 	self := v.members.Self()
@@ -261,7 +261,7 @@
 		v.rowVersion = v.put(key(v.name), self)
 		v.members.Join(known || first)
 	}
-	for _, gone := range v.members.Gone() {
+	for _, gone := range v.members.RowsToRemove() {
 		if row, ok := byKey[key(gone.Name)]; ok && v.decode(row) == gone {
 			txn := hgstore.Txn{Conditions: []hgstore.Condition{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key}}
 			if _, err := v.site.store.Commit(context.Background(), txn); err == nil {
--- a/internal/peer/hgpeer/wake_test.go
+++ b/internal/peer/hgpeer/wake_test.go
@@ -31,7 +31,7 @@
 			run := func(d time.Duration, alone bool) (gone []hgpeer.Info) {
 				for end := c.now + d; c.now < end; c.now += step {
 					// After a pause the tasks of a VM run in any order.
-					gone = append(gone, m.Gone()...)
+					gone = append(gone, m.RowsToRemove()...)
 					m.Targets(0)
 					for _, i := range peers {
 						if !alone {
@@ -49,7 +49,7 @@
 				t.Errorf("removes %v just after the pause", names(gone))
 			}
 			run(3*time.Second, tt.alone)
-			if diff := cmp.Diff(tt.gone, names(m.Gone())); diff != "" {
+			if diff := cmp.Diff(tt.gone, names(m.RowsToRemove())); diff != "" {
 				t.Errorf("removes later (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/serve/hgsuspect/blame.go
+++ b/internal/serve/hgsuspect/blame.go
@@ -11,11 +11,14 @@
 // has had all the retries that refusalTimes allow.
 const maxUnblamed = 6
 
-// isExplained reports whether more suspect requests, which ran on the same replicas when these ended, explain so many of an
-// entry's crashes that less than maxCrashes are left; l.mu is held.
+// A request that only ran beside one that ends replicas has had crashes too. What tells them apart is that the guilty one is in all of these
+// crashes and in others, or that the bystander has completed before.
+
+// isExplained reports whether so many of an entry's crashes are also crashes of more suspect requests that less than maxCrashes are left
+// to count against it; l.mu is held.
 func (l *List) isExplained(digest uint64, e *entry, now time.Duration) bool {
-	own := e.crashesCounted(now)
-	n := len(own)
+	unexplained := e.crashesCounted(now)
+	n := len(unexplained)
 	if n >= maxUnblamed {
 		return false
 	}
@@ -27,10 +30,10 @@
 		if !o.isMoreSuspect(len(crashes), e, n) {
 			continue
 		}
-		own = lo.Reject(own, func(c crash, _ int) bool {
+		unexplained = lo.Reject(unexplained, func(c crash, _ int) bool {
 			return slices.ContainsFunc(crashes, func(have crash) bool { return have.id == c.id })
 		})
-		if len(own) < maxCrashes {
+		if len(unexplained) < maxCrashes {
 			return true
 		}
 	}
@@ -38,7 +41,8 @@
 }
 
 // isMoreSuspect reports whether o with a number of counted crashes is to be blamed for the crashes that it shares with e, which has
-// n. Of two requests with maxCrashes each, neither is: both may run once more, which tells them apart.
+// n: it has more, or as many and has never completed as e has. Two requests with maxCrashes each excuse each other: both may run once more,
+// and the next crash tells them apart.
 func (o *entry) isMoreSuspect(crashes int, e *entry, n int) bool {
 	return crashes > n || crashes == n && (n == maxCrashes || e.proof.seq > 0 && o.proof.seq == 0)
 }
