--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -171,7 +171,19 @@
 red storeBack TestReadyWhenStoreIsBack internal/proof/hgsite \
   internal/operate/hgentryvm/reach.go 's/w\.Retry\(\)/_ = w/'
 red peerEnded TestAskPeerThatHasEnded internal/peer/hgpeer \
-  internal/peer/hgpeer/backup.go 's/case !hasEnded\(answer\.err\):/default:/'
+  internal/peer/hgpeer/backup.go 's/case HasEnded\(answer\.err\):/case false:/'
+red votesWithoutRow TestOnlyMembersVote internal/peer/hgpeer \
+  internal/peer/hgpeer/electorate.go 's/ok && p\.registered/ok/'
+red votesOfStopping TestOnlyMembersVote internal/peer/hgpeer \
+  internal/peer/hgpeer/electorate.go 's/ && !p\.info\.Stopping\n/\n/'
+red pause TestVMThatDidNotRunRemovesNobody internal/peer/hgpeer \
+  internal/peer/hgpeer/electorate.go 's/p\.added, m\.observesSince\)/p.added)/'
+red hubLoss TestLossOfHubsRemovesNoLiveVM internal/peer/hgpeer \
+  internal/peer/hgpeer/electorate.go 's/ \|\| m\.isLarge\(\) && !m\.hearsOwnDomain\(now\)//'
+red rowAge TestVMVotesAtOnceOnlyForARowThatOthersCount internal/proof/hgsite \
+  internal/operate/hgentryvm/register.go 's/old\.Registered/old.Started/'
+red silentEnd TestSilentEndIsOneCrash internal/serve/hgsuspect \
+  internal/serve/hgsuspect/ends.go 's/ended = r\.Ended/ended = now/'
 red shortTurns TestBudgetHoldsInCuts internal/state/hgledger \
   internal/state/hgledger/reserve.go 's/max\(min\(q\.Tokens, p\.account\.Available\(\)\), 0\)/q.Tokens/'
 exit "$status"
