--- a/internal/peer/hgpeer/programs.go
+++ b/internal/peer/hgpeer/programs.go
@@ -54,7 +54,7 @@
 	}
 	if holder, isSelf, ok := p.members.ByBoot(reply.Elsewhere); ok {
 		known := q
-		known.Offline, known.KnownOnly, known.Whole = true, true, !offline
+		known.Offline, known.KnownOnly = true, true
 		if r, server := p.openAt(ctx, holder, isSelf, known); r.Verdict == hgledger.Granted || r.Verdict == hgledger.Spent {
 			return r, server
 		}
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -125,8 +125,7 @@
 		l.setUnsaved(p, true)
 		l.log.Info("budget claimed without a durable row", "program", p.id, "attempt", q.Attempt, "taken", a.Mine, "copies", copies)
 	}
-	if l.reach() != hgreach.Unreachable && !(q.Offline && p.holdsWhole(q)) {
-		// A smaller reservation would have to be extended from the rest of the budget, which other ledgers may claim meanwhile.
+	if l.reach() != hgreach.Unreachable && !p.holdsWhole(q) {
 		q.Whole = true
 	}
 	available := a.Available()
