--- a/internal/peer/hgpeer/electorate.go
+++ b/internal/peer/hgpeer/electorate.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// LoseRow records that the store no longer holds this node's row, as another node has removed it. This node is joining again, and has no vote until after the
-// next Join.
+// LoseRow records that the store no longer holds this node's row, as another node has removed it. This node is joining again, and has
+// no vote until after the next Join.
 func (m *Members) LoseRow() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -193,8 +193,8 @@
 }
 
 // isFalsePromise reports whether the status of an accepted response would tell the caller what the replica does not vouch for: that
-// the request was not run, that its previous turn does not exist, or that a turn was served which is not retained. Such a response can't be relayed under another status, as it
-// carries the replica's seal.
+// the request was not run, that its previous turn does not exist, or that a turn was served which is not retained. Such a response
+// can't be relayed under another status, as it carries the replica's seal.
 func (x *exchange) isFalsePromise(t *try) bool {
 	switch t.resp.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -134,8 +134,8 @@
 	return l.commitInOrder(ctx, partition, changes, beside...)
 }
 
-// commitInOrder applies changes one after the other, with others beside the first one. The rows of a turn have the one that completes it last, so that readers find
-// the turn only once all of them are durable.
+// commitInOrder applies changes one after the other, with others beside the first one. The rows of a turn have the one that completes
+// it last, so that readers find the turn only once all of them are durable.
 func (l *Ledger) commitInOrder(ctx context.Context, partition int, changes []change, beside ...change) (err error) {
 	for _, ch := range changes {
 		if _, err := l.committer.commit(ctx, partition, ch, beside...); err != nil {
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -231,9 +231,9 @@
 	return err
 }
 
-// settle releases the reservation of a turn and updates the program in memory; used are the tokens that do not count yet. It does not depend on the context of the
-// request, so that the turn is settled even if the caller has left. While other turns hold the program's lock for longer than openTimeout,
-// for example as they wait for a slow store, the turn is settled later.
+// settle releases the reservation of a turn and updates the program in memory; used are the tokens that do not count yet. It does not
+// depend on the context of the request, so that the turn is settled even if the caller has left. While other turns hold the program's
+// lock for longer than openTimeout, for example as they wait for a slow store, the turn is settled later.
 func (l *Ledger) settle(q CloseRequest, used int, stored bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -75,8 +75,8 @@
 	p, ok := s.programs[id]
 	if !ok {
 		p = &program{
-			id: id, sem: make(chan struct{}, 1), reservations: map[string]int{}, openers: map[string]Opener{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{}, copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{},
-			lastUsed: l.timer.Now(),
+			id: id, sem: make(chan struct{}, 1), copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{}, lastUsed: l.timer.Now(),
+			reservations: map[string]int{}, openers: map[string]Opener{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{},
 		}
 		p.moveTo(homePartition(id))
 		s.programs[id] = p
