--- a/internal/state/hgaccount/account.go
+++ b/internal/state/hgaccount/account.go
@@ -84,7 +84,8 @@
 	return a
 }
 
-// aheadDivisor is the part of the unclaimed budget that a node which ends may take with it: after five such ends half of it is left.
+// aheadDivisor is the number of parts of the unclaimed budget of which a node that ends takes one along: after five such ends half of the
+// budget is left.
 const aheadDivisor = 8
 
 // Ahead returns the tokens to claim for later turns of the given maximum, beside what is used, reserved or held back: as many whole turns
