hgentry: tokens of a turn are counted as the engine that runs it says

Cause: tokensPerEvent took the first service of the route that is an engine, and not the one that the attempt goes to. Reservation, extension, cut and settlement all use it.

Why it works: the service of an attempt follows from its identifier and the route of the desired state under which it began, so that all tries, also resumed ones, and all steps of its budget take the same figure. Ledgers count tokens, so that turns at two rates add up, also at other VMs. The own interface counts what engines report in tokens, and is not concerned.

--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -99,12 +99,11 @@
 	}
 }
 
-// tokensPerEvent returns the number of tokens that one event of the route's engines stands for.
+// tokensPerEvent returns the number of tokens that one event stands for: as the service that runs the attempt says in the desired state
+// that the request was served under.
 func (x *exchange) tokensPerEvent() int {
-	for _, s := range x.route.Shares {
-		if e := x.state.Services[s.Service].Engine; e != nil && e.TokensPerEvent > 0 {
-			return e.TokensPerEvent
-		}
+	if e := x.state.Services[x.service()].Engine; e != nil && e.TokensPerEvent > 0 {
+		return e.TokensPerEvent
 	}
 	return 1
 }
