hgentry: what may not end before a planned stop does is refused, and what is under way then is answered

In a planned stop, requests that came late in the grace time were passed on and cut at its end with no answer, charges among them.

Cause: answers whose head went out before the stop can't announce that their connection ends, so that callers send their next request on it when such a stream ends. It was served without a look at the time that was left: the VM cuts all connections 0.7 s before the end of the grace time.

Why it works: a request of a charge or turn whose deadline lies beyond the end of the stop is refused (503, not run, close announced, come back at once) when it comes and, if nothing has run it yet, before each send, so also after a wait in the queue or a replica's refusal. A check is passed on while 0.1 s are left, as it mostly needs little time and may run again. What is under way 0.1 s before the cut gets an answer of the VM's own (504, or 503 if nothing ran) in place of a closed connection; a stream whose head is out breaks off as before.

Related paths, read: SIGHUP is ignored by entry VMs. A stop with nothing left to do ends at once, as before. A turn that a peer runs goes on, as its extension moves to the peer when the ledger is gone. hyssopgrade node: read only; its calls may be asked for again under their identifier.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -209,7 +209,7 @@
 	grace := hgconfig.Seconds(n.cfg.Bounds.GraceSeconds) - closeReserve
 	n.log.Info("stopping", "running", n.entry.Running(), "grace", grace)
 	n.stopping.Store(true)
-	n.entry.Stop()
+	n.entry.Stop(grace)
 	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
 		i.Stopping, i.Ready = true, false
 		return i
--- a/internal/proof/hgsite/caller.go
+++ b/internal/proof/hgsite/caller.go
@@ -25,6 +25,8 @@
 	// NewConn sends the request on a connection of its own; SendOnce keeps the client from sending it again by itself when its
 	// connection closes.
 	NewConn, SendOnce bool
+	// Via sends the request through a transport with connections of its own; nil is the one that all requests share.
+	Via *http.Transport
 }
 
 // Reply is the answer that a caller received.
@@ -76,6 +78,9 @@
 		r.Body, r.GetBody = io.NopCloser(r.Body), nil // net/http repeats a request only if it can read the body again
 	}
 	transport := callerTransport
+	if q.Via != nil {
+		transport = q.Via
+	}
 	if q.NewConn {
 		transport = transport.Clone()
 		defer transport.CloseIdleConnections()
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -89,17 +89,19 @@
 	desired atomic.Pointer[hgdesired.State]
 	// hasDesired is closed when the first desired state is known.
 	hasDesired chan struct{}
-	stopping   atomic.Bool
+	stop       stop
 	// running is the number of requests in progress.
 	running atomic.Int64
 }
 
 // NewEntry returns a handler that rejects all requests until SetDesired has been called.
 func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool) *Entry {
-	return &Entry{
+	e := &Entry{
 		dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m,
 		hasDesired: make(chan struct{}),
 	}
+	e.stop.ended, e.stop.end = context.WithCancel(context.Background())
+	return e
 }
 
 // SetDesired applies a desired state unless the current one has the same or a newer version, and reports whether it did.
@@ -121,9 +123,6 @@
 // Desired returns the current desired state, or nil if there is none yet.
 func (e *Entry) Desired() *hgdesired.State { return e.desired.Load() }
 
-// Stop begins draining: each response that begins from now on carries "Connection: close", so that callers reconnect elsewhere.
-func (e *Entry) Stop() { e.stopping.Store(true) }
-
 // Running returns the number of requests in progress, for metrics, the status page and the log.
 func (e *Entry) Running() int { return int(e.running.Load()) }
 
@@ -174,7 +173,8 @@
 	leaseTime time.Duration
 }
 
-// serve decodes the request, finds its route, refuses it if it is suspected of crashing replicas, and else forwards it.
+// serve decodes the request, finds its route, refuses it if it is suspected of crashing replicas or comes too late in a stop, and else
+// forwards it.
 func (x *exchange) serve() {
 	var err error
 	if x.attempt, err = x.entry.dialect.DecodeAttempt(x.r.Header); err != nil {
@@ -207,12 +207,17 @@
 	x.deadline = x.start + allowed
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline-x.entry.timer.Now())
 	defer cancel()
+	defer context.AfterFunc(x.entry.stop.ended, cancel)()
 	x.ctx = ctx
 	x.digests = hgsuspect.NewRequest(x.service(), x.caller(), x.r.Method, x.r.RequestURI, x.attempt.Object, x.previous(), x.body)
 	if _, refused := x.entry.suspects.Refused(x.digests); refused {
 		x.respondError(errSuspect)
 		return
 	}
+	if x.isTooLate() {
+		x.respondError(errStopping)
+		return
+	}
 	x.forward()
 }
 
@@ -306,6 +311,8 @@
 	// retryAfterOutage is sent when no node reaches the store. It is long because callers make few attempts: these have to
 	// span an outage of several seconds.
 	retryAfterOutage = 1.2
+	// retryAfterStopping is sent by a node that stops. All others serve the request at once.
+	retryAfterStopping = 0
 	// retryAfterNotReady is sent by a node that has just started and does not know the desired state yet. All nodes may have
 	// been lost at once, during an outage of the store.
 	retryAfterNotReady = 1.0
@@ -318,7 +325,7 @@
 
 // announceClose tells the caller of a node that stops to reconnect elsewhere; status and headers are not written yet.
 func (x *exchange) announceClose() {
-	if x.entry.stopping.Load() {
+	if x.entry.isStopping() {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -56,6 +56,8 @@
 	// errSuspect means that the request is refused because replicas seem to have crashed while they ran it or requests with
 	// the same content.
 	errSuspect = errors.New("replicas broke off under this request")
+	// errStopping means that the node stops before the request may have ended.
+	errStopping = errors.New("VM is stopping")
 	// errNoLease means that no replica had room before the wait for a lease was over.
 	errNoLease = errors.New("no replica had room in time")
 )
@@ -107,6 +109,10 @@
 		lease.Release()
 		return nil, errSuspect
 	}
+	if x.sent == 0 && x.isTooLate() {
+		lease.Release()
+		return nil, errStopping
+	}
 	x.tries++
 	x.replica, x.decision = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
@@ -219,7 +225,7 @@
 // canRetry reports whether the request may be sent to another replica after an error.
 func (x *exchange) canRetry(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
 		return false
 	case errors.Is(err, errAnswerLost):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -235,6 +241,8 @@
 	case errors.Is(err, errSuspect) && x.sent == 0:
 		left, _ := x.entry.suspects.Refused(x.digests)
 		x.respond(http.StatusServiceUnavailable, err.Error(), left.Seconds())
+	case errors.Is(err, errStopping):
+		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterStopping)
 	case errors.Is(err, errBusy):
 		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterFull*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil && !x.entry.replicas.HasAny(hgreplica.Want{Service: x.service()}):
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -197,4 +197,8 @@
   internal/state/hgledger/ledger.go 's/isNew := l\.informed\(\) && /isNew := /'
 red excessStop TestBudgetIsExceededOnce$ internal/state/hgledger \
   internal/state/hgledger/return.go 's/for p\.unsaved \|\| /for /'
+red lateStop TestRequestLateInStop internal/proof/hgsite \
+  internal/serve/hgentry/stop.go 's/return x\.deadline > end/return false/'
+red lastAnswers 'TestRequestLateInStop/check_that_does_not_end' internal/proof/hgsite \
+  internal/serve/hgentry/stop.go 's/e\.stop\.end\(\)/_ = e/'
 exit "$status"
