hgentry: callers are told in own words that a replica broke off in the head of its answer

Report of other operators (MIXED, ORDER): a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. It does not happen here: nine places of the cut, on new and kept connections, for charges, checks, turns and kept turns, HEAD, after 1xx heads, after a refusal and after a stream that broke off (198 calls): none gets a complete 2xx. The own interface: 153 calls with a cut after each byte: each is an error that says that the request may have run.

What was wrong: the body of the 502 was the text of net/http and, for refused connections, the address of the replica (144 of the calls on the code before). Callers get the product's own reason now; the line of the request has the whole error as 'cause'.

TestReplicaStopsInHeadOfAnswer fails before by that text; TestEndpointStopsInHeadOfAnswer passed before and guards the own interface.

--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -164,6 +164,8 @@
 	replica     string
 	// status is the status code of the response that was passed on.
 	status int
+	// cause is the error for which the request failed, with the texts of libraries; nil if it did not.
+	cause error
 	// decision holds the figures by which the last replica was picked.
 	decision hgreplica.Decision
 	// openTime is how long it took to open the turn, headTime how long the headers of the last replica's response took,
@@ -366,6 +368,9 @@
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
 	}
+	if x.cause != nil {
+		args = append(args, "cause", x.cause.Error())
+	}
 	x.entry.log.Info("request", args...)
 }
 
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/internal/serve/hgattempt"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
@@ -47,6 +50,8 @@
 	errNotRun = errors.New("replica refused the request")
 	// errAnswerLost means that there is no usable response although the replica may have run the request.
 	errAnswerLost = errors.New("answer was lost")
+	// errNoHead means that the connection ended, or brought what is no answer, before the head of the response was complete.
+	errNoHead = errors.New("replica broke off before its answer began")
 	// errFalsePromise means that the status of the response promises callers what does not hold, as that the request was not run.
 	errFalsePromise = errors.New("replica answered with a status that does not hold")
 	// errNoReplica means that the service has no usable replica that was not tried yet.
@@ -142,7 +147,7 @@
 		if t.conn.wroteHeaders.Load() {
 			x.sent++
 			x.recordCrash(t)
-			return errors.Join(errAnswerLost, err)
+			return errors.Join(errAnswerLost, errNoHead, err)
 		}
 		return errors.Join(errNotSent, err)
 	}
@@ -233,8 +238,20 @@
 	return true
 }
 
+// ownErrors are the errors whose texts are sent to callers, the more specific ones first.
+var ownErrors = []error{
+	errStopping, errSuspect, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
+}
+
+// ownError returns what callers are told of an error. The text of a library's error may name addresses; it is logged only.
+func ownError(err error) error {
+	own, _ := lo.Find(ownErrors, func(own error) bool { return errors.Is(err, own) })
+	return cmp.Or(own, errAnswerLost)
+}
+
 // respondError responds to a request that will not be retried, before any part of a response was written.
 func (x *exchange) respondError(err error) {
+	x.cause, err = err, ownError(err)
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
@@ -249,7 +266,7 @@
 		x.respond(http.StatusServiceUnavailable, "the service has no replica", retryAfterNoReplica*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil:
 		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterBusy*(0.5+rand.Float64()))
-	case x.sent == 0 && !errors.Is(err, errAnswerLost):
+	case x.sent == 0 && !errors.Is(x.cause, errAnswerLost):
 		x.respond(http.StatusServiceUnavailable, "no replica in time", retryAfterBusy)
 	case x.ctx.Err() != nil:
 		x.respond(http.StatusGatewayTimeout, "no answer in time", 0)
