--- a/internal/state/hgaccount/account_test.go
+++ b/internal/state/hgaccount/account_test.go
@@ -22,6 +22,9 @@
 		"others may not have used theirs":     {account{Others: 950}, hgaccount.Grant{Account: account{Others: 950, Mine: 100, Open: 100}, NeedsWrite: true}},
 		"others' unused tokens granted once":  {account{Others: 950, Mine: 100, Used: 100}, hgaccount.Grant{Account: account{Others: 950, Mine: 100, Used: 100}, Spent: true}},
 		"no grant on unused tokens if strict": {account{Others: 950, Strict: true}, hgaccount.Grant{Account: account{Others: 950, Strict: true}, Spent: true}},
+		"others have used theirs":             {account{Others: 950, Settled: 950}, hgaccount.Grant{Account: account{Others: 950, Settled: 950}, Spent: true}},
+		"unused tokens beside settled ones":   {account{Others: 950, Settled: 900}, hgaccount.Grant{Account: account{Others: 950, Settled: 900, Mine: 100, Open: 100}, NeedsWrite: true}},
+		"settled ones leave too little":       {account{Others: 950, Settled: 901}, hgaccount.Grant{Account: account{Others: 950, Settled: 901}, Spent: true}},
 		"closed":                              {account{Closed: true, Mine: 500}, hgaccount.Grant{Account: account{Closed: true, Mine: 500}, Spent: true}},
 	}
 	for name, tt := range tests {
@@ -58,3 +61,26 @@
 		})
 	}
 }
+
+// A budget is exhausted only if nothing can be returned: neither by open turns nor of shares that others may not have used.
+func TestIsExhausted(t *testing.T) {
+	type account = hgaccount.Account
+	tests := map[string]struct {
+		have account
+		want bool
+	}{
+		"used alone":             {account{Mine: 950, Used: 950}, true},
+		"used with others":       {account{Others: 450, Settled: 450, Mine: 500, Used: 500}, true},
+		"others may not have":    {account{Others: 450, Settled: 400, Mine: 500, Used: 500}, false},
+		"a turn is open":         {account{Mine: 950, Used: 850, Open: 100}, false},
+		"one more turn fits":     {account{Others: 400, Settled: 400, Mine: 500, Used: 500}, false},
+		"it is recorded already": {account{Mine: 950, Used: 950, Closed: true}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tt.have.IsExhausted(1000, 100); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/state/hgledger/excess.go
+++ b/internal/state/hgledger/excess.go
@@ -22,8 +22,8 @@
 // since they started and have heard of no excess, and these remember who asked. A node that has restarted between the two has read the
 // marker; any other one that belongs to both majorities has heard of the first way or remembers the second one.
 
-// ExcessPrefix is the prefix of the keys of the markers of exceeded budgets. They are in a table that all nodes watch.
-const ExcessPrefix = "hgnode//excess-"
+// excessPrefix is the prefix of the keys of the markers of exceeded budgets. They are in a table that all nodes watch.
+const excessPrefix = "hgnode//excess-"
 
 // excessMarker is the value of such a marker. It is encoded under its Go field names.
 type excessMarker struct {
@@ -34,23 +34,23 @@
 var excessCodec = hgcodec.JSON[excessMarker]{}
 
 // excessKey returns the key of the marker for a program, which is identified by the hash of its identifier.
-func excessKey(program string) string { return fmt.Sprintf("%s%016x", ExcessPrefix, hash(program)) }
+func excessKey(program string) string { return fmt.Sprintf("%s%016x", excessPrefix, hash(program)) }
 
 // excessDigest returns the hash of the program that a marker stands for.
 func excessDigest(key string) (digest uint64, ok bool) {
-	text, ok := strings.CutPrefix(key, ExcessPrefix)
+	text, ok := strings.CutPrefix(key, excessPrefix)
 	digest, err := strconv.ParseUint(text, 16, 64)
 	return digest, ok && err == nil
 }
 
 // IsMarker reports whether a row of the watched table is a marker of a ledger.
 func IsMarker(key string) bool {
-	return strings.HasPrefix(key, MarkerPrefix) || strings.HasPrefix(key, ExcessPrefix)
+	return strings.HasPrefix(key, MarkerPrefix) || strings.HasPrefix(key, excessPrefix)
 }
 
 // IsExcessOld reports whether a row is the marker of an exceeded budget that is older than the time for which programs are kept.
 func IsExcessOld(row hgstore.Row, now time.Time, retention time.Duration) bool {
-	if !strings.HasPrefix(row.Key, ExcessPrefix) {
+	if !strings.HasPrefix(row.Key, excessPrefix) {
 		return false
 	}
 	m, err := excessCodec.Decode(row.Value)
