hgentry, hgendpoint: no refusal without the request's identifier counts

Cause: such a refusal counted if it was the first answer of its connection and the transport's hooks said that it began after the request was written. The hooks are called by two goroutines in either order, and bytes that cross the request on the way can't be told from an answer.

So only a refusal that names the request says that it did not run. An idempotent request is tried elsewhere, another one ends as one that may have run (502). The own interface: the same.

Checks changed: TestRefusalOnNewConnectionGoesOn asked that such a refusal counts. TestRefusalOnNewConnectionCountsWithIdentifier asks that one with the identifier does, and that one without does not. TestFirstExchange tested the removed guess. Of TestRepeatedRefusalIsNoAnswerToTheNextCall one case asks the opposite now, for the same reason; it is the stricter reading.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -182,16 +181,11 @@
 }
 
 // answer is an endpoint's answer to a request.
-type answer struct {
-	*http.Response
-	// reused says that the connection was used before this request.
-	reused bool
-}
+type answer struct{ *http.Response }
 
 // post sends a request at most once: without GetBody the transport cannot rewind the body to resend the request.
 func (h *HTTP) post(ctx context.Context, client *http.Client, path string, body []byte, request, program string, f Fence) (a *answer, err error) {
 	a = &answer{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.reused = i.Reused }})
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &Error{Err: err}
@@ -234,12 +228,8 @@
 	return e
 }
 
-// answers reports whether a refusal is surely for the request. One that names no request may be a late answer to an earlier one,
-// unless it is the first of its connection.
-func (a *answer) answers(request string) bool {
-	got := a.Header.Get(HeaderRequest)
-	return got == request || got == "" && !a.reused
-}
+// answers reports whether a refusal is surely for the request. One that names no request may have been written for any other.
+func (a *answer) answers(request string) bool { return a.Header.Get(HeaderRequest) == request }
 
 // Order sends a command about a program's cached prefix to an engine.
 func (h *HTTP) Order(ctx context.Context, o Order) (err error) {
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -176,9 +176,9 @@
 // checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
 // responses and switches to another protocol are rejected too.
 func (x *exchange) checkAnswer(t *try) error {
-	// A response to another request says nothing about this one. A refusal without an attempt's identifier may be one too, unless
-	// it is the first response of its connection.
-	mismatched := t.answer.AttemptID != x.attempt.ID && (t.answer.AttemptID != "" || !t.answer.NotRun || !t.conn.isFirstExchange())
+	// A response to another request says nothing about this one. One without an identifier may have been written for any request, or for
+	// none, before this one was read.
+	mismatched := t.answer.AttemptID != x.attempt.ID
 	switch {
 	case t.resp.StatusCode < http.StatusOK:
 		// After 101 the body is the connection itself, which no longer ends with the request's context.
