hgentryvm: a VM that has not read the table of suspects saves none

Cause: a VM that has just started writes the row of a request with the one crash that it has seen itself, before it has read the table. The row held three.

Evidence: TestStartingVMReplacesNoSavedCrashes: '1 crashes are saved after the start, want 3' in 3 of 3 without the change, none in 3 with it.

--- a/internal/operate/hgentryvm/suspect.go
+++ b/internal/operate/hgentryvm/suspect.go
@@ -82,9 +82,10 @@
 	s.save(0)
 }
 
-// save writes the suspects that the store does not hold yet, unless a write is under way or the last one was too recent.
+// save writes the suspects that the store does not hold yet, unless a write is under way or the last one was too recent. A node that has
+// not read the table since it started writes none: it would replace rows that hold more crashes than it knows of.
 func (s *suspects) save(time.Duration) {
-	if !s.mu.TryLock() {
+	if !s.node.hasReadNodes() || !s.mu.TryLock() {
 		return
 	}
 	defer s.mu.Unlock()
--- a/internal/proof/hgsite/crashing_test.go
+++ b/internal/proof/hgsite/crashing_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"hyssopgrade/hgcodec"
 	"hyssopgrade/internal/proof/hgsite"
+	"hyssopgrade/internal/serve/hgsuspect"
 )
 
 const (
@@ -260,3 +262,47 @@
 		t.Errorf("after three crashes and an answer with status 500: status %d", status)
 	}
 }
+
+// Guards against a VM that has just started and replaces the row of a request with the one crash that it has seen, before it has read the
+// table (soak seed 3837).
+func TestStartingVMReplacesNoSavedCrashes(t *testing.T) {
+	const slow = time.Second
+	s := newSite(t, 1)
+	crashAll(s)
+	sendRepeatedly(t, s, 6, crashingCharge)
+	time.Sleep(time.Second)
+	if n := savedCrashes(t, s); n < maxCrashes {
+		t.Fatalf("%d crashes are saved, want %d", n, maxCrashes)
+	}
+	s.Kill(0)
+	s.SetSlow("hgnode", slow)
+	if err := s.RestartNode(0); err != nil {
+		t.Fatal(err)
+	}
+	q := crashingCharge
+	q.NewConn = true
+	call(t, s, 0, q)
+	time.Sleep(slow)
+	s.SetSlow("", 0)
+	time.Sleep(slow)
+	if n := savedCrashes(t, s); n < maxCrashes {
+		t.Errorf("%d crashes are saved after the start, want %d", n, maxCrashes)
+	}
+}
+
+// savedCrashes returns the largest number of crashes that the row of a request holds.
+func savedCrashes(t *testing.T, s *hgsite.Site) (most int) {
+	t.Helper()
+	rows, _, err := s.Store.List(t.Context(), "hgnode//suspect-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		row, err := (hgcodec.JSON[hgsuspect.Row]{}).Decode(r.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, len(row.Breaks))
+	}
+	return most
+}
