--- a/internal/proof/hgsite/crashing_test.go
+++ b/internal/proof/hgsite/crashing_test.go
@@ -264,7 +264,7 @@
 }
 
 // Guards against a VM that has just started and replaces the row of a request with the one crash that it has seen, before it has read the
-// table (soak seed 3837).
+// table.
 func TestStartingVMReplacesNoSavedCrashes(t *testing.T) {
 	const slow = time.Second
 	s := newSite(t, 1)
