hgentry: a stop refuses nothing before callers may know of it

Requests that come late are those after the time for which a stopping VM takes requests (2.5 s); until then most end in a small part of their time, and those that do not get the VM's own answer.

TestRequestLateInStop and TestTurnsOutliveStopOfOwner pass. Where deadlines are under 4.7 s and the grace time is 8 s, as on all sites in force, both forms decide alike.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -209,14 +209,14 @@
 	grace := hgconfig.Seconds(n.cfg.Bounds.GraceSeconds) - closeReserve
 	n.log.Info("stopping", "running", n.entry.Running(), "grace", grace)
 	n.stopping.Store(true)
-	n.entry.Stop(grace)
+	leave := min(leaveTime, grace/2)
+	n.entry.Stop(leave, grace)
 	n.members.SetSelf(func(i hgpeer.Info) hgpeer.Info {
 		i.Stopping, i.Ready = true, false
 		return i
 	})
 	n.broadcastHeartbeat()
 	n.wg.Go(n.markStopping)
-	leave := min(leaveTime, grace/2)
 	n.returnBudgets(leave)
 	time.Sleep(leave - (n.timer.Now() - began))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-(n.timer.Now()-began))
--- a/internal/serve/hgentry/stop.go
+++ b/internal/serve/hgentry/stop.go
@@ -18,32 +18,36 @@
 
 // stop is the shutdown of an Entry.
 type stop struct {
-	// at is when requests under way end, in nanoseconds of the timer; 0 if no stop is under way.
-	at atomic.Int64
-	// ended is done at that time.
+	// at is when requests under way end, and lateFrom when those that may not end by then begin to be refused, in nanoseconds of the timer.
+	// at is 0 if no stop is under way.
+	at, lateFrom atomic.Int64
+	// ended is done at the first one.
 	ended context.Context
 	end   context.CancelFunc
 }
 
-// Stop begins draining: each response that begins from now on carries "Connection: close", so that callers reconnect elsewhere. Requests
-// that may not end within the time that is left are refused, unless a replica runs them already.
-func (e *Entry) Stop(left time.Duration) {
+// Stop begins draining, which ends when left has passed: each response that begins from now on carries "Connection: close", so that callers
+// reconnect elsewhere. Callers may not know of the stop for the time leave. Requests that come later and may not end within the
+// time that is left are refused, unless a replica runs them already.
+func (e *Entry) Stop(leave, left time.Duration) {
+	now := e.timer.Now()
 	left = max(left-lastAnswerTime, 0)
-	e.stop.at.Store(int64(e.timer.Now() + left))
+	e.stop.lateFrom.Store(int64(now + leave))
+	e.stop.at.Store(int64(now + left))
 	e.timer.After(left, func(time.Duration) { e.stop.end() })
 }
 
 // isStopping reports whether the entry is draining.
 func (e *Entry) isStopping() bool { return e.stop.at.Load() > 0 }
 
-// isTooLate reports whether the entry is draining and the request may not end before it has.
+// isTooLate reports whether the entry has been draining for a while and the request may not end before it has.
 func (x *exchange) isTooLate() bool {
-	end := time.Duration(x.entry.stop.at.Load())
+	now, end := x.entry.timer.Now(), time.Duration(x.entry.stop.at.Load())
 	switch {
-	case end == 0:
+	case end == 0 || now < time.Duration(x.entry.stop.lateFrom.Load()):
 		return false
 	case x.route.Kind == hgdesired.Idempotent:
-		return end-x.entry.timer.Now() < leastIdempotentTime
+		return end-now < leastIdempotentTime
 	}
 	return x.deadline > end
 }
