--- a/internal/proof/hgsoak/membership.go
+++ b/internal/proof/hgsoak/membership.go
@@ -16,7 +16,7 @@
 	membershipRandStream = 1 << 22
 	// maxMembershipPause is the longest time between the starts of two membership faults.
 	maxMembershipPause = 3 * time.Second
-	// minVMs is the number of VMs that are never removed.
+	// minVMs is the number of VMs that are never removed, also not for the time until another one replaces them.
 	minVMs = 2
 )
 
@@ -25,7 +25,7 @@
 var membershipFaults = []fault{
 	{"replaced VM", func(s *soak, r *rand.Rand) func() {
 		p, sig := s.procs[s.anyVM(r)], anyEnd(r)
-		if len(s.spares) == 0 {
+		if len(s.spares) == 0 || len(s.runningVMs()) <= minVMs {
 			return func() {}
 		}
 		spare := s.spares[0]
