hgledger, hgentry, hgentryvm: second reading of the change

No decision changes. Said twice: isSoleHolder asked peers as askClaims does, and the question named program and ledger in three places; what is done about lost claims stood in both ways to exceed a budget; knownPrograms.note was AddKnownPrograms. In the wrong place: rows of exceeded budgets were deleted by the function that evicts suspects (deleteOldRows now). Too long: the condition of ReturnUnused has a name. A log line repeats its reason as cause no more. Tests: the simulation has the name of what it plays (fleet) and one timer for all its ledgers, closed at its end; the cut heads and the late requests are set up in fewer steps; runs of an attempt are looked up in one place.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -276,6 +276,7 @@
 // evict drops programs without recent requests and suspects that no longer count, and deletes their rows.
 func (n *Node) evict(time.Duration) {
 	n.evictSuspects()
+	n.deleteOldRows()
 	ctx, cancel := context.WithTimeout(n.ctx, minRetention/4)
 	defer cancel()
 	if dropped, failed := n.ledger.EvictUnused(ctx, n.retention.duration()); dropped+failed > 0 {
--- a/internal/operate/hgentryvm/suspect.go
+++ b/internal/operate/hgentryvm/suspect.go
@@ -14,7 +14,6 @@
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgsuspect"
-	"hyssopgrade/internal/state/hgledger"
 )
 
 const (
@@ -26,7 +25,7 @@
 	// so that the write rate of all VMs together is bounded at any size of the site.
 	suspectPeriod  = 500 * time.Millisecond
 	suspectPerPeer = 10 * time.Millisecond
-	// maxSuspects bounds the rows that one transaction writes or deletes; the store accepts 100 entries.
+	// maxSuspects bounds the rows that one transaction writes; the store accepts 100 entries.
 	maxSuspects = 50
 )
 
@@ -142,34 +141,17 @@
 // isSuspect says whether a row of nodeTable describes a suspect.
 func isSuspect(row hgstore.Row) bool { return strings.HasPrefix(row.Key, suspectPrefix) }
 
-// evictSuspects drops what the list holds of peers that are gone and of old unanswered requests. The VM that comes first by
-// name among the live ones also deletes the rows of suspects, and of exceeded budgets, that no longer count.
+// evictSuspects drops what the list holds of peers that are gone and of old unanswered requests.
 func (n *Node) evictSuspects() {
 	n.suspects.Retain(lo.SliceToMap(n.members.All(), func(i hgpeer.Info) (string, bool) { return i.Name, true }))
 	n.suspects.ForgetUnanswered()
-	if live := n.members.Live(); len(live) > 0 && live[0].Name < n.cfg.VM.Name {
-		return
-	}
-	now := time.Now()
-	var old []string
-	for key, row := range n.watches[nodeTable].Snapshot().Rows {
-		if hgledger.IsExcessOld(row, now, n.retention.duration()) {
-			old = append(old, key)
-		}
-		if !isSuspect(row) {
-			continue
-		}
-		if r, err := suspectCodec.Decode(row.Value); err != nil || r.IsOld(now) {
-			old = append(old, key)
-		}
-	}
-	for _, keys := range lo.Chunk(old, maxSuspects) {
-		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-		_, err := n.store.Commit(ctx, hgstore.Txn{Deletes: keys})
-		cancel()
-		n.log.Info("old suspects and markers deleted", "rows", len(keys), "error", err)
-		if err != nil {
-			return
-		}
+}
+
+// isOldSuspect says whether a row of nodeTable describes a suspect that no longer counts.
+func isOldSuspect(row hgstore.Row, now time.Time) bool {
+	if !isSuspect(row) {
+		return false
 	}
+	r, err := suspectCodec.Decode(row.Value)
+	return err != nil || r.IsOld(now)
 }
--- a/internal/proof/hgsite/headcut_test.go
+++ b/internal/proof/hgsite/headcut_test.go
@@ -13,27 +13,27 @@
 
 // Guards against answers whose head breaks off in the middle and that reach callers as a success with an empty or short body.
 func TestReplicaStopsInHeadOfAnswer(t *testing.T) {
-	refusal := func(id string) string {
-		return rawHead("503 Service Unavailable", hgattempt.Answer{AttemptID: id, NotRun: true}, "Content-Length: 0") + ""
+	refusal := func(id string) (data string, ran bool) {
+		return rawHead("503 Service Unavailable", hgattempt.Answer{AttemptID: id, NotRun: true}, "Content-Length: 0"), false
 	}
-	brokenStream := func(id string) string { return rawStreamHead(id) + rawChunk(rawEvents(1, 2)) }
+	brokenStream := func(id string) (data string, ran bool) { return rawStreamHead(id) + rawChunk(rawEvents(1, 2)), true }
 	tests := map[string]struct {
 		method, path string
-		// before returns what precedes the head that breaks off, in the same answer or, with a try of its own, in an earlier one.
-		before func(id string) string
-		ownTry bool
+		// before precedes the head that breaks off, and firstTry, unless it is nil, returns the answer to an earlier try.
+		before   string
+		firstTry func(id string) (data string, ran bool)
 	}{
-		"charge":                      {http.MethodPost, hgsite.ChargePath, nil, false},
-		"check":                       {http.MethodGet, hgsite.CheckPath, nil, false},
-		"HEAD of a check":             {http.MethodHead, hgsite.CheckPath, nil, false},
-		"HEAD of a turn":              {http.MethodHead, hgsite.ThreadPath, nil, false},
-		"turn":                        {http.MethodPost, hgsite.ChatPath, nil, false},
-		"kept turn":                   {http.MethodPost, hgsite.ThreadPath, nil, false},
-		"charge, after early hints":   {http.MethodPost, hgsite.ChargePath, func(string) string { return "HTTP/1.1 103 Early Hints\r\n\r\n" }, false},
-		"turn, after a continue":      {http.MethodPost, hgsite.ThreadPath, func(string) string { return "HTTP/1.1 100 Continue\r\n\r\n" }, false},
-		"charge, after a refusal":     {http.MethodPost, hgsite.ChargePath, refusal, true},
-		"kept turn, after a refusal":  {http.MethodPost, hgsite.ThreadPath, refusal, true},
-		"turn, after a broken stream": {http.MethodPost, hgsite.ChatPath, brokenStream, true},
+		"charge":                      {http.MethodPost, hgsite.ChargePath, "", nil},
+		"check":                       {http.MethodGet, hgsite.CheckPath, "", nil},
+		"HEAD of a check":             {http.MethodHead, hgsite.CheckPath, "", nil},
+		"HEAD of a turn":              {http.MethodHead, hgsite.ThreadPath, "", nil},
+		"turn":                        {http.MethodPost, hgsite.ChatPath, "", nil},
+		"kept turn":                   {http.MethodPost, hgsite.ThreadPath, "", nil},
+		"charge, after early hints":   {http.MethodPost, hgsite.ChargePath, "HTTP/1.1 103 Early Hints\r\n\r\n", nil},
+		"turn, after a continue":      {http.MethodPost, hgsite.ThreadPath, "HTTP/1.1 100 Continue\r\n\r\n", nil},
+		"charge, after a refusal":     {http.MethodPost, hgsite.ChargePath, "", refusal},
+		"kept turn, after a refusal":  {http.MethodPost, hgsite.ThreadPath, "", refusal},
+		"turn, after a broken stream": {http.MethodPost, hgsite.ChatPath, "", brokenStream},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -48,21 +48,16 @@
 				if strings.HasPrefix(q.Body, "whole") {
 					return rawAnswer(q.ID), true, false
 				}
-				before := ""
-				if tt.before != nil {
-					if before = tt.before(q.ID); tt.ownTry && tries[q.ID] == 1 {
-						return before, !strings.Contains(before, " 503 "), strings.Contains(before, " 200 ")
-					}
-				}
-				if tt.ownTry {
-					before = ""
+				if tt.firstTry != nil && tries[q.ID] == 1 {
+					data, ran := tt.firstTry(q.ID)
+					return data, ran, ran
 				}
 				head := rawAnswer(q.ID)
 				if tt.path == hgsite.ChatPath || tt.path == hgsite.ThreadPath {
 					head = rawStreamHead(q.ID)
 				}
 				head, _, _ = strings.Cut(head, "\r\n\r\n")
-				return before + (head + "\r\n")[:min(cut, len(head)+2)], true, true
+				return tt.before + (head + "\r\n")[:min(cut, len(head)+2)], true, true
 			})
 			for _, kept := range []bool{false, true} {
 				for _, n := range []int{0, 1, 9, 12, 15, 17, 30, 60, 1 << 10} {
--- a/internal/proof/hgsite/latestop_test.go
+++ b/internal/proof/hgsite/latestop_test.go
@@ -17,15 +17,16 @@
 	const (
 		grace  = 4 // seconds
 		events = 20
-		// lateAfter is how long after the stop the requests come. The VM cuts what is under way 700 ms before the end of the grace time.
-		lateAfter = 2400 * time.Millisecond
-		callers   = 4
+		// pause is that before each event of a stream. Streams begin two pauses before the stop, and the requests come at their end, 2.2 s
+		// after it. The VM cuts what is under way 700 ms before the end of the grace time.
+		pause   = 120 * time.Millisecond
+		callers = 4
 	)
 	tests := map[string]struct {
 		request hgsite.Request
-		// deadline is the caller's, and pause the time that a tool takes.
-		deadline, pause time.Duration
-		status, runs    int
+		// deadline is the caller's, and work the time that a tool takes.
+		deadline, work time.Duration
+		status, runs   int
 	}{
 		"charge that may not end":   {hgsite.Request{Path: hgsite.ChargePath + "x", Body: "x"}, 4 * time.Second, 1500 * time.Millisecond, http.StatusServiceUnavailable, 0},
 		"charge with little time":   {hgsite.Request{Path: hgsite.ChargePath + "x", Body: "x"}, 400 * time.Millisecond, 50 * time.Millisecond, http.StatusOK, 1},
@@ -46,10 +47,16 @@
 				t.Fatal(err)
 			}
 			time.Sleep(applyLimit)
-			for _, r := range s.Replicas {
-				r.SetPause(lateAfter / events)
-				r.SetEvents(events)
+			setReplicas := func(events int, pause time.Duration) {
+				for _, r := range s.Replicas {
+					r.SetEvents(events)
+					r.SetPause(pause)
+					if r.Entry.Service == hgsite.Tools {
+						r.SetPause(tt.work)
+					}
+				}
 			}
+			setReplicas(events, pause)
 			var wg sync.WaitGroup
 			for i := range callers {
 				wg.Go(func() {
@@ -60,36 +67,21 @@
 					if reply, err := s.Call(context.Background(), 0, stream); err != nil || !reply.Complete || reply.Closes {
 						t.Errorf("stream: %v, complete: %t, closes: %t", err, reply.Complete, reply.Closes)
 					}
-					for id, r := range s.Replicas {
-						r.SetEvents(hgsite.Events)
-						r.SetPause(map[bool]time.Duration{true: tt.pause, false: hgsite.Pause}[id[0] == 't'])
-					}
+					setReplicas(hgsite.Events, hgsite.Pause)
 					q := tt.request
 					q.ID, q.Program, q.Deadline, q.Via, q.SendOnce = hgsite.NewAttempt(), q.Program+fmt.Sprint(i), tt.deadline, client, true
 					reply, err := s.Call(context.Background(), 0, q)
 					if err != nil || reply.Status != tt.status || !reply.Complete || !reply.Closes {
 						t.Errorf("late request: %v, status %d, complete: %t, closes: %t: %s", err, reply.Status, reply.Complete, reply.Closes, reply.Body)
 					}
-					if runs := runsOf(s, q.ID); runs != tt.runs {
-						t.Errorf("the late request ran %d times, want %d", runs, tt.runs)
+					if ran := ranAt(s, q.ID); len(ran) != tt.runs {
+						t.Errorf("the late request ran at %v, want %d runs", ran, tt.runs)
 					}
 				})
 			}
-			time.Sleep(2 * lateAfter / events)
+			time.Sleep(2 * pause)
 			s.Nodes[0].Stop()
 			wg.Wait()
 		})
 	}
 }
-
-// runsOf returns how often replicas ran an attempt.
-func runsOf(s *hgsite.Site, attempt string) (runs int) {
-	for _, r := range s.Replicas {
-		for _, run := range r.Runs() {
-			if run.Attempt == attempt {
-				runs++
-			}
-		}
-	}
-	return runs
-}
--- a/internal/proof/hgsite/split_test.go
+++ b/internal/proof/hgsite/split_test.go
@@ -68,7 +68,11 @@
 						break
 					}
 					wantStream(t, reply)
-					tokens += len(reply.Events) * rates[ranAt(t, s, q.ID)]
+					ran := ranAt(s, q.ID)
+					if len(ran) != 1 {
+						t.Fatalf("turn %d ran at %v", n, ran)
+					}
+					tokens += len(reply.Events) * rates[ran[0]]
 					if tt.path == hgsite.ThreadPath {
 						previous = q.ID
 					}
@@ -81,16 +85,14 @@
 	}
 }
 
-// ranAt returns the replica that ran an attempt.
-func ranAt(t *testing.T, s *hgsite.Site, attempt string) (replica string) {
-	t.Helper()
+// ranAt returns the replicas that ran an attempt.
+func ranAt(s *hgsite.Site, attempt string) (replicas []string) {
 	for _, r := range s.Replicas {
 		for _, run := range r.Runs() {
 			if run.Attempt == attempt {
-				return run.Replica
+				replicas = append(replicas, run.Replica)
 			}
 		}
 	}
-	t.Fatalf("attempt %s ran nowhere", attempt)
-	return ""
+	return replicas
 }
--- a/internal/proof/hgsoak/membership.go
+++ b/internal/proof/hgsoak/membership.go
@@ -16,7 +16,7 @@
 	membershipRandStream = 1 << 22
 	// maxMembershipPause is the longest time between the starts of two membership faults.
 	maxMembershipPause = 3 * time.Second
-	// minVMs is the number of VMs that are never removed, also not for the time until another one replaces them.
+	// minVMs is the number of VMs below which none is removed, and none taken away to be replaced.
 	minVMs = 2
 )
 
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -368,7 +368,7 @@
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
 	}
-	if x.cause != nil {
+	if x.cause != nil && x.cause.Error() != reason {
 		args = append(args, "cause", x.cause.Error())
 	}
 	x.entry.log.Info("request", args...)
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -251,27 +251,28 @@
 
 // respondError responds to a request that will not be retried, before any part of a response was written.
 func (x *exchange) respondError(err error) {
-	x.cause, err = err, ownError(err)
+	x.cause = err
+	reason := ownError(err).Error()
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
 	case errors.Is(err, errSuspect) && x.sent == 0:
 		left, _ := x.entry.suspects.Refused(x.digests)
-		x.respond(http.StatusServiceUnavailable, err.Error(), left.Seconds())
+		x.respond(http.StatusServiceUnavailable, reason, left.Seconds())
 	case errors.Is(err, errStopping):
-		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterStopping)
+		x.respond(http.StatusServiceUnavailable, reason, retryAfterStopping)
 	case errors.Is(err, errBusy):
-		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterFull*(0.5+rand.Float64()))
+		x.respond(http.StatusServiceUnavailable, reason, retryAfterFull*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil && !x.entry.replicas.HasAny(hgreplica.Want{Service: x.service()}):
 		x.respond(http.StatusServiceUnavailable, "the service has no replica", retryAfterNoReplica*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil:
-		x.respond(http.StatusServiceUnavailable, err.Error(), retryAfterBusy*(0.5+rand.Float64()))
-	case x.sent == 0 && !errors.Is(x.cause, errAnswerLost):
+		x.respond(http.StatusServiceUnavailable, reason, retryAfterBusy*(0.5+rand.Float64()))
+	case x.sent == 0 && !errors.Is(err, errAnswerLost):
 		x.respond(http.StatusServiceUnavailable, "no replica in time", retryAfterBusy)
 	case x.ctx.Err() != nil:
 		x.respond(http.StatusGatewayTimeout, "no answer in time", 0)
 	default:
-		x.respond(http.StatusBadGateway, err.Error(), 0)
+		x.respond(http.StatusBadGateway, reason, 0)
 	}
 }
 
--- a/internal/serve/hgentry/stop.go
+++ b/internal/serve/hgentry/stop.go
@@ -18,10 +18,10 @@
 
 // stop is the shutdown of an Entry.
 type stop struct {
-	// at is when requests under way end, and lateFrom when those that may not end by then begin to be refused, in nanoseconds of the timer.
-	// at is 0 if no stop is under way.
+	// at is when the requests under way are ended; 0 if no stop is under way. From lateFrom on, requests that may not end before are
+	// refused. Both are in nanoseconds of the timer.
 	at, lateFrom atomic.Int64
-	// ended is done at the first one.
+	// ended is done when the requests under way are to end.
 	ended context.Context
 	end   context.CancelFunc
 }
--- a/internal/state/hgledger/excess.go
+++ b/internal/state/hgledger/excess.go
@@ -63,18 +63,14 @@
 	if err := l.markExcess(ctx, p); err != nil {
 		return err
 	}
-	l.known.note(hash(p.id), l.timer.Now())
-	a := l.askClaims(ctx, SoleRequest{Program: p.id, Ledger: l.id, Excess: true}, p)
+	l.AddKnownPrograms([]uint64{hash(p.id)}, false)
+	a := l.askClaims(ctx, p, SoleRequest{Excess: true})
 	if a.Minority {
 		return errNoMajority()
 	}
-	lost := l.lostAskers(p, a)
-	l.log.Info("budget may be exceeded on unused shares of others", "program", p.id, "others", p.account.Others, "settled", p.account.Settled, "lost", len(lost))
-	if len(lost) == 0 {
-		return nil
-	}
-	l.setClaimsLost(p)
-	if p.row.Strict {
+	lost := l.noteLostClaims(p, a)
+	l.log.Info("budget may be exceeded on unused shares of others", "program", p.id, "others", p.account.Others, "settled", p.account.Settled, "lost", lost)
+	if lost == 0 || p.row.Strict {
 		return nil
 	}
 	// The VMs that remember the lost claim may restart, so that the row has to tell of it.
@@ -97,19 +93,20 @@
 	return err
 }
 
-// setClaimsLost records that a claim on the budget may have been lost, so that no turn is granted on the unused shares of others.
-func (l *Ledger) setClaimsLost(p *program) {
-	p.claimsLost = true
-	l.reload(p, p.row, p.version, p.rowKnown)
-}
-
-// lostAskers returns the ledgers that may have claimed tokens of a program without its row and have ended since: they have asked for it,
-// and neither answer nor have a claim in the row or in a copy.
-func (l *Ledger) lostAskers(p *program, a Answers) (lost []string) {
+// noteLostClaims returns the number of ledgers that may have claimed tokens of a program without its row and have ended since: they have
+// asked for it, and neither answer nor have a claim in the row or in a copy. If there are any, no turn is granted on the unused
+// shares of others from then on.
+func (l *Ledger) noteLostClaims(p *program, a Answers) (lost int) {
 	claims := l.claims(p)
-	return lo.Uniq(lo.Filter(append(a.Asked, l.asks.of(p.id)...), func(ledger string, _ int) bool {
+	asked := lo.Uniq(append(a.Asked, l.asks.of(p.id)...))
+	lost = lo.CountBy(asked, func(ledger string) bool {
 		return ledger != l.id && claims[ledger] == 0 && !slices.Contains(a.Ledgers, ledger)
-	}))
+	})
+	if lost > 0 {
+		p.claimsLost = true
+		l.reload(p, p.row, p.version, p.rowKnown)
+	}
+	return lost
 }
 
 // askLog remembers the ledgers to which this one has answered that it does not know of a program, so that they may have claimed tokens of
--- a/internal/state/hgledger/excess_test.go
+++ b/internal/state/hgledger/excess_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/samber/lo"
+
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/state/hgledger"
 )
@@ -35,7 +37,7 @@
 				ledgers[i] = newLedgerWithPeers(t, id, store, others[i])
 				for k, p := range others {
 					if p != nil {
-						p.all = except(ledgers, k)
+						p.all = lo.Filter(ledgers, func(l *hgledger.Ledger, i int) bool { return i != k && l != nil })
 					}
 				}
 			}
@@ -75,13 +77,3 @@
 		})
 	}
 }
-
-// except returns the ledgers without the i-th one, as far as they are started.
-func except(ledgers []*hgledger.Ledger, i int) (others []*hgledger.Ledger) {
-	for k, l := range ledgers {
-		if k != i && l != nil {
-			others = append(others, l)
-		}
-	}
-	return others
-}
--- a/internal/state/hgledger/failover.go
+++ b/internal/state/hgledger/failover.go
@@ -28,9 +28,10 @@
 
 // SetMarkers reads the markers among the rows of the watched table. The rows have to be all rows of that table.
 func (l *Ledger) SetMarkers(rows map[string]hgstore.Row) {
+	var exceeded []uint64
 	for key := range rows {
 		if digest, ok := excessDigest(key); ok {
-			l.known.note(digest, l.timer.Now())
+			exceeded = append(exceeded, digest)
 		}
 		number, ok := strings.CutPrefix(key, MarkerPrefix)
 		if !ok {
@@ -40,6 +41,7 @@
 			l.failedOver[n].Store(true)
 		}
 	}
+	l.AddKnownPrograms(exceeded, false)
 	l.markersRead.Store(true)
 }
 
--- a/internal/state/hgledger/doors_test.go
+++ b/internal/state/hgledger/fleet_test.go
@@ -21,10 +21,12 @@
 // detects its absence.
 type excessGuards struct{ told, informed, asked bool }
 
-// doors simulates VMs that are restarted, planned and killed, while the store is there, away for all or cut off from some. Its turns have
+// fleet simulates VMs that are restarted, planned and killed, while the store is there, away for all or cut off from some. Its turns have
 // both ways to exceed the budget.
-type doors struct {
-	t       *testing.T
+type fleet struct {
+	t *testing.T
+	// timer is that of all ledgers.
+	timer   *hgtimer.Service
 	r       *rand.Rand
 	store   *hgstore.Memory
 	guards  excessGuards
@@ -42,85 +44,83 @@
 }
 
 const (
-	doorsBudget = 300
-	doorsMost   = 100
-	doorsVMs    = 6
-	// doorsDomains is the number of failure domains, whose VMs tell each other of programs.
-	doorsDomains = 3
-	// doorsCopies is the number of peers that get a copy of a claim.
-	doorsCopies = 3
-	doorsSteps  = 40
+	fleetBudget = 300
+	fleetMost   = 100
+	fleetVMs    = 6
+	// fleetDomains is the number of failure domains, whose VMs tell each other of programs.
+	fleetDomains = 3
+	// fleetCopies is the number of peers that get a copy of a claim.
+	fleetCopies = 3
+	fleetSteps  = 40
 )
 
-func newDoors(t *testing.T, seed uint64, g excessGuards) *doors {
-	d := &doors{
-		t: t, r: rand.New(rand.NewPCG(seed, 3)), store: hgstore.NewMemory(), guards: g, ledgers: make([]*hgledger.Ledger, doorsVMs), starts: make([]int, doorsVMs),
-		informed: make([]bool, doorsVMs), apart: make([]bool, doorsVMs),
+func newFleet(t *testing.T, seed uint64, g excessGuards) *fleet {
+	f := &fleet{
+		t: t, timer: hgtimer.NewService(), r: rand.New(rand.NewPCG(seed, 3)), store: hgstore.NewMemory(), guards: g, ledgers: make([]*hgledger.Ledger, fleetVMs), starts: make([]int, fleetVMs),
+		informed: make([]bool, fleetVMs), apart: make([]bool, fleetVMs),
 	}
-	for i := range doorsVMs {
-		d.start(i)
+	for i := range fleetVMs {
+		f.start(i)
 	}
-	return d
+	return f
 }
 
 // start starts or restarts the process of a VM.
-func (d *doors) start(i int) {
-	timer := hgtimer.NewService()
-	d.t.Cleanup(timer.Close)
-	d.starts[i]++
-	d.informed[i] = false
-	d.ledgers[i] = hgledger.NewLedger(fmt.Sprintf("vm-%d/%d", i, d.starts[i]), cutTable{d.store, func() bool { return !d.reachesStore(i) }}, timer, hglog.Discard(),
-		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(&doorsPeers{d, i}), hgledger.WithAllProgramsKnown(d.starts[i] == 1),
-		hgledger.WithInformed(func() bool { return d.informed[i] || !d.guards.informed }))
-	d.readMarkers(i)
-	for _, k := range (&doorsPeers{d, i}).reached() {
-		if d.ledgers[k] == nil || k%doorsDomains != i%doorsDomains {
+func (f *fleet) start(i int) {
+	f.starts[i]++
+	f.informed[i] = false
+	f.ledgers[i] = hgledger.NewLedger(fmt.Sprintf("vm-%d/%d", i, f.starts[i]), cutTable{f.store, func() bool { return !f.reachesStore(i) }}, f.timer, hglog.Discard(),
+		hgledger.WithRetryAfter(time.Millisecond), hgledger.WithBackup(&fleetPeers{f, i}), hgledger.WithAllProgramsKnown(f.starts[i] == 1),
+		hgledger.WithInformed(func() bool { return f.informed[i] || !f.guards.informed }))
+	f.readMarkers(i)
+	for _, k := range (&fleetPeers{f, i}).reached() {
+		if f.ledgers[k] == nil || k%fleetDomains != i%fleetDomains {
 			continue
 		}
-		if programs, complete := d.ledgers[k].KnownPrograms(); complete {
-			d.ledgers[i].AddKnownPrograms(programs, true)
+		if programs, complete := f.ledgers[k].KnownPrograms(); complete {
+			f.ledgers[i].AddKnownPrograms(programs, true)
 		}
 	}
 }
 
-func (d *doors) reachesStore(i int) bool { return !d.out && !d.apart[i] }
+func (f *fleet) reachesStore(i int) bool { return !f.out && !f.apart[i] }
 
 // readMarkers makes a VM read the table with the markers, if it reaches the store.
-func (d *doors) readMarkers(i int) {
-	if !d.reachesStore(i) {
+func (f *fleet) readMarkers(i int) {
+	if !f.reachesStore(i) {
 		return
 	}
-	rows, _, err := d.store.List(context.Background(), "hgnode//")
+	rows, _, err := f.store.List(context.Background(), "hgnode//")
 	if err != nil {
-		d.t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	if d.guards.told {
-		d.ledgers[i].SetMarkers(lo.KeyBy(rows, func(r hgstore.Row) string { return r.Key }))
+	if f.guards.told {
+		f.ledgers[i].SetMarkers(lo.KeyBy(rows, func(r hgstore.Row) string { return r.Key }))
 	}
-	d.informed[i] = true
+	f.informed[i] = true
 }
 
-// doorsPeers is the Backup of one VM, as hgpeer.Backup is one.
-type doorsPeers struct {
-	d    *doors
+// fleetPeers is the Backup of one VM, as hgpeer.Backup is one.
+type fleetPeers struct {
+	f    *fleet
 	self int
 }
 
 // reached returns the VMs that a VM reaches, those of its failure domain first.
-func (p *doorsPeers) reached() (vms []int) {
-	if p.d.apart[p.self] {
+func (p *fleetPeers) reached() (vms []int) {
+	if p.f.apart[p.self] {
 		return nil
 	}
-	near, far := lo.FilterReject(lo.Range(doorsVMs), func(i, _ int) bool { return i%doorsDomains == p.self%doorsDomains })
-	return lo.Reject(append(near, far...), func(i, _ int) bool { return i == p.self || p.d.apart[i] })
+	near, far := lo.FilterReject(lo.Range(fleetVMs), func(i, _ int) bool { return i%fleetDomains == p.self%fleetDomains })
+	return lo.Reject(append(near, far...), func(i, _ int) bool { return i == p.self || p.f.apart[i] })
 }
 
-func (p *doorsPeers) Ask(ctx context.Context, q hgledger.SoleRequest) (a hgledger.Answers) {
-	q.Excess = q.Excess && p.d.guards.told
+func (p *fleetPeers) Ask(ctx context.Context, q hgledger.SoleRequest) (a hgledger.Answers) {
+	q.Excess = q.Excess && p.f.guards.told
 	votes, informed := 1, 1
 	for _, i := range p.reached() {
-		reply := p.d.ledgers[i].Share(ctx, q)
-		if !p.d.guards.asked {
+		reply := p.f.ledgers[i].Share(ctx, q)
+		if !p.f.guards.asked {
 			reply.Asked = nil
 		}
 		a.Add(reply)
@@ -129,107 +129,108 @@
 			informed++
 		}
 	}
-	if a.Minority = 2*votes <= doorsVMs; 2*informed <= doorsVMs {
+	if a.Minority = 2*votes <= fleetVMs; 2*informed <= fleetVMs {
 		a.Unanswered++
 	}
 	return a
 }
 
-func (p *doorsPeers) Copy(ctx context.Context, c hgledger.Copy) (copies int) {
+func (p *fleetPeers) Copy(ctx context.Context, c hgledger.Copy) (copies int) {
 	peers := p.reached()
-	for _, i := range peers[:min(len(peers), doorsCopies)] {
-		if p.d.ledgers[i].TakeCopy(ctx, c) {
+	for _, i := range peers[:min(len(peers), fleetCopies)] {
+		if p.f.ledgers[i].TakeCopy(ctx, c) {
 			copies++
 		}
 	}
 	return copies
 }
 
-func (p *doorsPeers) RowsMayBeStale() bool {
-	return p.d.out || lo.SomeBy(p.d.ledgers, func(l *hgledger.Ledger) bool { return l.Unsaved() })
+func (p *fleetPeers) RowsMayBeStale() bool {
+	return p.f.out || lo.SomeBy(p.f.ledgers, func(l *hgledger.Ledger) bool { return l.Unsaved() })
 }
 
-func (p *doorsPeers) LacksMajority() bool { return 2*(len(p.reached())+1) <= doorsVMs }
+func (p *fleetPeers) LacksMajority() bool { return 2*(len(p.reached())+1) <= fleetVMs }
 
 // turn serves a turn at a VM, whose caller gets all or some of the tokens.
-func (d *doors) turn(i int) {
-	q := hgledger.OpenRequest{Program: "p", Attempt: fmt.Sprint(len(d.log)), Budget: doorsBudget, Most: doorsMost, HasBudget: true, Offline: !d.reachesStore(i)}
-	reply := d.ledgers[i].Open(context.Background(), q)
+func (f *fleet) turn(i int) {
+	q := hgledger.OpenRequest{Program: "p", Attempt: fmt.Sprint(len(f.log)), Budget: fleetBudget, Most: fleetMost, HasBudget: true, Offline: !f.reachesStore(i)}
+	reply := f.ledgers[i].Open(context.Background(), q)
 	if reply.Verdict == hgledger.Granted {
 		used := reply.Most
-		if d.r.IntN(3) == 0 {
-			used = d.r.IntN(used + 1)
+		if f.r.IntN(3) == 0 {
+			used = f.r.IntN(used + 1)
 		}
-		d.delivered += used
-		if err := d.ledgers[i].Close(context.Background(), hgledger.CloseRequest{Program: "p", Attempt: q.Attempt, Holder: reply.Holder, Used: used}); err != nil {
-			d.t.Fatal(err)
+		f.delivered += used
+		if err := f.ledgers[i].Close(context.Background(), hgledger.CloseRequest{Program: "p", Attempt: q.Attempt, Holder: reply.Holder, Used: used}); err != nil {
+			f.t.Fatal(err)
 		}
 	}
-	d.note("turn at %d: %s %d", i, reply.Verdict, reply.Most)
+	f.note("turn at %d: %s %d", i, reply.Verdict, reply.Most)
 }
 
-func (d *doors) note(format string, args ...any) {
-	d.log = append(d.log, fmt.Sprintf(format, args...)+fmt.Sprintf(" [out %t, apart %v, informed %v, delivered %d]", d.out, d.apart, d.informed, d.delivered))
+func (f *fleet) note(format string, args ...any) {
+	f.log = append(f.log, fmt.Sprintf(format, args...)+fmt.Sprintf(" [out %t, apart %v, informed %v, delivered %d]", f.out, f.apart, f.informed, f.delivered))
 }
 
-func (d *doors) step() {
-	i := d.r.IntN(doorsVMs)
-	switch d.r.IntN(16) {
+func (f *fleet) step() {
+	i := f.r.IntN(fleetVMs)
+	switch f.r.IntN(16) {
 	case 14, 15:
-		d.owner = i
+		f.owner = i
 	case 0, 1:
-		if d.r.IntN(2) == 0 {
-			i = d.owner
+		if f.r.IntN(2) == 0 {
+			i = f.owner
 		}
-		if d.reachesStore(i) {
-			d.ledgers[i].ReturnUnused(context.Background())
+		if f.reachesStore(i) {
+			f.ledgers[i].ReturnUnused(context.Background())
 		}
-		d.start(i)
-		d.note("planned restart of %d", i)
+		f.start(i)
+		f.note("planned restart of %d", i)
 	case 2:
-		for i := range doorsVMs {
-			if d.r.IntN(2) == 0 {
-				d.start(i)
-				d.note("kill of %d", i)
+		for i := range fleetVMs {
+			if f.r.IntN(2) == 0 {
+				f.start(i)
+				f.note("kill of %d", i)
 			}
 		}
 	case 3, 4:
-		d.out = !d.out
-		d.note("store out: %t", d.out)
+		f.out = !f.out
+		f.note("store out: %t", f.out)
 	case 5:
-		d.apart[i] = !d.apart[i]
-		d.note("%d apart: %t", i, d.apart[i])
+		f.apart[i] = !f.apart[i]
+		f.note("%d apart: %t", i, f.apart[i])
 	case 6:
-		if d.reachesStore(i) {
-			saved, left := d.ledgers[i].SaveClaims(context.Background())
-			d.note("save at %d: %d, %d left", i, saved, left)
+		if f.reachesStore(i) {
+			saved, left := f.ledgers[i].SaveClaims(context.Background())
+			f.note("save at %d: %d, %d left", i, saved, left)
 		}
 	default:
-		d.turn(d.owner)
+		f.turn(f.owner)
 	}
-	for i, l := range d.ledgers {
+	for i, l := range f.ledgers {
 		begun := l.TakeNewPrograms()
-		for _, k := range (&doorsPeers{d, i}).reached() {
-			if k%doorsDomains == i%doorsDomains {
-				d.ledgers[k].AddKnownPrograms(begun, false)
+		for _, k := range (&fleetPeers{f, i}).reached() {
+			if k%fleetDomains == i%fleetDomains {
+				f.ledgers[k].AddKnownPrograms(begun, false)
 			}
 		}
-		if !d.informed[i] || d.r.IntN(2) == 0 {
-			d.readMarkers(i)
+		if !f.informed[i] || f.r.IntN(2) == 0 {
+			f.readMarkers(i)
 		}
 	}
 }
 
 // exceeds plays a random history, and returns it if callers got more than the budget and one turn.
 func (g excessGuards) exceeds(t *testing.T, seed uint64) (history string) {
-	d := newDoors(t, seed, g)
-	for range doorsSteps {
-		d.step()
+	f := newFleet(t, seed, g)
+	defer f.timer.Close()
+	for range fleetSteps {
+		f.step()
 	}
-	if d.delivered <= doorsBudget+doorsMost {
+	if f.delivered <= fleetBudget+fleetMost {
 		return ""
 	}
-	return fmt.Sprintf("seed %d: %d tokens of %d and %d:\n%s", seed, d.delivered, doorsBudget, doorsMost, strings.Join(d.log, "\n"))
+	return fmt.Sprintf("seed %d: %d tokens of %d and %d:\n%s", seed, f.delivered, fleetBudget, fleetMost, strings.Join(f.log, "\n"))
 }
 
 // Guards against a budget that is exceeded twice: on unused shares of others, and by a turn without the row, over restarts and losses of
--- a/internal/state/hgledger/known.go
+++ b/internal/state/hgledger/known.go
@@ -36,7 +36,7 @@
 	return programs, l.known.complete
 }
 
-// AddKnownPrograms adds programs that a peer reports; complete tells whether the peer knows all programs within the retention
+// AddKnownPrograms adds programs that a peer reports or whose budgets may be exceeded; complete tells whether the peer knows all programs within the retention
 // time.
 func (l *Ledger) AddKnownPrograms(programs []uint64, complete bool) {
 	now := l.timer.Now()
@@ -59,13 +59,6 @@
 	k.lastSeen[digest] = now
 }
 
-// note records that a program is known, without a report to peers.
-func (k *knownPrograms) note(digest uint64, now time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.lastSeen[digest] = now
-}
-
 // isNew reports whether a program has certainly not been served before: all programs are known and it is not among
 // them.
 func (k *knownPrograms) isNew(program string) bool {
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -174,19 +174,11 @@
 	if l.backup == nil || !isNew {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	a := l.backup.Ask(ctx, SoleRequest{Program: p.id, Ledger: l.id, New: true})
-	if len(a.Taken) > 0 {
-		l.mergeCopies(p, a.Taken)
-	}
-	lost := l.lostAskers(p, a)
+	a := l.askClaims(ctx, p, SoleRequest{New: true})
+	lost := l.noteLostClaims(p, a)
 	l.log.Info("peers asked for shares of the budget", "program", p.id, "without", a.Sole, "with", a.Holding, "silent", a.Unanswered,
-		"uninformed", a.Uninformed, "lost", len(lost))
-	if len(lost) > 0 {
-		l.setClaimsLost(p)
-	}
-	return a.Sole > 0 && a.Holding == 0 && a.Unanswered == 0 && len(lost) <= maxLostClaims
+		"uninformed", a.Uninformed, "lost", lost)
+	return a.Sole > 0 && a.Holding == 0 && a.Unanswered == 0 && lost <= maxLostClaims
 }
 
 // holder returns the ledger with the largest share of a program's budget, other than this one, as far as the row and peers
@@ -196,7 +188,7 @@
 		return ""
 	}
 	if len(l.claims(p)) == 0 {
-		l.askClaims(ctx, SoleRequest{Program: p.id, Ledger: l.id}, p)
+		l.askClaims(ctx, p, SoleRequest{})
 	}
 	most := 0
 	for id, claim := range l.claims(p) {
@@ -211,12 +203,13 @@
 // claims from an outage of the store that they have not yet written.
 func (l *Ledger) fetchUnsavedClaims(ctx context.Context, p *program) {
 	if !p.rowKnown && l.backup != nil && l.backup.RowsMayBeStale() {
-		l.askClaims(ctx, SoleRequest{Program: p.id, Ledger: l.id}, p)
+		l.askClaims(ctx, p, SoleRequest{})
 	}
 }
 
-// askClaims asks peers for all claims on a program's budget that they know of.
-func (l *Ledger) askClaims(ctx context.Context, q SoleRequest, p *program) (a Answers) {
+// askClaims asks peers for all claims on a program's budget that they know of. The question needs neither program nor ledger.
+func (l *Ledger) askClaims(ctx context.Context, p *program, q SoleRequest) (a Answers) {
+	q.Program, q.Ledger = p.id, l.id
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if a = l.backup.Ask(ctx, q); len(a.Taken) > 0 {
@@ -251,7 +244,7 @@
 func (l *Ledger) Share(ctx context.Context, q SoleRequest) (r SoleReply) {
 	r.Ledger, r.Uninformed, r.Asked = l.id, !l.informed(), l.asks.of(q.Program)
 	if q.Excess {
-		l.known.note(hash(q.Program), l.timer.Now())
+		l.AddKnownPrograms([]uint64{hash(q.Program)}, false)
 	}
 	if p, ok := l.find(q.Program); ok {
 		if !p.lock(ctx) {
--- a/internal/state/hgledger/return.go
+++ b/internal/state/hgledger/return.go
@@ -19,7 +19,8 @@
 )
 
 // ReturnUnused reduces this ledger's shares of all budgets to what is used or reserved by open turns, so that other nodes can
-// claim the rest and know that nothing more of them will be returned. Claims without a row are written too. It returns the numbers of rows written and of programs that failed.
+// claim the rest and know that nothing more of them will be returned. Claims without a row are written too. It returns the numbers of
+// rows written and of programs that failed.
 func (l *Ledger) ReturnUnused(ctx context.Context) (returned, failed int) {
 	return l.forEachProgram(func(p *program) (done bool, err error) { return l.returnUnused(ctx, p) })
 }
@@ -29,7 +30,7 @@
 		return false, ctx.Err()
 	}
 	defer p.unlock()
-	for p.unsaved || p.account.Available() > p.shortfall("") || p.isUsedUp(p.account) && p.rowKnown && !p.row.Settled[l.id] {
+	for l.isReturnDue(p) {
 		// The write may be applied even if no reply arrives, so the returned tokens must not be used from here on.
 		p.account = p.account.ReturnUnused(p.shortfall(""))
 		if returned, err := l.writeAccount(ctx, p, p.account); returned || err != nil {
@@ -40,6 +41,13 @@
 	return false, nil
 }
 
+// isReturnDue reports whether the row of a program claims more for this ledger than it needs, or lacks a claim, or does not say that the
+// claim is settled.
+func (l *Ledger) isReturnDue(p *program) bool {
+	isUsedUp := p.isUsedUp(p.account) && p.rowKnown
+	return p.unsaved || p.account.Available() > p.shortfall("") || isUsedUp && !p.row.Settled[l.id]
+}
+
 // settleBeside settles the tokens of a turn whose rows are about to be written, and returns the tokens that do not count yet and
 // a change that adjusts this ledger's share, to be written beside those rows. There is no change, and nothing is
 // settled, if the change could delay the rows.
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -196,7 +196,7 @@
   internal/state/hgledger/offline.go 's/!l\.informed\(\), l\.asks/false, l.asks/' \
   internal/state/hgledger/ledger.go 's/isNew := l\.informed\(\) && /isNew := /'
 red excessStop TestBudgetIsExceededOnce$ internal/state/hgledger \
-  internal/state/hgledger/return.go 's/for p\.unsaved \|\| /for /'
+  internal/state/hgledger/return.go 's/return p\.unsaved \|\| /return /'
 red lateStop TestRequestLateInStop internal/proof/hgsite \
   internal/serve/hgentry/stop.go 's/return x\.deadline > end/return false/'
 red lastAnswers 'TestRequestLateInStop/check_that_does_not_end' internal/proof/hgsite \
