--- a/internal/operate/hgconfig/entry.go
+++ b/internal/operate/hgconfig/entry.go
@@ -17,6 +17,18 @@
 	Bounds EntryBounds `toml:"bounds"`
 	Log    Log         `toml:"log"`
 	Keys   EntryKeys   `toml:"keys"`
+	Teams  EntryTeams  `toml:"teams"`
+}
+
+// EntryTeams are the bounds on the requests of teams. They have no effect without teams in the desired state.
+type EntryTeams struct {
+	// RevokeSeconds is the time after which a removed key must not be served by any VM; 0 sets no bound.
+	RevokeSeconds float64 `toml:"revokeSeconds"`
+	// CapWindowSeconds is the span over which usage caps hold. CapOverage is the share, and CapSlack the number of requests, by which
+	// a span may exceed its cap.
+	CapWindowSeconds float64 `toml:"capWindowSeconds"`
+	CapOverage       float64 `toml:"capOverage"`
+	CapSlack         float64 `toml:"capSlack"`
 }
 
 // EntryKeys name the PEM files for TLS between entry VMs. Without them the connections are not encrypted.
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -1,6 +1,10 @@
 package hgattempt
 
-import "time"
+import (
+	"time"
+
+	"hyssopgrade/internal/serve/hgteam"
+)
 
 // Attempt is the metadata of a request that a caller sent.
 type Attempt struct {
@@ -31,6 +35,9 @@
 	Previous string
 	// Version is the version of the weights that a replica must have, or else refuse the request; empty for any.
 	Version string
+	// Key is the digest of the API key, if HasKey is set; requests with no key or a malformed one have none.
+	Key    hgteam.KeyDigest
+	HasKey bool
 }
 
 // Part is a part of a prompt; several requests may contain the same part.
@@ -50,6 +57,10 @@
 	LastEvent string
 	// FetchFrom is the address of the replica from which to fetch cached parts of the prompt; empty to fetch none.
 	FetchFrom string
+	// Team is the name of the team that the replica is told, or empty. HasTeams says that the desired state has teams, so that the
+	// headers with the key and the team are the system's own.
+	Team     string
+	HasTeams bool
 }
 
 // Answer is the metadata of a replica's response, as decoded from its status and headers.
--- a/internal/serve/hgdesired/desired.go
+++ b/internal/serve/hgdesired/desired.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"hyssopgrade/internal/serve/hgteam"
 )
 
 // Kind is the kind of a route. It says how often a request may run.
@@ -26,6 +28,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Teams are the customers whose keys requests must carry; nil if requests carry none.
+	Teams *hgteam.Teams
 }
 
 // Route maps the requests for a host and a path prefix to services.
@@ -51,6 +55,8 @@
 	// Retain says that the turns of programs are stored; RetainFor is how long turns and budgets are kept.
 	Retain    bool
 	RetainFor time.Duration
+	// Public says that requests need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request that may already have run may be sent again.
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -20,6 +20,7 @@
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
+	"hyssopgrade/internal/serve/hgteam"
 	"hyssopgrade/internal/state/hgledger"
 )
 
@@ -92,15 +93,21 @@
 	stop       stop
 	// running is the number of requests in progress.
 	running atomic.Int64
+	// freshness and caps apply to the requests of teams.
+	freshness Freshness
+	caps      Caps
 }
 
 // NewEntry returns a handler that rejects all requests until SetDesired has been called.
-func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool) *Entry {
+func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool, opts ...Option) *Entry {
 	e := &Entry{
 		dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m,
 		hasDesired: make(chan struct{}),
 	}
 	e.stop.ended, e.stop.end = context.WithCancel(context.Background())
+	for _, opt := range opts {
+		opt(e)
+	}
 	return e
 }
 
@@ -157,6 +164,8 @@
 	// deadline is when the timeout of the caller or of the route expires, whichever is first, on the entry's timer.
 	deadline time.Duration
 	turn     *turn
+	// team is the team that the request belongs to; the zero value if it belongs to none.
+	team hgteam.Team
 
 	// sent counts the replicas that may have run the request; tries counts all that were asked, including those that
 	// refused it.
@@ -199,6 +208,9 @@
 		return
 	}
 	x.route = route
+	if !x.authorize() {
+		return
+	}
 	allowed := route.Timeout
 	if allowed <= 0 {
 		allowed = defaultTimeout
@@ -220,6 +232,9 @@
 		x.respondError(errStopping)
 		return
 	}
+	if !x.takeCap() {
+		return
+	}
 	x.forward()
 }
 
--- a/internal/serve/hgplacer/queue.go
+++ b/internal/serve/hgplacer/queue.go
@@ -28,6 +28,8 @@
 	Priority int
 	// Arrived is when the request entered the queue, on the placer's timer.
 	Arrived time.Duration
+	// Team is the team that the request belongs to; empty without teams.
+	Team string
 }
 
 // before reports whether a request of rank r is served before one of rank o.
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -65,6 +65,8 @@
 	Whole bool
 	// Here is set if the ledger must not name another one in Elsewhere before it has waited for the store.
 	Here bool
+	// Team is the team that the turn belongs to; empty without teams.
+	Team string
 	// Extendable is set if the asking node extends a reservation that is smaller than Most while the turn runs.
 	Extendable bool
 }
--- a/internal/state/hgturn/tree.go
+++ b/internal/state/hgturn/tree.go
@@ -8,6 +8,8 @@
 	// first turn.
 	ID       string
 	Previous string
+	// Team is the team that the turn belongs to; empty for turns of no team.
+	Team string
 	// Input is the body of the caller's request. Output is the data of the events of the answer, each followed by a
 	// line feed.
 	Input  []byte
