--- a/internal/operate/hgconfig/entry.go
+++ b/internal/operate/hgconfig/entry.go
@@ -22,8 +22,9 @@
 
 // EntryTeams are the bounds on the requests of teams. They have no effect without teams in the desired state.
 type EntryTeams struct {
-	// RevokeSeconds is the time after which a removed key must not be served by any VM; 0 sets no bound.
-	RevokeSeconds float64 `toml:"revokeSeconds"`
+	// StrictRevoke says that no VM may serve a key later than RevokeMs after the store acknowledged its removal.
+	StrictRevoke bool    `toml:"strictRevoke"`
+	RevokeMs     float64 `toml:"revokeMs"`
 	// CapWindowSeconds is the span over which usage caps hold. CapOverage is the share, and CapSlack the number of requests, by which
 	// a span may exceed its cap.
 	CapWindowSeconds float64 `toml:"capWindowSeconds"`
@@ -127,6 +128,10 @@
 		"store.readsPerSecond":     {e.Store.ReadsPerSecond, 1, 1e6},
 		"bounds.graceSeconds":      {e.Bounds.GraceSeconds, 0.5, 3600},
 		"bounds.addressTtlSeconds": {e.Bounds.AddressTTLSeconds, 0.001, 3600},
+		"teams.revokeMs":           {e.Teams.RevokeMs, 0, 3600_000},
+		"teams.capWindowSeconds":   {e.Teams.CapWindowSeconds, 0, 3600},
+		"teams.capOverage":         {e.Teams.CapOverage, 0, 1},
+		"teams.capSlack":           {e.Teams.CapSlack, 0, 1e6},
 	} {
 		if v.value < v.low || v.value > v.high {
 			return keyError(data, key, "%g is outside %g to %g", v.value, v.low, v.high)
--- a/internal/operate/hgconfig/entry_test.go
+++ b/internal/operate/hgconfig/entry_test.go
@@ -6,11 +6,14 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hyssopgrade/internal/operate/hgconfig"
 )
 
-// filledTemplate returns the settings file that the platform makes from the template on a VM.
-func filledTemplate(t *testing.T) string {
+// filledTemplate returns the settings file that the platform makes from the template on a VM. Sections of optional values are dropped
+// unless optional has a value of that name.
+func filledTemplate(t *testing.T, optional map[string]string) string {
 	t.Helper()
 	data, err := os.ReadFile("../../../deploy/entry.toml.tmpl")
 	if err != nil {
@@ -24,6 +27,13 @@
 	}
 	// The platform repeats this section for each failure domain.
 	text := regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`).ReplaceAllStringFunc(string(data), func(string) string { return `"north","south"` })
+	for _, m := range regexp.MustCompile(`\{\{#(bounds\.[a-z_]+)\}\}(.*)\{\{/bounds\.[a-z_]+\}\}`).FindAllStringSubmatch(text, -1) {
+		section := ""
+		if v, ok := optional[m[1]]; ok {
+			section = strings.ReplaceAll(m[2], "{{.}}", v)
+		}
+		text = strings.Replace(text, m[0], section, 1)
+	}
 	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string {
 		v, ok := values[strings.Trim(m, "{}")]
 		if !ok {
@@ -34,15 +44,31 @@
 }
 
 func TestEntryTemplate(t *testing.T) {
-	e, err := hgconfig.ParseEntry(filledTemplate(t))
+	e, err := hgconfig.ParseEntry(filledTemplate(t, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
+	if e.Teams != (hgconfig.EntryTeams{}) {
+		t.Errorf("bounds on teams read as %+v from a platform that sets none", e.Teams)
+	}
 	if e.VM.Name != "vm-1" || len(e.VM.Domains) != 2 || !e.VM.FirstStart || e.Listen.Peer != "10.0.0.1:7380" || e.Bounds.AddressTTLSeconds != 4.5 {
 		t.Errorf("read as %+v", e)
 	}
 }
 
+func TestBoundsOnTeams(t *testing.T) {
+	e, err := hgconfig.ParseEntry(filledTemplate(t, map[string]string{
+		"bounds.strict_revoke": "true", "bounds.revoke_ms": "5000", "bounds.quota_window_s": "5", "bounds.quota_overage": "0.1", "bounds.quota_slack": "20",
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := hgconfig.EntryTeams{StrictRevoke: true, RevokeMs: 5000, CapWindowSeconds: 5, CapOverage: 0.1, CapSlack: 20}
+	if diff := cmp.Diff(want, e.Teams); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestBadEntrySettings(t *testing.T) {
 	tests := map[string]struct{ old, new, want string }{
 		"unknown key":   {"[log]", "[lag]", "lag"},
@@ -53,7 +79,7 @@
 		"little memory": {"154", "3", "vm.memoryMb"},
 		"no grace":      {"graceSeconds = 8", "graceSeconds = 0", "bounds.graceSeconds"},
 	}
-	good := filledTemplate(t) + "\n[log]\nlevel = \"info\"\n"
+	good := filledTemplate(t, nil) + "\n[log]\nlevel = \"info\"\n"
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			_, err := hgconfig.ParseEntry(strings.Replace(good, tt.old, tt.new, 1))
