--- a/internal/serve/hgteam/team.go
+++ b/internal/serve/hgteam/team.go
@@ -35,8 +35,9 @@
 type Teams struct {
 	byName map[string]Team
 	byKey  map[KeyDigest]string
-	// shared are the keys that several teams hold, which are valid for none of them.
-	shared []KeyDigest
+	// shared are the keys that several teams hold, which are valid for none of them, and holders the names of these teams.
+	shared  []KeyDigest
+	holders []string
 }
 
 // NewTeams returns a set of teams. A later team of the same name replaces the earlier one.
@@ -45,7 +46,7 @@
 	for _, team := range t.byName {
 		for _, k := range team.Keys {
 			if holder, ok := t.byKey[k]; ok && holder != team.Name {
-				t.shared = append(t.shared, k)
+				t.shared, t.holders = append(t.shared, k), append(t.holders, holder, team.Name)
 			}
 			t.byKey[k] = team.Name
 		}
@@ -75,3 +76,6 @@
 
 // SharedKeys returns the number of keys that several teams hold.
 func (t *Teams) SharedKeys() int { return len(lo.Uniq(t.shared)) }
+
+// SharedBy returns the names of the teams that hold such keys, in order.
+func (t *Teams) SharedBy() []string { return slices.Sorted(slices.Values(lo.Uniq(t.holders))) }
