hgledger, hgturn: retained turns belong to a team

A caller could continue any retained turn whose identifier it knows, also that of another team.

OpenRequest.Team limits the history to turns of that team and of none; others count as nonexistent, with the same verdict after the same look-ups.

--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -179,21 +179,23 @@
 const maxLookups = 12
 
 // history returns the text of a turn and its ancestors. NoTurn is returned only after the newest rows of all partitions
-// have been read and none of them holds the turn.
-func (l *Ledger) history(ctx context.Context, p *program, turn string) (text []byte, v Verdict, err error) {
-	path, missing := p.turns.Path(turn)
+// have been read and none of them holds the turn. Turns of other teams count as nonexistent.
+func (l *Ledger) history(ctx context.Context, p *program, turn, team string) (text []byte, v Verdict, err error) {
+	own := p.turns.Of(team)
+	path, missing := own.Path(turn)
 	if missing != "" {
 		if err := l.loadProgram(ctx, p); err != nil {
 			return nil, Undecided, err
 		}
-		path, missing = p.turns.Path(turn)
+		own = p.turns.Of(team)
+		path, missing = own.Path(turn)
 	}
 	foreign := hgturn.Tree{}
 	for range maxLookups {
 		if missing == "" {
 			break
 		}
-		found, err := l.findTurn(ctx, missing)
+		found, err := l.findTurn(ctx, missing, team)
 		switch {
 		case err != nil:
 			return nil, Undecided, err
@@ -203,12 +205,12 @@
 			return nil, Undecided, trace.NotFound("turn %s, an ancestor of turn %s, does not exist", missing, turn)
 		}
 		maps.Copy(foreign, found)
-		path, missing = lo.Assign(foreign, p.turns).Path(turn)
+		path, missing = lo.Assign(foreign, own).Path(turn)
 	}
 	if missing != "" {
 		return nil, Undecided, trace.LimitExceeded("history of turn %s takes too many lookups", turn)
 	}
-	copied := lo.Filter(path, func(t hgturn.Turn, _ int) bool { return !lo.HasKey(p.turns, t.ID) })
+	copied := lo.Filter(path, func(t hgturn.Turn, _ int) bool { return !lo.HasKey(own, t.ID) })
 	if err := l.copyTurns(ctx, p.id, copied); err != nil {
 		return nil, Undecided, err
 	}
@@ -218,9 +220,10 @@
 	return hgturn.Text(path), Granted, nil
 }
 
-// findTurn finds the partition and the program that hold a turn, and returns all turns stored there. It returns nil if
-// no partition has a row of the turn. Of several rows, those of other writers lead to no text of the turn.
-func (l *Ledger) findTurn(ctx context.Context, turn string) (turns hgturn.Tree, err error) {
+// findTurn finds the partition and the program that hold a turn, and returns all turns stored there that a team may continue. It
+// returns nil if no partition has a row of the turn, or if the turn belongs to another team. Of several rows, those of other writers
+// lead to no text of the turn.
+func (l *Ledger) findTurn(ctx context.Context, turn, team string) (turns hgturn.Tree, err error) {
 	defer func() { err = trace.Wrap(err, "find turn %s", turn) }()
 	var found [numPartitions]*hgstore.Row
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -242,8 +245,12 @@
 			continue
 		}
 		turns, _, readErr := l.readProgram(ctx, partition, string(row.Value))
-		if _, ok := turns[turn]; ok {
-			return turns, nil
+		own := turns.Of(team)
+		if lo.HasKey(own, turn) {
+			return own, nil
+		}
+		if lo.HasKey(turns, turn) {
+			continue
 		}
 		if readErr == nil {
 			readErr = trace.NotFound("partition %d holds no text of the turn in program %q", partition, row.Value)
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -186,7 +186,7 @@
 	case q.NoNew && q.Previous == "" && p.isUnserved():
 		return OpenReply{Verdict: Busy}
 	}
-	text, verdict, err := l.history(ctx, p, q.Previous)
+	text, verdict, err := l.history(ctx, p, q.Previous, q.Team)
 	if verdict != Granted {
 		l.logRefusal("previous turns not available", q, verdict, err)
 		return OpenReply{Verdict: verdict}
--- a/internal/state/hgturn/tree.go
+++ b/internal/state/hgturn/tree.go
@@ -1,6 +1,10 @@
 package hgturn
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/samber/lo"
+)
 
 // Turn is a turn whose whole answer has been received. It is stored encoded, so its field names must not change.
 type Turn struct {
@@ -8,8 +12,8 @@
 	// first turn.
 	ID       string
 	Previous string
-	// Team is the team that the turn belongs to; empty for turns of no team.
-	Team string
+	// Team is the team that the turn belongs to; empty for turns of no team, whose encoded form does not name the field.
+	Team string `cbor:",omitempty"`
 	// Input is the body of the caller's request. Output is the data of the events of the answer, each followed by a
 	// line feed.
 	Input  []byte
@@ -19,6 +23,11 @@
 // Tree maps identifiers to the turns of a program. Several turns may continue the same turn, as branches.
 type Tree map[string]Turn
 
+// Of returns the turns that a team may continue: its own and those of no team.
+func (t Tree) Of(team string) Tree {
+	return lo.PickBy(t, func(_ string, turn Turn) bool { return turn.Team == "" || turn.Team == team })
+}
+
 // Path returns a turn and its ancestors, the oldest first. If the turn or an ancestor is not in the tree, it returns
 // that identifier as missing; a cycle of turns counts as missing, too.
 func (t Tree) Path(id string) (path []Turn, missing string) {
