hgentry, hgentryvm: requests need a key of a team

Where the desired state has teams, a request without a valid key gets 401, unless its route is public. A VM that may have missed a change answers 503 instead. The check is repeated after the wait for a replica, and once more when the transport has a connection and has written nothing: connecting takes time, and a VM may be suspended meanwhile. The newest desired state counts. The team's priority goes before that of the route, and its name goes to the replica, the placer and the ledger. A copy of the table from a peer of an older build loses its keys on arrival.

--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -66,7 +66,7 @@
 	return reply
 }
 
-// Table returns this node's copy of a watched table; it is empty for other tables.
+// Table returns this node's copy of a watched table; it is empty for other tables. The copy holds digests of keys, as the watch does.
 func (h *peerHandler) Table(q hgpeer.TableRequest) hgfeed.Snapshot {
 	if w, ok := h.watches[q.Table]; ok {
 		return w.Snapshot()
--- a/internal/operate/hgentryvm/watch.go
+++ b/internal/operate/hgentryvm/watch.go
@@ -4,8 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
+	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/state/hgfeed"
+	hgplatform "hyssopgrade/platform"
 )
 
 const (
@@ -53,5 +57,7 @@
 		n.log.Debug("cannot fetch table from a peer", "table", table, "peer", p.Name, "error", err)
 		return
 	}
+	// A peer of an older build may send keys in plaintext.
+	c.Rows = lo.MapValues(c.Rows, func(r hgstore.Row, _ string) hgstore.Row { return hgplatform.RedactRow(r) })
 	w.Offer(c)
 }
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -50,7 +50,7 @@
 type Placer interface {
 	// Take waits for a lease until a.Wait has passed or ctx ends; l is nil unless v is hgplacer.Granted.
 	Take(ctx context.Context, a hgplacer.PlaceRequest) (l *hgreplica.Lease, v hgplacer.Verdict)
-	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a route's priority.
+	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a priority.
 	IsFull(service string, priority int) bool
 }
 
--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -47,7 +47,7 @@
 
 // rank returns the request's rank in the placer's queue.
 func (x *exchange) rank() hgplacer.Rank {
-	return hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.route.Priority}
+	return hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.priority(), Team: x.team.Name}
 }
 
 // isLate reports whether the deadline of the request's program has passed.
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -118,10 +118,16 @@
 		lease.Release()
 		return nil, errStopping
 	}
+	team, err := x.reauthorize()
+	if err != nil {
+		lease.Release()
+		return nil, err
+	}
+	x.team = team
 	x.tries++
 	x.replica, x.decision = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
-	t = &try{lease: lease, began: x.entry.timer.Now()}
+	t = &try{lease: lease, began: x.entry.timer.Now(), conn: connUse{mayDispatch: x.mayDispatch}}
 	if err = x.roundTrip(t, body, lastEvent); err != nil {
 		t.end()
 		return nil, err
@@ -135,11 +141,16 @@
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
 		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
 	}).WithContext(httptrace.WithClientTrace(x.ctx, t.conn.hooks()))
-	x.entry.dialect.Prepare(r.Header, hgattempt.Send{Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom})
+	x.entry.dialect.Prepare(r.Header, hgattempt.Send{
+		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
+	})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
 	}
 	t.resp, err = t.lease.Client.Do(r)
+	if refused := t.conn.refused.Load(); err != nil && refused != nil {
+		return *refused
+	}
 	if err != nil {
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
@@ -230,7 +241,7 @@
 // canRetry reports whether the request may be sent to another replica after an error.
 func (x *exchange) canRetry(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit), isUnauthorized(err):
 		return false
 	case errors.Is(err, errAnswerLost):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -240,7 +251,7 @@
 
 // ownErrors are the errors whose texts are sent to callers, the more specific ones first.
 var ownErrors = []error{
-	errStopping, errSuspect, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
+	errNoKey, errStale, errOtherTeam, errStopping, errSuspect, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
 }
 
 // ownError returns what callers are told of an error. The text of a library's error may name addresses; it is logged only.
@@ -256,6 +267,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
+	case isUnauthorized(err) && x.sent == 0:
+		x.respondUnauthorized(err)
 	case errors.Is(err, errSuspect) && x.sent == 0:
 		left, _ := x.entry.suspects.Refused(x.digests)
 		x.respond(http.StatusServiceUnavailable, reason, left.Seconds())
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -18,6 +18,8 @@
 type turn struct {
 	open  hgledger.OpenReply
 	owner hgpeer.Info
+	// team is the team that the turn belongs to.
+	team string
 	// retained says that input and output of the turn are stored.
 	retained bool
 	// closed says that the turn is being closed or was closed.
@@ -33,9 +35,9 @@
 func (x *exchange) openTurn() bool {
 	a := x.attempt
 	q := hgledger.OpenRequest{
-		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate, Extendable: true,
+		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate, Extendable: true, Team: x.team.Name,
 	}
-	q.NoNew = x.entry.placer.IsFull(x.service(), x.route.Priority)
+	q.NoNew = x.entry.placer.IsFull(x.service(), x.priority())
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
@@ -45,7 +47,7 @@
 	x.entry.metrics.Observe("turnOpen", x.openTime)
 	switch reply.Verdict {
 	case hgledger.Granted:
-		x.turn = &turn{open: reply, owner: owner, retained: x.route.Retain}
+		x.turn = &turn{open: reply, owner: owner, retained: x.route.Retain, team: q.Team}
 		return true
 	case hgledger.Spent:
 		x.respond(http.StatusPaymentRequired, "budget is spent", 0)
@@ -77,7 +79,7 @@
 		go x.settle(q)
 		return
 	}
-	q.Turn = &hgturn.Turn{ID: x.attempt.ID, Previous: x.attempt.Previous, Input: x.body, Output: s.output}
+	q.Turn = &hgturn.Turn{ID: x.attempt.ID, Team: x.turn.team, Previous: x.attempt.Previous, Input: x.body, Output: s.output}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), max(x.remaining(), time.Millisecond))
 	defer cancel()
 	began := x.entry.timer.Now()
