hgfresh, hgentryvm: permission to serve keys expires without evidence

Cause: a VM that is cut off from the store and its peers, frozen or restarted serves keys under a desired state that was replaced long ago.

Change: with strictRevoke and revokeMs, hgfresh.Evidence decides whether keys may be served: the row in force must have been proven the newest less than revokeMs, less 2 % for clock drift, ago. Answers of the store count from when the call was sent, and only after their changes are in force (hgfeed.WithEvidence); the claim in a peer's reply to a heartbeat (Beat.Fresh) counts from when the heartbeat was sent, less its age, if its version is not newer. Rows take effect one after the other, and a row that does not take effect proves nothing. The hold of polls for op follows the evidence; idle VMs keep 8 s while peers vouch. Log lines, gauge, counter and status report show the age. Without the settings nothing changes.

Not tested: idle VMs of sites over 16 nodes.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -61,6 +61,8 @@
 	places    *hgpeer.Places
 	replicas  *hgreplica.Set
 	entry     *hgentry.Entry
+	// fresh decides whether keys may be served; nil without a bound on revocation.
+	fresh *freshness
 	// watches are the watches of the store's tables, by table.
 	watches map[string]*hgfeed.Watch
 	// nodeRows, replicaRows and suspectRows cache the decoded rows of the watched tables; suspectRows are the rows of
@@ -116,15 +118,20 @@
 	n.replicas.OnEnd(n.suspects.replicaEnded)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
+	var opts []hgentry.Option
+	if revoke := hgconfig.Seconds(cfg.Teams.RevokeMs / 1000); cfg.Teams.StrictRevoke && revoke > 0 {
+		n.fresh = newFreshness(revoke, bootClock, n.metrics, log)
+		opts = append(opts, hgentry.WithFreshness(n.fresh.evidence))
+	}
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.replicas, n.timer, log, n.metrics, n.suspects,
-		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)))
+		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)), opts...)
 	n.public = hgserver.NewServer(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
 	}, log)
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
-		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, wait),
+		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, n.desiredOptions()...),
 		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait),
 		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes, wait),
 	}
@@ -159,6 +166,9 @@
 	n.timer.Every(reachPeriod, n.watchStore)
 	n.timer.Every(suspectPeriod, n.suspects.save)
 	n.timer.Every(removePeriod, n.removeGone)
+	if n.fresh != nil {
+		n.timer.Every(freshPeriod, n.fresh.observe)
+	}
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
 	n.timer.After(minRetention, func(time.Duration) { n.ledger.AddKnownPrograms(nil, true) })
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -63,6 +63,7 @@
 	reply := n.heartbeat()
 	reply.News = news
 	reply.Suspects = h.suspects.HandleOffer(b.Info.Name, b.Suspects)
+	reply.Fresh = h.fresh.claim()
 	return reply
 }
 
@@ -152,11 +153,13 @@
 	ctx, cancel := context.WithTimeout(n.ctx, heartbeatTimeout)
 	defer cancel()
 	b.Ask, b.Suspects = n.members.GossipQueryFor(p), n.suspects.Offer(p.Name)
+	handleClaim := n.fresh.ask()
 	reply, err := n.client.Beat(ctx, p.Peer, b)
 	if err != nil || reply.Info.Name != p.Name {
 		n.members.HeartbeatFailed(p.Name)
 		return
 	}
+	handleClaim(reply.Fresh)
 	n.members.HandleReply(reply)
 	n.suspects.HandleAnswer(p.Name, reply.Suspects)
 	n.replicas.MergeLeaving(reply.Leaving)
--- a/internal/operate/hgentryvm/replica.go
+++ b/internal/operate/hgentryvm/replica.go
@@ -75,7 +75,7 @@
 		n.log.Error("cannot decode the desired state; keeping the current one", "version", row.Version, "error", err)
 		return
 	}
-	if n.entry.SetDesired(s) {
+	if n.fresh.apply(n.entry, row.Version, s) {
 		n.retention.apply(s)
 		n.desiredAt.Store(int64(n.timer.Now()))
 		n.log.Info("desired state applied", "version", s.Version, "routes", len(s.Routes), "services", len(s.Services))
--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -21,6 +21,7 @@
 	s := hgstatus.Status{
 		VM: self.Name, Domain: self.Domain, Ready: self.Ready, Stopping: self.Stopping, StoreOK: n.reach.ok(),
 		Running: n.entry.Running(), Programs: n.ledger.Programs(), Placer: placer.Name,
+		Freshness: n.fresh.status(),
 	}
 	if d := n.entry.Desired(); d != nil {
 		s.Version, s.InForce = d.Version, (n.timer.Now() - n.desiredSince()).Seconds()
--- a/internal/operate/hgentryvm/watch.go
+++ b/internal/operate/hgentryvm/watch.go
@@ -6,6 +6,7 @@
 
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/state/hgfeed"
+	hgplatform "hyssopgrade/platform"
 )
 
 const (
@@ -24,9 +25,13 @@
 	return hgfeed.DefaultWait
 }
 
-// shortenWatches ends polls that the store has held beyond DefaultWait, once the node is no longer idle.
+// shortenWatches ends polls that the store has held beyond DefaultWait, once the node is no longer idle. The poll of the desired
+// state ends also when peers no longer prove that it is the newest.
 func (n *Node) shortenWatches() {
 	if n.members.IsIdle() {
+		if n.fresh != nil && !n.fresh.evidence.PeersSuffice() {
+			n.watches[hgplatform.DesiredTable].ShortenWait()
+		}
 		return
 	}
 	for _, w := range n.watches {
--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -30,6 +30,8 @@
 	// force, in seconds.
 	Version uint64  `json:"version"`
 	InForce float64 `json:"inForceSeconds"`
+	// Freshness is nil without a bound on revocation.
+	Freshness *Freshness `json:"freshness,omitempty"`
 	// Placer is the VM that assigns replicas to the requests of this failure domain.
 	Placer   string    `json:"placer"`
 	Tables   []Table   `json:"tables"`
@@ -37,6 +39,15 @@
 	Peers    []Peer    `json:"peers"`
 }
 
+// Freshness says whether the VM may serve keys. Age is the time since its desired state was proven to be the newest, in seconds,
+// and Limit the age up to which keys are served; Known is false while the VM has had no proof.
+type Freshness struct {
+	Fresh bool    `json:"fresh"`
+	Known bool    `json:"known"`
+	Age   float64 `json:"ageSeconds"`
+	Limit float64 `json:"limitSeconds"`
+}
+
 // Table is the watch of one table of the store.
 type Table struct {
 	Name string `json:"name"`
@@ -99,6 +110,9 @@
 	inForce := time.Duration(s.InForce * float64(time.Second)).Round(time.Millisecond)
 	fmt.Fprintf(t, "%s in %s: ready %t, stopping %t, store %t, %d requests, %d programs\n", s.VM, s.Domain, s.Ready, s.Stopping, s.StoreOK, s.Running, s.Programs)
 	fmt.Fprintf(t, "desired state %d, in force for %s; placer %s\n", s.Version, inForce, s.Placer)
+	if f := s.Freshness; f != nil {
+		fmt.Fprintf(t, "keys served %t: desired state proven newest %t, %.1f s ago, limit %.1f s\n", f.Fresh, f.Known, f.Age, f.Limit)
+	}
 	for _, table := range s.Tables {
 		fmt.Fprintf(t, "table\t%s\tversion %d\tfailing for %.1f s\n", table.Name, table.Changed, table.Failing)
 	}
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -5,6 +5,7 @@
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgfeed"
+	"hyssopgrade/internal/state/hgfresh"
 	"hyssopgrade/internal/state/hgledger"
 )
 
@@ -56,6 +57,9 @@
 	// Ask says what the reply to a heartbeat is to contain, and News is that part of the reply. News is nil on small sites.
 	Ask  GossipQuery
 	News *GossipUpdate
+	// Fresh is the sender's evidence for its desired state when the reply was made. It is the zero value in heartbeats, which
+	// may be delayed, and without a bound on revocation.
+	Fresh hgfresh.Claim
 }
 
 // SeenReply lists the digests of the programs that a node knows. Complete says that they are all programs of its failure
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -65,6 +65,9 @@
 	// wait returns how long the store may hold a poll for which it has no changes.
 	wait func() time.Duration
 	poll longPoll
+	// clock and report are those of WithEvidence; report is nil without it.
+	clock  func() time.Duration
+	report func(rows map[string]hgstore.Row, sent time.Duration)
 	// wake ends the pause between two calls.
 	wake chan struct{}
 	// peerVersion is the first version beyond the snapshot's that a peer has reported, and peerVersionAt when it did.
@@ -76,7 +79,7 @@
 func NewWatch(store hgstore.Feed, table string, timer hgtimer.Timer, log *slog.Logger, onChange func(rows map[string]hgstore.Row, grace time.Duration), opts ...Option) *Watch {
 	w := &Watch{
 		store: store, table: table, timer: timer, log: log, onChange: onChange, snapshot: Snapshot{Rows: map[string]hgstore.Row{}},
-		wait: func() time.Duration { return DefaultWait }, wake: make(chan struct{}, 1),
+		wait: func() time.Duration { return DefaultWait }, wake: make(chan struct{}, 1), clock: timer.Now,
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -186,9 +189,10 @@
 	w.noteSuccess()
 	w.listed = true
 	w.replace(Snapshot{Rows: lo.KeyBy(rows, func(r hgstore.Row) string { return r.Key }), Changed: version, Version: version})
-	copied, grace := maps.Clone(w.snapshot.Rows), w.graceLeft()
+	copied, grace, report := maps.Clone(w.snapshot.Rows), w.graceLeft(), w.evidence()
 	w.mu.Unlock()
 	w.onChange(copied, grace)
+	report()
 }
 
 // replace sets the snapshot unless c is older, and says whether it did; w.mu is held.
@@ -211,7 +215,9 @@
 	}
 	w.noteSuccess()
 	if replaced {
+		report := w.evidence()
 		w.mu.Unlock()
+		report()
 		return
 	}
 	for _, c := range changes {
@@ -223,14 +229,16 @@
 		w.snapshot.Changed = max(w.snapshot.Changed, c.Version)
 	}
 	w.snapshot.Version = max(w.snapshot.Version, version)
-	grace := w.graceLeft()
+	grace, report := w.graceLeft(), w.evidence()
 	if len(changes) == 0 && !w.graceJustEnded() {
 		w.mu.Unlock()
+		report()
 		return
 	}
 	copied := maps.Clone(w.snapshot.Rows)
 	w.mu.Unlock()
 	w.onChange(copied, grace)
+	report()
 }
 
 // graceJustEnded says whether outageGrace ended less than graceEndWindow ago; w.mu is held.
--- a/internal/state/hgfeed/poll.go
+++ b/internal/state/hgfeed/poll.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"time"
+
+	"hyssopgrade/hgstore"
 )
 
 // Option configures a Watch.
@@ -12,6 +15,22 @@
 // beyond DefaultWait saves calls to the store, and suits watches whose node hears of newer versions from peers.
 func WithWait(wait func() time.Duration) Option { return func(w *Watch) { w.wait = wait } }
 
+// WithEvidence makes the watch report each answer of the store after its changes were passed to onChange, which has returned:
+// the rows as of the answer, and when the call was sent by the given clock. Copies from peers are not reported.
+func WithEvidence(clock func() time.Duration, report func(rows map[string]hgstore.Row, sent time.Duration)) Option {
+	return func(w *Watch) { w.clock, w.report = clock, report }
+}
+
+// evidence returns a function that reports the answer to the present call; w.mu is held, and must not be held when the returned
+// function is called.
+func (w *Watch) evidence() (report func()) {
+	if w.report == nil {
+		return func() {}
+	}
+	rows, sent := maps.Clone(w.snapshot.Rows), w.poll.sent
+	return func() { w.report(rows, sent) }
+}
+
 // maxLag is how long a peer may know of a newer version before an extended poll for it is cancelled.
 const maxLag = 250 * time.Millisecond
 
@@ -22,6 +41,8 @@
 	// began and beganWall are when it was sent; the latter is a reading of the wall clock only.
 	began     time.Duration
 	beganWall time.Time
+	// sent is when it was sent, on the clock of WithEvidence.
+	sent time.Duration
 	// wait is how long the store may hold the call.
 	wait time.Duration
 }
@@ -39,7 +60,7 @@
 	if w.peerVersion > w.snapshot.Version {
 		wait = min(wait, DefaultWait)
 	}
-	w.poll = longPoll{cancel: cancel, began: w.timer.Now(), beganWall: time.Now().Round(0), wait: wait}
+	w.poll = longPoll{cancel: cancel, began: w.timer.Now(), beganWall: time.Now().Round(0), sent: w.clock(), wait: wait}
 	return pollCtx, wait, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
