hgplacer, hgpeer: teams share engines

Cause: the placer serves requests by programs in progress, priority and arrival only, so that a team that sends many times its usual load delays all others, and new programs are refused for load that others cause.

Change: while several teams wait, late requests go last, then the lower priority goes first, then teams share by start-time fair queueing with the expected time on a slot as cost (Rank.Tokens), then the order of today holds within a team. With one team or none the old heap decides. The limit of load for new programs of a team below its fair share of the places in flight rises with what it leaves unused, up to 1.5; the early check of VMs uses the placer's report to the same team (PlaceReply.Unused, 0 from old builds: the limits of today).

--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -106,6 +106,8 @@
 	Why hgreplica.Decision
 	// Load is the load of the service as the placer sees it, as a multiple of its slots.
 	Load float64
+	// Unused is the part of its fair share of the places that the asking team does not use; 0 if no other team is there.
+	Unused float64
 }
 
 // LeaveRequest cancels a request for a place, or releases the place.
--- a/internal/peer/hgpeer/places.go
+++ b/internal/peer/hgpeer/places.go
@@ -25,22 +25,27 @@
 	sequence atomic.Int64
 
 	mu sync.Mutex
-	// loads are the placer's latest load reports, by service.
-	loads map[string]loadReport
+	// loads are the placer's latest load reports, by service and team.
+	loads map[serviceTeam]loadReport
+	// loadsPruned is when the reports that are too old were last dropped.
+	loadsPruned time.Duration
 	// lastAnswer is when each placer last answered a request, by name.
 	lastAnswer map[string]time.Duration
 }
 
-// loadReport is the load of a service that the placer reported, and when.
+// serviceTeam names a team's use of a service.
+type serviceTeam struct{ service, team string }
+
+// loadReport is the load of a service that the placer reported, with the part of its share that the team did not use, and when.
 type loadReport struct {
-	load float64
-	at   time.Duration
+	load, unused float64
+	at           time.Duration
 }
 
 // NewPlaces returns the Places of a node. It uses p while the node itself is the placer, and s when the placer does not
 // answer.
 func NewPlaces(p *hgplacer.Placer, s *hgreplica.Set, m *Members, c *Client, log *slog.Logger) *Places {
-	return &Places{placer: p, set: s, members: m, client: c, log: log, loads: map[string]loadReport{}, lastAnswer: map[string]time.Duration{}}
+	return &Places{placer: p, set: s, members: m, client: c, log: log, loads: map[serviceTeam]loadReport{}, lastAnswer: map[string]time.Duration{}}
 }
 
 // replyMargin is what a call may take beyond the wait in the placer's queue.
@@ -67,10 +72,10 @@
 		release(hgreplica.Outcome{})
 		return p.pickLocally(a)
 	case reply.Verdict != hgplacer.Granted:
-		p.noteLoad(a.Want.Service, reply.Load)
+		p.noteLoad(serviceTeam{a.Want.Service, a.Rank.Team}, reply)
 		return nil, reply.Verdict
 	}
-	p.noteLoad(a.Want.Service, reply.Load)
+	p.noteLoad(serviceTeam{a.Want.Service, a.Rank.Team}, reply)
 	l, ok := p.set.Adopt(reply.Replica, reply.FetchFrom, reply.Why, release)
 	if !ok {
 		// This node cannot use the replica, which the placer does not know yet: the replica leaves, another one has its
@@ -123,23 +128,28 @@
 // loadTTL is how long a load report of the placer is used.
 const loadTTL = 200 * time.Millisecond
 
-// noteLoad records a load report of the placer.
-func (p *Places) noteLoad(service string, load float64) {
+// noteLoad records a load report of the placer, and drops those that are too old once in loadTTL.
+func (p *Places) noteLoad(of serviceTeam, r PlaceReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[service] = loadReport{load: load, at: p.members.Age()}
+	now := p.members.Age()
+	if now-p.loadsPruned >= loadTTL {
+		maps.DeleteFunc(p.loads, func(_ serviceTeam, h loadReport) bool { return now-h.at >= loadTTL })
+		p.loadsPruned = now
+	}
+	p.loads[of] = loadReport{load: r.Load, unused: r.Unused, at: now}
 }
 
-// IsFull reports whether the replicas of a service are too loaded for a new program of a priority. It makes no call: it uses
-// the placer's latest load report and is false without a recent one, unless this node is the placer itself.
-func (p *Places) IsFull(service string, priority int) bool {
+// IsFull reports whether the replicas of a service are too loaded for a new program of a team and a priority. It makes no call: it
+// uses the placer's latest report to a request of the team and is false without a recent one, unless this node is the placer itself.
+func (p *Places) IsFull(service, team string, priority int) bool {
 	if _, self := p.members.Placer(); self {
-		return hgplacer.IsFull(p.placer.Load(service), priority)
+		return hgplacer.IsFullFor(p.placer.Load(service), priority, p.placer.Unused(service, team))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, ok := p.loads[service]
-	return ok && p.members.Age()-h.at < loadTTL && hgplacer.IsFull(h.load, priority)
+	h, ok := p.loads[serviceTeam{service, team}]
+	return ok && p.members.Age()-h.at < loadTTL && hgplacer.IsFullFor(h.load, priority, h.unused)
 }
 
 // leaveTimeout bounds the call that releases a place. If the call is lost, the placer frees the place when it is overdue.
@@ -158,11 +168,12 @@
 // overdue.
 func (p *Places) HandlePlace(ctx context.Context, a hgplacer.PlaceRequest) PlaceReply {
 	l, v := p.placer.Place(ctx, a)
-	if v != hgplacer.Granted {
-		return PlaceReply{Verdict: v, Load: p.placer.Load(a.Want.Service)}
+	reply := PlaceReply{Verdict: v, Load: p.placer.Load(a.Want.Service), Unused: p.placer.Unused(a.Want.Service, a.Rank.Team)}
+	if v == hgplacer.Granted {
+		p.placer.Hold(a, l)
+		reply.Replica, reply.FetchFrom, reply.Why = l.ID, l.FetchFrom, l.Why
 	}
-	p.placer.Hold(a, l)
-	return PlaceReply{Verdict: v, Replica: l.ID, FetchFrom: l.FetchFrom, Why: l.Why, Load: p.placer.Load(a.Want.Service)}
+	return reply
 }
 
 // HandleLeave cancels a peer's request for a place, or releases the place.
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -50,8 +50,8 @@
 type Placer interface {
 	// Take waits for a lease until a.Wait has passed or ctx ends; l is nil unless v is hgplacer.Granted.
 	Take(ctx context.Context, a hgplacer.PlaceRequest) (l *hgreplica.Lease, v hgplacer.Verdict)
-	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a route's priority.
-	IsFull(service string, priority int) bool
+	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a team and a priority.
+	IsFull(service, team string, priority int) bool
 }
 
 // Suspects tracks requests that seem to crash the replicas that run them, across all entry VMs.
--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -1,6 +1,7 @@
 package hgentry
 
 import (
+	"cmp"
 	"time"
 
 	"hyssopgrade/internal/serve/hgplacer"
@@ -47,7 +48,11 @@
 
 // rank returns the request's rank in the placer's queue.
 func (x *exchange) rank() hgplacer.Rank {
-	return hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.route.Priority}
+	r := hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.route.Priority}
+	if x.state.Teams != nil {
+		r.Team, r.Tokens = x.team.Name, cmp.Or(x.attempt.Estimate, x.attempt.MaxTokensOut)
+	}
+	return r
 }
 
 // isLate reports whether the deadline of the request's program has passed.
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -35,7 +35,7 @@
 	q := hgledger.OpenRequest{
 		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate, Extendable: true,
 	}
-	q.NoNew = x.entry.placer.IsFull(x.service(), x.route.Priority)
+	q.NoNew = x.entry.placer.IsFull(x.service(), x.team.Name, x.route.Priority)
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
--- a/internal/serve/hgplacer/placer.go
+++ b/internal/serve/hgplacer/placer.go
@@ -56,6 +56,8 @@
 
 	mu     sync.Mutex
 	queues map[string]*Queue
+	// used holds the places in flight of each service by team.
+	used map[string]usage
 	// waiters holds the channel of each queued request, which gets the lease, or nil if no replica is left.
 	waiters map[string]chan *hgreplica.Lease
 	// held holds the leases of other nodes' requests by the ID of their PlaceRequest.
@@ -70,7 +72,7 @@
 
 // NewPlacer returns a placer for the replicas in set; it sweeps until the timer stops.
 func NewPlacer(set *hgreplica.Set, timer hgtimer.Timer) *Placer {
-	p := &Placer{set: set, timer: timer, queues: map[string]*Queue{}, waiters: map[string]chan *hgreplica.Lease{}, held: map[string]heldLease{}}
+	p := &Placer{set: set, timer: timer, queues: map[string]*Queue{}, used: map[string]usage{}, waiters: map[string]chan *hgreplica.Lease{}, held: map[string]heldLease{}}
 	timer.Every(sweepInterval, p.sweep)
 	return p
 }
@@ -97,14 +99,17 @@
 			return nil, Expired
 		}
 	}
-	l.OnRelease(func(hgreplica.Outcome) { p.grantQueued(a.Want.Service) })
+	l.OnRelease(func(hgreplica.Outcome) {
+		p.noteReleased(a.Want.Service, a.Rank.Team)
+		p.grantQueued(a.Want.Service)
+	})
 	return l, Granted
 }
 
 // push adds a request to the queue of its service, unless it begins a program and the load is too high for new programs, or
 // another request under its ID waits.
 func (p *Placer) push(a PlaceRequest) (granted chan *hgreplica.Lease, refused Verdict) {
-	if a.Rank.New && IsFull(p.set.Load(a.Want.Service), a.Rank.Priority) {
+	if a.Rank.New && IsFullFor(p.set.Load(a.Want.Service), a.Rank.Priority, p.Unused(a.Want.Service, a.Rank.Team)) {
 		return nil, Full
 	}
 	p.mu.Lock()
@@ -127,6 +132,20 @@
 	return load >= FullLoad
 }
 
+// Unused returns the part of its fair share of the places of a service that a team does not use; 0 if no other team is there.
+func (p *Placer) Unused(service, team string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used[service].unused(team, p.queue(service).byTeam)
+}
+
+// noteReleased records that a place of a team is free.
+func (p *Placer) noteReleased(service, team string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used[service].add(team, -1)
+}
+
 // Load returns the requests in flight per slot on the replicas of a service.
 func (p *Placer) Load(service string) float64 { return p.set.Load(service) }
 
@@ -135,7 +154,7 @@
 	q, ok := p.queues[service]
 	if !ok {
 		q = NewQueue()
-		p.queues[service] = q
+		p.queues[service], p.used[service] = q, usage{}
 	}
 	return q
 }
@@ -174,6 +193,7 @@
 		if !ok {
 			return
 		}
+		p.used[service].add(r.Rank.Team, 1)
 		p.waiters[r.ID] <- l
 		delete(p.waiters, r.ID)
 	}
--- a/internal/serve/hgplacer/queue.go
+++ b/internal/serve/hgplacer/queue.go
@@ -18,7 +18,8 @@
 }
 
 // Rank orders the waiting requests. Requests of late programs go last, and requests of programs in progress go before those
-// of new programs; within each of these groups the lower Priority goes first, then the earlier Arrived.
+// of new programs; within each of these groups the lower Priority goes first, then the earlier Arrived. While several teams wait,
+// this is the order within a team only: requests of late programs go last, then the lower Priority goes first, then teams share alike.
 type Rank struct {
 	// New says that the request begins a program. Programs in progress go first, because work has already been spent on them.
 	New bool
@@ -30,6 +31,8 @@
 	Arrived time.Duration
 	// Team is the team that the request belongs to; empty without teams.
 	Team string
+	// Tokens is the number of tokens that the request is expected to generate; 0 if that is not known. It counts between teams only.
+	Tokens int
 }
 
 // before reports whether a request of rank r is served before one of rank o.
@@ -49,10 +52,15 @@
 type Queue struct {
 	waiting rankHeap
 	byID    map[string]*item
+	// fair holds the same requests by team, and byTeam their number; no entry is 0.
+	fair   fairQueue
+	byTeam map[string]int
 }
 
 // NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{byID: map[string]*item{}} }
+func NewQueue() *Queue {
+	return &Queue{byID: map[string]*item{}, fair: fairQueue{}, byTeam: map[string]int{}}
+}
 
 type item struct {
 	Request
@@ -64,18 +72,28 @@
 	i := &item{Request: r}
 	q.byID[r.ID] = i
 	heap.Push(&q.waiting, i)
+	q.fair.push(i)
+	q.byTeam[r.Rank.Team]++
 }
 
 // Remove removes a request and reports whether it was in the queue.
 func (q *Queue) Remove(id string) (ok bool) {
 	i, ok := q.byID[id]
 	if ok {
-		heap.Remove(&q.waiting, i.index)
-		delete(q.byID, id)
+		q.remove(i, false)
 	}
 	return ok
 }
 
+func (q *Queue) remove(i *item, served bool) {
+	heap.Remove(&q.waiting, i.index)
+	delete(q.byID, i.ID)
+	q.fair.remove(i, served)
+	if q.byTeam[i.Rank.Team]--; q.byTeam[i.Rank.Team] == 0 {
+		delete(q.byTeam, i.Rank.Team)
+	}
+}
+
 // Clear removes all requests and returns their IDs in no particular order.
 func (q *Queue) Clear() (ids []string) {
 	ids = slices.Collect(maps.Keys(q.byID))
@@ -92,11 +110,14 @@
 	if len(q.waiting) == 0 {
 		return r, nil, false
 	}
-	r = q.waiting[0].Request
-	if l, ok = pick(r.Want); ok {
-		q.Remove(r.ID)
+	i := q.waiting[0]
+	if len(q.byTeam) > 1 {
+		i = q.fair.first()
+	}
+	if l, ok = pick(i.Want); ok {
+		q.remove(i, true)
 	}
-	return r, l, ok
+	return i.Request, l, ok
 }
 
 // rankHeap implements heap.Interface; the first request to serve is at index 0.
