--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -48,9 +48,9 @@
 
 // rank returns the request's rank in the placer's queue.
 func (x *exchange) rank() hgplacer.Rank {
-	r := hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.route.Priority}
+	r := hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.priority(), Team: x.team.Name}
 	if x.state.Teams != nil {
-		r.Team, r.Tokens = x.team.Name, cmp.Or(x.attempt.Estimate, x.attempt.MaxTokensOut)
+		r.Tokens = cmp.Or(x.attempt.Estimate, x.attempt.MaxTokensOut)
 	}
 	return r
 }
