--- a/internal/operate/hgentryvm/watch.go
+++ b/internal/operate/hgentryvm/watch.go
@@ -28,9 +28,13 @@
 	return hgfeed.DefaultWait
 }
 
-// shortenWatches ends polls that the store has held beyond DefaultWait, once the node is no longer idle.
+// shortenWatches ends polls that the store has held beyond DefaultWait, once the node is no longer idle. The poll of the desired
+// state ends also when peers no longer prove that it is the newest.
 func (n *Node) shortenWatches() {
 	if n.members.IsIdle() {
+		if n.fresh != nil && !n.fresh.evidence.PeersSuffice() {
+			n.watches[hgplatform.DesiredTable].ShortenWait()
+		}
 		return
 	}
 	for _, w := range n.watches {
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -5,6 +5,7 @@
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
 	"hyssopgrade/internal/state/hgfeed"
+	"hyssopgrade/internal/state/hgfresh"
 	"hyssopgrade/internal/state/hgledger"
 )
 
@@ -56,6 +57,9 @@
 	// Ask says what the reply to a heartbeat is to contain, and News is that part of the reply. News is nil on small sites.
 	Ask  GossipQuery
 	News *GossipUpdate
+	// Fresh is the sender's evidence for its desired state when the reply was made. It is the zero value in heartbeats, which
+	// may be delayed, and without a bound on revocation.
+	Fresh hgfresh.Claim
 }
 
 // SeenReply lists the digests of the programs that a node knows. Complete says that they are all programs of its failure
@@ -102,6 +106,8 @@
 	Why hgreplica.Decision
 	// Load is the load of the service as the placer sees it, as a multiple of its slots.
 	Load float64
+	// Unused is the part of its fair share of the places that the asking team does not use; 0 if no other team is there.
+	Unused float64
 }
 
 // LeaveRequest cancels a request for a place, or releases the place.
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -37,7 +37,7 @@
 	q := hgledger.OpenRequest{
 		Program: a.Program, Attempt: a.ID, Prompt: a.Prefix, Budget: a.Budget, HasBudget: a.HasBudget, Most: a.MaxTokensOut, Estimate: a.Estimate, Extendable: true, Team: x.team.Name,
 	}
-	q.NoNew = x.entry.placer.IsFull(x.service(), x.priority())
+	q.NoNew = x.entry.placer.IsFull(x.service(), x.team.Name, x.priority())
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
