hgsite, hgentry: tests of keys and teams over loopback

Nothing showed that a key reaches no replica, log line or row, or that a removed one ends at all VMs.

Site.SetDesiredKeys writes keys in plaintext, as operators do.

--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -60,6 +60,9 @@
 	FetchFrom string
 	// Deadline is the time that the request left to the replica.
 	Deadline time.Duration
+	// Teams are the teams that the replica was told, and HasKey reports whether the request carried a key.
+	Teams  []string
+	HasKey bool
 }
 
 // Replica is a stand-in for an endpoint: a model engine that streams events, or a tool that answers with a plain body.
@@ -223,6 +226,7 @@
 		Replica: r.Entry.ID, Incarnation: r.incarnation(), Leaving: answer.Leaving, Attempt: a.ID, Program: a.Program, URI: q.RequestURI, At: time.Now(), Forged: hgplatform.ForgedHeaders(q.Header),
 		LastEvent: a.LastEvent, Deadline: a.Deadline, FetchFrom: hgplatform.FetchFrom(q.Header),
 	}
+	run.Teams, run.HasKey = hgplatform.TeamOf(q.Header)
 	f := r.takeFault(run)
 	if f.Refuse {
 		answer.NotRun = true
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -234,8 +234,11 @@
 }
 
 // SetDesired writes a desired state to the store, from which the entry VMs load it.
-func (s *Site) SetDesired(d *hgdesired.State) (err error) {
-	value, err := hgplatform.EncodeDesired(d)
+func (s *Site) SetDesired(d *hgdesired.State) (err error) { return s.SetDesiredKeys(d, nil) }
+
+// SetDesiredKeys is SetDesired with keys of the teams in plaintext, by name.
+func (s *Site) SetDesiredKeys(d *hgdesired.State, keys map[string][]string) (err error) {
+	value, err := hgplatform.EncodeDesiredKeys(d, keys)
 	if err != nil {
 		return err
 	}
--- a/internal/serve/hgentry/team_test.go
+++ b/internal/serve/hgentry/team_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"sync/atomic"
 	"testing"
 
 	"hyssopgrade/internal/serve/hgattempt"
@@ -98,3 +101,24 @@
 		}
 	}
 }
+
+// Guards against a request that is sent although its key was removed while the transport connected, on a new or a used connection.
+func TestRefusedConnectionGetsNoRequest(t *testing.T) {
+	var arrivals atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrivals.Add(1) }))
+	defer srv.Close()
+	for i, want := range []error{errNoKey, nil, errNoKey, nil} {
+		u := connUse{mayDispatch: func() error { return want }}
+		r, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), u.hooks()), "POST", srv.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := srv.Client().Do(r)
+		if err == nil {
+			resp.Body.Close()
+		}
+		if refused := u.refused.Load(); (err != nil) != (want != nil) || (refused != nil) != (want != nil) || arrivals.Load() != int64(i+1)/2 {
+			t.Errorf("request %d: %v, %d arrivals", i, err, arrivals.Load())
+		}
+	}
+}
