hgentry, hgstatus, hgentryvm: what each team uses, in the status, metrics and log

Operators could not tell which team sends how much, nor which one waits or meets its cap.

Each VM counts requests served, refused by the cap (429 before any replica), waiting and running, by team. The status and the metrics name the twenty largest teams and add up the others, so that their size does not grow with the teams. The line of a request names its team, and loss names refusals for keys. Without teams nothing is reported. scripts/red.sh takes out each mechanism of the keys.

--- a/internal/operate/hgentryvm/directory.go
+++ b/internal/operate/hgentryvm/directory.go
@@ -59,6 +59,9 @@
 		if err := n.metrics.Write(w); err != nil {
 			n.log.Debug("cannot write metrics", "error", err)
 		}
+		if err := writeTeamMetrics(w, n.teams()); err != nil {
+			n.log.Debug("cannot write metrics of teams", "error", err)
+		}
 	})
 	return mux
 }
--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -35,6 +35,7 @@
 		return hgstatus.Peer{Name: i.Name, Domain: i.Domain, Live: live[i.Name], Ready: i.Ready, StoreOK: i.StoreOK}
 	})
 	slices.SortFunc(s.Peers, func(a, b hgstatus.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	s.Teams = n.teams()
 	return s
 }
 
--- a/internal/operate/hgloss/cause.go
+++ b/internal/operate/hgloss/cause.go
@@ -30,6 +30,8 @@
 	RefusedBusy       Cause = "busy"
 	RefusedNoReplica  Cause = "noPlace"
 	RefusedNotReady   Cause = "notReady"
+	RefusedNoKey      Cause = "noKey"
+	RefusedStale      Cause = "stale"
 	FailedNotStored   Cause = "notStored"
 	FailedBrokeOff    Cause = "brokeOff"
 	FailedTool        Cause = "toolFailed"
@@ -48,6 +50,8 @@
 	{"no replica", RefusedNoReplica},
 	{"the service has no replica", RefusedNoReplica},
 	{"no desired state", RefusedNotReady},
+	{"no key of a team", RefusedNoKey},
+	{"desired state may be out of date", RefusedStale},
 	{"turn could not be kept", FailedNotStored},
 	{"stream broke off: turn is longer", FailedTokenBudget},
 	{"stream broke off", FailedBrokeOff},
--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -35,6 +35,22 @@
 	Tables   []Table   `json:"tables"`
 	Services []Service `json:"services"`
 	Peers    []Peer    `json:"peers"`
+	// Teams are the teams with the most requests, the largest first, and then the sum of all others; empty without teams.
+	Teams []Team `json:"teams,omitempty"`
+}
+
+// Team is what the entry VM has done for a team since its start.
+type Team struct {
+	// Name is the team; empty for the sum of several, whose number is Others.
+	Name   string `json:"name,omitempty"`
+	Others int    `json:"others,omitempty"`
+	// Served are the requests that a replica may have run, and RefusedByCap those refused by the usage cap.
+	Served       uint64 `json:"served"`
+	RefusedByCap uint64 `json:"refusedByCap"`
+	// Waiting are the requests that wait for a replica now. Share is the team's part of the
+	// requests of teams that replicas run for this VM now.
+	Waiting int     `json:"waiting"`
+	Share   float64 `json:"share"`
 }
 
 // Table is the watch of one table of the store.
@@ -112,6 +128,13 @@
 			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs)
 		}
 	}
+	for _, v := range s.Teams {
+		name := v.Name
+		if v.Others > 0 {
+			name = fmt.Sprintf("%d others", v.Others)
+		}
+		fmt.Fprintf(t, "team\t%s\t%d served\t%d over their cap\t%d waiting\t%.0f%% of slots\n", name, v.Served, v.RefusedByCap, v.Waiting, v.Share*100)
+	}
 	for _, p := range s.Peers {
 		fmt.Fprintf(t, "peer\t%s\t%s\tlive %t\tready %t\tstore %t\n", p.Name, p.Domain, p.Live, p.Ready, p.StoreOK)
 	}
--- a/internal/proof/hgsite/team_test.go
+++ b/internal/proof/hgsite/team_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/samber/lo"
 
+	"hyssopgrade/internal/operate/hgstatus"
 	"hyssopgrade/internal/proof/hgloopback"
 	"hyssopgrade/internal/proof/hgsite"
 	"hyssopgrade/internal/serve/hgteam"
@@ -126,6 +127,11 @@
 			}
 		})
 	}
+	status, err := hgstatus.Get(t.Context(), s.Configs[0].Listen.Metrics)
+	served := lo.SliceToMap(status.Teams, func(v hgstatus.Team) (string, uint64) { return v.Name, v.Served })
+	if diff := cmp.Diff(map[string]uint64{"a": 2, "b": 2}, served); err != nil || diff != "" {
+		t.Errorf("%v; served by VM 0 (-want +got):\n%s", err, diff)
+	}
 	rows, _, err := hgplatform.NewStore(s.StoreAddress(), time.Second, nil).List(t.Context(), hgplatform.DesiredTable+"//")
 	if err != nil || len(rows) != 1 || strings.Contains(string(rows[0].Value), "secret") {
 		t.Errorf("rows as VMs read them: %v\n%+v", err, rows)
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -96,6 +96,7 @@
 	// freshness and caps apply to the requests of teams.
 	freshness Freshness
 	caps      Caps
+	uses      teamUses
 }
 
 // NewEntry returns a handler that rejects all requests until SetDesired has been called.
@@ -366,6 +367,7 @@
 
 // logResult logs how a request ended, which replica ran it and the figures by which that replica was picked.
 func (x *exchange) logResult(status int, reason string) {
+	x.countTeam(status)
 	now := x.entry.timer.Now()
 	args := []any{
 		"attempt", x.attempt.ID, "program", x.attempt.Program, "digest", x.digests.Caller, "route", x.route.Name, "status", status, "reason", reason,
@@ -380,6 +382,9 @@
 		args = append(args, "session", x.attempt.Session, "aimLeftMs", x.attempt.ProgramLeft.Milliseconds(), "prompt", x.attempt.TokensIn,
 			"openMs", x.openTime.Milliseconds(), "placeMs", x.leaseTime.Milliseconds(), "headMs", x.headTime.Milliseconds(), "keepMs", x.retainTime.Milliseconds())
 	}
+	if x.team.Name != "" {
+		args = append(args, "team", x.team.Name)
+	}
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
 	}
--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -30,6 +30,7 @@
 		Wait: min(maxLeaseWait, time.Duration(leaseWaitShare*float64(x.remaining()))),
 	}
 	began := x.entry.timer.Now()
+	defer x.entry.uses.wait(x.team.Name)()
 	l, v := x.entry.placer.Take(x.ctx, a)
 	waited := x.entry.timer.Now() - began
 	x.leaseTime += waited
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -74,6 +74,8 @@
 	answer hgattempt.Answer
 	began  time.Duration
 	conn   connUse
+	// ended is called when the try ends.
+	ended func()
 }
 
 // end closes the response, which closes the connection unless the body was read to its end, and releases the lease.
@@ -82,6 +84,7 @@
 		t.resp.Body.Close()
 	}
 	t.lease.Release()
+	t.ended()
 }
 
 // maxRefusalBytes is the largest body of a refusal after which its connection is reused.
@@ -127,7 +130,7 @@
 	x.tries++
 	x.replica, x.decision = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
-	t = &try{lease: lease, began: x.entry.timer.Now(), conn: connUse{mayDispatch: x.mayDispatch}}
+	t = &try{lease: lease, began: x.entry.timer.Now(), conn: connUse{mayDispatch: x.mayDispatch}, ended: x.entry.uses.run(x.team.Name)}
 	if err = x.roundTrip(t, body, lastEvent); err != nil {
 		t.end()
 		return nil, err
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -89,6 +89,16 @@
   internal/serve/hgentry/send.go 's/mismatched := /mismatched := false \&\& /'
 red entryForged TestForgedHeaders internal/proof/hgsite \
   platform/request.go 's/h\.Del\(name\)/_ = name/'
+red teamKey TestKeysOfTeams internal/proof/hgsite \
+  platform/team.go 's/h\.Del\(headerKey\)//'
+red teamForged TestKeysOfTeams internal/proof/hgsite \
+  platform/team.go 's/h\.Del\(headerTeam\)//'
+red teamRedact TestKeysOfTeams internal/proof/hgsite \
+  platform/team.go 's/r\.Value = RedactDesired\(r\.Value\)//'
+red teamQueue TestKeyRemovedInQueue internal/proof/hgsite \
+  internal/serve/hgentry/team.go 's/(reauthorize\(\) \(team hgteam\.Team, err error\) \{\n.*?\n\tif )s\.Teams == nil/$1true/'
+red teamTurn TestRetainedTurnsOfTeams internal/proof/hgsite \
+  internal/state/hgturn/tree.go 's/ \|\| turn\.Team == team/ || true/'
 red entryStop TestGracefulStop internal/proof/hgsite \
   internal/operate/hgentryvm/node.go 's/time\.Sleep\(leave - \(n\.timer\.Now\(\) - began\)\)/n.Close()/'
 red ledgerVersion TestBudgetHolds internal/state/hgledger \
@@ -97,7 +107,7 @@
   internal/state/hgledger/offline.go 's/a\.Mine = q\.Most/a.Mine = q.Budget/'
 red ledgerNotFound TestTurnNotFound internal/state/hgledger \
   internal/state/hgledger/history.go 's/case err != nil:\n\t\t\treturn nil, Undecided, err/case err != nil:\n\t\t\treturn nil, NoTurn, err/' \
-  internal/state/hgledger/history.go 's/return nil, Undecided, err\n\t\t\}\n\t\tpath/return nil, NoTurn, err\n\t\t}\n\t\tpath/'
+  internal/state/hgledger/history.go 's/return nil, Undecided, err\n\t\t\}\n\t\town/return nil, NoTurn, err\n\t\t}\n\t\town/'
 red ledgerParts TestSilentPart internal/state/hgledger \
   internal/state/hgledger/row.go 's/alternates = 5/alternates = 0/'
 red feedGap TestWatch internal/state/hgfeed \
