--- a/internal/serve/hgentry/team_test.go
+++ b/internal/serve/hgentry/team_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/serve/hgattempt"
 	"hyssopgrade/internal/serve/hgdesired"
 	"hyssopgrade/internal/serve/hgteam"
@@ -92,6 +94,27 @@
 	}
 }
 
+// Guards against an answer that says a request has not run when it may have, and against a stale node that sends callers away for good.
+func TestUnauthorizedAnswers(t *testing.T) {
+	timer := hgtimer.NewService()
+	t.Cleanup(timer.Close)
+	tests := []struct {
+		err          error
+		sent, status int
+	}{
+		{errNoKey, 0, 401}, {errStale, 0, 503}, {errOtherTeam, 0, 503}, {errNoKey, 1, 502}, {errStale, 1, 502}, {errOtherTeam, 1, 502},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		e := &Entry{timer: timer, log: hglog.Discard()}
+		x := &exchange{entry: e, w: w, r: httptest.NewRequest("POST", "http://h/", nil), ctx: t.Context(), sent: tt.sent}
+		x.respondError(errors.Join(errors.New("beside"), tt.err))
+		if hasRetry := w.Header().Get("Retry-After") != ""; w.Code != tt.status || hasRetry != (tt.status == 503) || x.canRetry(tt.err) {
+			t.Errorf("%v after %d sends: status %d, Retry-After %q", tt.err, tt.sent, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+}
+
 // Guards against the priority of a route that overrides that of a team, also one of 0.
 func TestPriorityOfTeam(t *testing.T) {
 	x := &exchange{route: hgdesired.Route{Priority: 5}}
--- a/internal/state/hgturn/tree.go
+++ b/internal/state/hgturn/tree.go
@@ -23,9 +23,15 @@
 // Tree maps identifiers to the turns of a program. Several turns may continue the same turn, as branches.
 type Tree map[string]Turn
 
-// Of returns the turns that a team may continue: its own and those of no team.
+// Of returns the turns that a team may continue: its own and those of no team. The tree itself is returned if these are all.
 func (t Tree) Of(team string) Tree {
-	return lo.PickBy(t, func(_ string, turn Turn) bool { return turn.Team == "" || turn.Team == team })
+	mayContinue := func(_ string, turn Turn) bool { return turn.Team == "" || turn.Team == team }
+	for id, turn := range t {
+		if !mayContinue(id, turn) {
+			return lo.PickBy(t, mayContinue)
+		}
+	}
+	return t
 }
 
 // Path returns a turn and its ancestors, the oldest first. If the turn or an ancestor is not in the tree, it returns
--- a/internal/state/hgturn/tree_test.go
+++ b/internal/state/hgturn/tree_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"hyssopgrade/hgcodec"
 	"hyssopgrade/internal/state/hgturn"
 )
 
@@ -38,3 +41,19 @@
 		})
 	}
 }
+
+// Guards against rows of turns of no team that differ from those of builds without teams, which reject unknown fields.
+func TestTurnWithoutTeamKeepsItsEncoding(t *testing.T) {
+	type turn struct {
+		ID, Previous  string
+		Input, Output []byte
+	}
+	old, err := hgcodec.CBOR[turn]{}.Encode(turn{ID: "2", Previous: "1", Input: []byte("b"), Output: []byte("B\n")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, err := hgcodec.CBOR[hgturn.Turn]{}.Encode(hgturn.Turn{ID: "2", Previous: "1", Input: []byte("b"), Output: []byte("B\n")})
+	if diff := cmp.Diff(old, now); err != nil || diff != "" {
+		t.Errorf("%v (-want +got):\n%s", err, diff)
+	}
+}
