--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -81,4 +81,6 @@
 	// queue, and Slots is how many it runs at once.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Slowness is how long work takes on the replica at present, in percent of the usual; 0 if the response does not say.
+	Slowness int
 }
