hgpace: suspect replicas of hanging from overdue answers, at all VMs

Cause: replicas that answer their health path and nothing else are found by each VM on its own, through expired time budgets. Until then calls that cannot be repeated go there, and each costs a program.

Change: a VM states in its heartbeats which replicas leave requests unanswered for longer than a threshold from the service's own distribution (four times the 95th percentile, 100 ms to 1.5 s), and answers that contradict such statements. Two VMs, or three overdue requests at one that none contradicts, make a verdict; an answer ends it. A suspected replica gets one repeatable probe per second from one VM, which is sent elsewhere when late, and nothing else while another replica is usable. At most a third of a service's replicas is suspected, and a VM with more overdue replicas than answering ones states nothing. Enabled per service by the first reported slowness. Hubs pass the statements on; a change sends heartbeats at once, at most one round per 300 ms.

TestHungReplicas and TestNoVerdict passed ten times. While the test was written, 'some requests take two seconds' suspected one replica for a moment in one run; it now allows one.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -70,6 +70,7 @@
 	suspectRows hgfeed.RowCache[hgsuspect.Row]
 	metrics     *hgtelemetry.Recorder
 	suspects    *suspects
+	pace        pace
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -113,6 +114,7 @@
 		hgledger.WithReachability(n.reach.state), hgledger.WithInformed(n.hasReadNodes))
 	n.replicas = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
 	n.suspects = &suspects{List: hgsuspect.NewList(n.timer, log), node: n}
+	n.pace.node = n
 	n.replicas.OnEnd(n.suspects.replicaEnded)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
@@ -158,6 +160,7 @@
 	n.timer.Every(savePeriod, n.saveBudgets)
 	n.timer.Every(reachPeriod, n.watchStore)
 	n.timer.Every(suspectPeriod, n.suspects.save)
+	n.timer.Every(pacePeriod, n.pace.review)
 	n.timer.Every(removePeriod, n.removeGone)
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -101,7 +101,7 @@
 	for table, w := range n.watches {
 		changed[table] = w.Changed()
 	}
-	return hgpeer.Beat{Info: n.members.Self(), Changed: changed, InFlight: n.replicas.InFlight(), Leaving: n.replicas.LeavingIncarnations()}
+	return hgpeer.Beat{Info: n.members.Self(), Changed: changed, InFlight: n.replicas.InFlight(), Leaving: n.replicas.LeavingIncarnations(), Pace: n.pace.newsToSend()}
 }
 
 // runHeartbeats sends heartbeats in rounds until the node ends.
@@ -114,6 +114,7 @@
 		case <-time.After(n.members.HeartbeatPeriod()):
 		}
 		n.replicas.SetPeerInFlight(n.members.InFlight())
+		n.pace.setSite()
 		n.shortenWatches()
 	}
 }
--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -45,7 +45,7 @@
 		service := hgstatus.Service{Name: name, Load: n.replicas.Load(name)}
 		for _, r := range byService[name] {
 			service.Replicas = append(service.Replicas, hgstatus.Replica{
-				ID: r.ID, Domain: r.Domain, Out: r.Out, InFlight: r.InFlight, Failures: r.Failures, DelayMs: r.Delay.Seconds() * 1000,
+				ID: r.ID, Domain: r.Domain, Out: r.Out, InFlight: r.InFlight, Failures: r.Failures, DelayMs: r.Delay.Seconds() * 1000, Suspected: r.Suspected,
 			})
 		}
 		slices.SortFunc(service.Replicas, func(a, b hgstatus.Replica) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -63,6 +63,8 @@
 	Failures float64 `json:"failures"`
 	// DelayMs is the usual time to the first byte, in milliseconds.
 	DelayMs float64 `json:"delayMs"`
+	// Suspected says that the replica is suspected of hanging and gets only probes.
+	Suspected bool `json:"suspected,omitempty"`
 }
 
 // Peer is another entry VM as seen by this one.
@@ -106,8 +108,11 @@
 		fmt.Fprintf(t, "service\t%s\tload %.2f\n", service.Name, service.Load)
 		for _, r := range service.Replicas {
 			state := "in"
-			if r.Out != "" {
+			switch {
+			case r.Out != "":
 				state = "out: " + r.Out
+			case r.Suspected:
+				state = "suspected of hanging"
 			}
 			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs)
 		}
--- a/internal/peer/hgpeer/claim.go
+++ b/internal/peer/hgpeer/claim.go
@@ -6,6 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
+
+	"hyssopgrade/internal/serve/hgpace"
 )
 
 // Claim is a statement of one node about another: whether it is live, and its Info. Claims on budgets are another thing; see
@@ -45,6 +47,8 @@
 	Programs []uint64
 	// InFlight is the number of requests in flight on each replica, without those of the node that asked.
 	InFlight map[string]int
+	// Pace is what nodes state about overdue replicas. It comes with InFlight.
+	Pace hgpace.News
 }
 
 // source is a peer that reports about other nodes.
@@ -56,6 +60,7 @@
 	// live is the set of nodes that it claims to be live.
 	live     map[string]bool
 	inFlight map[string]int
+	pace     statement
 }
 
 // claimLog holds the claims of this node about its peers, and numbers their changes.
@@ -140,7 +145,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isLarge() {
-		m.upsert(b.Info)
+		m.recordPace(m.upsert(b.Info), b)
 		m.programLog.addReceived(b.Programs)
 		return nil
 	}
@@ -166,6 +171,7 @@
 	}
 	if b.Ask.Loads {
 		u.InFlight = m.inFlightFor(b, remote, now)
+		u.Pace = m.paceFor(b, remote, now)
 	}
 	return u
 }
@@ -189,6 +195,7 @@
 		m.dirty = true
 	}
 	s.cursor, s.lastAnswer, s.inFlight = u.Now, m.timer.Now(), u.InFlight
+	s.pace = statement{u.Pace, m.timer.Now()}
 	for _, c := range u.Claims {
 		m.applyClaim(s, c)
 	}
--- a/internal/peer/hgpeer/fleet_test.go
+++ b/internal/peer/hgpeer/fleet_test.go
@@ -119,7 +119,7 @@
 // beat sends a heartbeat from a node and delivers the reply to it.
 func (f *fleet) beat(name string, to hgpeer.Info, programs []uint64) {
 	m := f.nodes[name]
-	b := hgpeer.Beat{Info: m.Self(), InFlight: f.inFlight, Programs: programs, Ask: m.GossipQueryFor(to), Suspects: f.suspects[name].Offer(to.Name)}
+	b := hgpeer.Beat{Info: m.Self(), InFlight: f.inFlight, Programs: programs, Ask: m.GossipQueryFor(to), Suspects: f.suspects[name].Offer(to.Name), Pace: m.PaceToSend()}
 	f.sent[name]++
 	if f.down[to.Name] {
 		f.lateFailures = append(f.lateFailures, lateFailure{name, to.Name, f.clock.now + f.timeout})
@@ -130,7 +130,7 @@
 		return
 	}
 	peer := f.nodes[to.Name]
-	reply := hgpeer.Beat{Info: peer.Self(), InFlight: f.inFlight, News: peer.HandleHeartbeat(b), Suspects: f.suspects[to.Name].HandleOffer(name, b.Suspects)}
+	reply := hgpeer.Beat{Info: peer.Self(), InFlight: f.inFlight, News: peer.HandleHeartbeat(b), Suspects: f.suspects[to.Name].HandleOffer(name, b.Suspects), Pace: peer.PaceToSend()}
 	f.handled[to.Name]++
 	if f.countBytes {
 		size := f.size(b) + f.size(reply)
--- a/internal/peer/hgpeer/members.go
+++ b/internal/peer/hgpeer/members.go
@@ -38,6 +38,7 @@
 type member struct {
 	info     Info
 	inFlight map[string]int
+	pace     statement
 	// answered says that the peer has replied to a heartbeat of this node or, on a large site, sent one itself; lastHeard is
 	// when it last did. The peer is suspect, and not live, before suspectUntil.
 	answered                bool
@@ -83,6 +84,8 @@
 	// ownInFlight is the number of this node's requests on each replica, and lastBusy when there last was any.
 	ownInFlight map[string]int
 	lastBusy    time.Duration
+	// ownPace is what this node states about overdue replicas.
+	ownPace statement
 	// cachedView is the latest computed view, and dirty says that members have changed since.
 	cachedView view
 	dirty      bool
@@ -232,6 +235,7 @@
 	p.answered, p.lastHeard, p.missed, p.rewrites = true, now, 0, 0
 	if !b.Ask.SignOnly {
 		p.inFlight = b.InFlight
+		m.recordPace(p, b)
 	}
 	return p
 }
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -1,6 +1,7 @@
 package hgpeer
 
 import (
+	"hyssopgrade/internal/serve/hgpace"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
@@ -53,6 +54,8 @@
 	Leaving []hgreplica.Incarnation
 	// Suspects synchronizes the lists of requests that crash replicas.
 	Suspects hgsuspect.Exchange
+	// Pace is what the node states about overdue replicas, on a hub with the statements of its failure domain.
+	Pace hgpace.News
 	// Ask says what the reply to a heartbeat is to contain, and News is that part of the reply. News is nil on small sites.
 	Ask  GossipQuery
 	News *GossipUpdate
--- a/internal/proof/hgsite/replica.go
+++ b/internal/proof/hgsite/replica.go
@@ -79,6 +79,8 @@
 	crashing func(r Run) bool
 	// leaving makes all answers announce that the replica is leaving.
 	leaving bool
+	// slowness is the slowness that answers report, in percent; 0 reports no load.
+	slowness int
 	// arrivals is the number of requests received, including refused ones.
 	arrivals int
 	runs     []Run
@@ -142,6 +144,20 @@
 	return r.Entry.Born
 }
 
+// SetSlowness sets the slowness in percent that answers report with the load; 0 makes them report no load.
+func (r *Replica) SetSlowness(percent int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowness = percent
+}
+
+// reportLoad adds the load report to an answer.
+func (r *Replica) reportLoad(a *hgattempt.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.HasLoad, a.Slots, a.Slowness = r.slowness > 0, r.Entry.Slots, r.slowness
+}
+
 // Arrivals returns the number of requests received, including refused ones.
 func (r *Replica) Arrivals() int {
 	r.mu.Lock()
@@ -256,6 +272,7 @@
 		answer.AttemptID = "stranger"
 	}
 	answer.Sealed = true
+	r.reportLoad(&answer)
 	hgplatform.EncodeAnswer(w.Header(), answer)
 	if f.UntilClose {
 		// The server of net/http then frames the body by closing the connection.
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -109,13 +109,8 @@
 	for i, e := range []hgreplica.Registration{
 		{ID: "engine-0", Service: Engines}, {ID: "engine-1", Service: Engines}, {ID: "tool-0", Service: Tools}, {ID: "tool-1", Service: Tools},
 	} {
-		e.Domain, e.Slots, e.Born = Domains[i%len(Domains)], 8, strconv.Itoa(firstStart)
-		r, err := newReplica(e, e.Service == Engines, Events, Pause)
-		if err != nil {
-			return nil, err
-		}
-		site.Replicas[e.ID] = r
-		if err := site.Register(r.Entry); err != nil {
+		e.Domain = Domains[i%len(Domains)]
+		if err := site.addReplica(e); err != nil {
 			return nil, err
 		}
 	}
@@ -130,6 +125,21 @@
 	return site, nil
 }
 
+// AddTool starts and registers one more tool.
+func (s *Site) AddTool(id string) (err error) {
+	return s.addReplica(hgreplica.Registration{ID: id, Service: Tools, Domain: Domains[len(s.Replicas)%len(Domains)]})
+}
+
+func (s *Site) addReplica(e hgreplica.Registration) (err error) {
+	e.Slots, e.Born = 8, strconv.Itoa(firstStart)
+	r, err := newReplica(e, e.Service == Engines, Events, Pause)
+	if err != nil {
+		return err
+	}
+	s.Replicas[e.ID] = r
+	return s.Register(r.Entry)
+}
+
 // AddNode starts one more entry VM, one that has to load the state of the site before it serves.
 func (s *Site) AddNode() (err error) { return s.addNode(false) }
 
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -74,6 +74,8 @@
 	answer hgattempt.Answer
 	began  time.Duration
 	conn   connUse
+	// probe bounds a request to a replica that is suspected of hanging; nil for others.
+	probe *probe
 }
 
 // end closes the response, which closes the connection unless the body was read to its end, and releases the lease.
@@ -81,6 +83,7 @@
 	if t.resp != nil {
 		t.resp.Body.Close()
 	}
+	t.probe.end()
 	t.lease.Release()
 }
 
@@ -105,6 +108,7 @@
 // send leases a replica, sends the request to it and returns once the response headers have come. On an error the lease
 // is released already.
 func (x *exchange) send(w hgreplica.Want, body []byte, lastEvent string) (t *try, err error) {
+	w.Repeatable, w.Left = x.mayProbe(lastEvent), x.remaining()
 	lease, err := x.acquireLease(w)
 	if err != nil {
 		return nil, err
@@ -131,15 +135,23 @@
 
 // roundTrip sends the request to the leased replica and sets t.resp and t.answer.
 func (x *exchange) roundTrip(t *try, body []byte, lastEvent string) (err error) {
+	ctx := x.ctx
+	if limit := t.lease.Why.Probe; limit > 0 {
+		t.probe, ctx = newProbe(ctx, limit)
+	}
 	r := (&http.Request{
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
 		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
-	}).WithContext(httptrace.WithClientTrace(x.ctx, t.conn.hooks()))
+	}).WithContext(httptrace.WithClientTrace(ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
 	}
+	t.lease.MarkSent()
 	t.resp, err = t.lease.Client.Do(r)
+	if t.probe.isLate(err) {
+		return x.recordLateProbe(t)
+	}
 	if err != nil {
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
--- a/internal/serve/hgreplica/fetch.go
+++ b/internal/serve/hgreplica/fetch.go
@@ -21,7 +21,7 @@
 	for id, n := range w.Kept {
 		r, ok := s.replicas[id]
 		switch {
-		case !ok || !r.isUsable(w, now) || n <= 0:
+		case !ok || !r.isUsable(w, now) || r.pace.IsSuspected() || n <= 0:
 		case best[0] == nil || n > w.Kept[best[0].ID]:
 			best[0], best[1] = r, best[0]
 		case best[1] == nil || n > w.Kept[best[1].ID]:
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopgrade/internal/serve/hgattempt"
+	"hyssopgrade/internal/serve/hgpace"
 )
 
 // Lease is the place of a request on a replica. Its holder reports what it observes of the replica and then calls Release.
@@ -22,6 +23,8 @@
 	once    sync.Once
 	// answered is when the first byte of the answer arrived; 0 if none did or the replica did not run the request.
 	answered time.Duration
+	// sent is the request while it waits for its answer; nil unless this node sent it.
+	sent *hgpace.Request
 	// outcome collects what the holder observed; released is called with it once, by the first Release.
 	outcome  Outcome
 	released func(o Outcome)
@@ -77,7 +80,7 @@
 // Apply records the outcome that the holder on another node reported, and releases the lease.
 func (l *Lease) Apply(o Outcome) {
 	if o.Answered || o.Errored {
-		l.RecordAnswer(hgattempt.Answer{Failed: o.Errored}, o.Took)
+		l.recordAnswer(hgattempt.Answer{Failed: o.Errored}, o.Took, o.Held)
 		l.answered = l.set.timer.Now() - o.Held
 	}
 	if o.Failed {
@@ -108,6 +111,9 @@
 	if !l.adopted {
 		l.replica.inFlight--
 	}
+	if l.sent != nil {
+		l.sent.Ended(l.set.timer.Now())
+	}
 	if l.answered > 0 {
 		l.outcome.Held = l.set.timer.Now() - l.answered
 		l.set.observeHold(l.replica.Service, l.outcome.Held)
@@ -115,11 +121,15 @@
 }
 
 // RecordAnswer records the head of an answer and the time to its first byte.
-func (l *Lease) RecordAnswer(a hgattempt.Answer, took time.Duration) {
+func (l *Lease) RecordAnswer(a hgattempt.Answer, took time.Duration) { l.recordAnswer(a, took, 0) }
+
+// recordAnswer records an answer whose first byte came at the given age.
+func (l *Lease) recordAnswer(a hgattempt.Answer, took, age time.Duration) {
 	now := l.set.timer.Now()
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	r := l.replica
+	l.observe(a, now, took, age)
 	if a.IdleTimeout > 0 {
 		l.set.keepIdle(r, a.IdleTimeout)
 	}
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/serve/hgpace"
 )
 
 // Registration describes a replica as its row in the platform's store lists it.
@@ -56,6 +57,8 @@
 	announcedLeaving bool
 	// misdirected says that another replica has taken over the address.
 	misdirected bool
+	// pace tracks what the replica leaves unanswered.
+	pace *hgpace.Replica
 }
 
 // Set tracks the replicas of all services; it is safe for concurrent use.
@@ -74,12 +77,16 @@
 	onEnd func(id string)
 	// holds is the moving average of how long requests of each service hold a slot after their first byte, in nanoseconds.
 	holds map[string]float64
+	pace  *hgpace.Tracker
 }
 
 // NewSet returns an empty set for a node in a failure domain; newClient makes the client of a replica, which keeps unused
 // connections open for idle.
 func NewSet(timer hgtimer.Timer, domain string, newClient func(idle time.Duration) *http.Client) *Set {
-	return &Set{timer: timer, domain: domain, newClient: newClient, replicas: map[string]*replica{}, announced: map[Incarnation]time.Duration{}, holds: map[string]float64{}}
+	return &Set{
+		timer: timer, domain: domain, newClient: newClient, replicas: map[string]*replica{}, announced: map[Incarnation]time.Duration{},
+		holds: map[string]float64{}, pace: hgpace.NewTracker(),
+	}
 }
 
 // OnEnd sets the function that is called for each replica that ended or restarted without having been known to be leaving.
@@ -115,6 +122,7 @@
 		}
 		if lapse == 0 && (r.lapsesAt == 0 || now >= r.lapsesAt) {
 			r.client.CloseIdleConnections()
+			s.pace.Remove(r.pace)
 			delete(s.replicas, id)
 			if !r.isLeaving() {
 				ended = append(ended, id)
@@ -132,8 +140,12 @@
 	if !ok || r.Born != e.Born || r.Address != e.Address || r.Service != e.Service {
 		if ok {
 			r.client.CloseIdleConnections()
+			s.pace.Remove(r.pace)
+		}
+		s.replicas[id] = &replica{
+			Registration: e, client: s.newClient(defaultIdle), idle: defaultIdle, announcedLeaving: s.hasAnnouncedLeaving(e),
+			pace: s.pace.Add(id, e.Born, e.Service),
 		}
-		s.replicas[id] = &replica{Registration: e, client: s.newClient(defaultIdle), idle: defaultIdle, announcedLeaving: s.hasAnnouncedLeaving(e)}
 		return ok && !r.isLeaving()
 	}
 	r.Registration = e
@@ -174,6 +186,10 @@
 	Fetch FetchCost
 	// Window bounds the requests in flight on a replica, as a multiple of its slots; 0 means no bound.
 	Window float64
+	// Repeatable says that the request may be sent to another replica after it was sent to one that does not answer, and Left is
+	// the time until its deadline.
+	Repeatable bool
+	Left       time.Duration
 }
 
 // Decision holds the figures by which a replica was picked; they are logged with the request.
@@ -187,6 +203,8 @@
 	Cost time.Duration
 	// Of is the number of replicas that could have been picked.
 	Of int
+	// Probe says that the replica is suspected of hanging: a request that it does not answer in this time is to be sent elsewhere.
+	Probe time.Duration
 }
 
 // Pick returns a lease on the replica on which the request is expected to lose the least time; ok is false if no usable
@@ -197,13 +215,14 @@
 	defer s.mu.Unlock()
 	baseline := s.baseline(w.Service)
 	sources := s.sources(w, now)
+	probed, spares := s.probe(w, now), s.sparesSuspected(w, now)
 	var best *replica
 	var why Decision
 	var from *replica
 	of := 0
 	least := time.Duration(math.MaxInt64)
 	for _, r := range s.byService[w.Service] {
-		if !r.isUsable(w, now) {
+		if !r.isUsable(w, now) || probed != nil && r != probed || probed == nil && spares && r.pace.IsSuspected() {
 			continue
 		}
 		v := r.view(now, baseline)
@@ -227,6 +246,9 @@
 	}
 	best.inFlight++
 	why.Of = of
+	if probed != nil {
+		why.Probe = probed.pace.Probe(now)
+	}
 	l = &Lease{ID: best.ID, Address: best.Address, Client: best.client, Why: why, set: s, replica: best}
 	if from != nil {
 		l.FetchFrom = from.Address
--- a/internal/serve/hgreplica/summary.go
+++ b/internal/serve/hgreplica/summary.go
@@ -15,6 +15,8 @@
 	Failures float64
 	// Delay is the average time to the first byte.
 	Delay time.Duration
+	// Suspected says that the replica is suspected of hanging, so that it gets only probes; Out is empty nevertheless.
+	Suspected bool
 }
 
 // Summaries returns a summary of each replica, in no particular order.
@@ -25,7 +27,7 @@
 	for _, r := range s.replicas {
 		all = append(all, Summary{
 			ID: r.ID, Service: r.Service, Domain: r.Domain, Out: r.unusableReason(now), InFlight: r.inFlight,
-			Failures: r.recentFailures(now), Delay: time.Duration(r.delay),
+			Failures: r.recentFailures(now), Delay: time.Duration(r.delay), Suspected: r.pace.IsSuspected(),
 		})
 	}
 	return all
