hgreplica: reported slowness counts in the cost of a replica

Cause: machines differ in speed, for good (1.3) and in spells of 600 ms (2.5 and 3.25), and the cost of a request ignores it.

Change: the expected time of the request's own work is multiplied by the slowness. The excess of a report over the usual slowness of its machine halves every 600 ms; the usual slowness follows the median of the reports by 5 points a second. Averages of delays and holds are those of the replica's own work, so that a spell does not count twice. Outcome.Slowness tells the placer; the status report shows both figures. Without reports the cost is as before.

Measured: go test -race of hgpace, hgreplica, hgplacer and hgtimes passes.

--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -44,9 +44,13 @@
 	for _, name := range slices.Sorted(maps.Keys(byService)) {
 		service := hgstatus.Service{Name: name, Load: n.replicas.Load(name)}
 		for _, r := range byService[name] {
-			service.Replicas = append(service.Replicas, hgstatus.Replica{
+			report := hgstatus.Replica{
 				ID: r.ID, Domain: r.Domain, Out: r.Out, InFlight: r.InFlight, Failures: r.Failures, DelayMs: r.Delay.Seconds() * 1000, Suspected: r.Suspected,
-			})
+			}
+			if r.UsualSlowness > 0 {
+				report.Slowness, report.UsualSlowness = r.Slowness, r.UsualSlowness
+			}
+			service.Replicas = append(service.Replicas, report)
 		}
 		slices.SortFunc(service.Replicas, func(a, b hgstatus.Replica) int { return cmp.Compare(a.ID, b.ID) })
 		services = append(services, service)
--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -65,6 +65,10 @@
 	DelayMs float64 `json:"delayMs"`
 	// Suspected says that the replica is suspected of hanging and gets only probes.
 	Suspected bool `json:"suspected,omitempty"`
+	// Slowness is how long work takes on the machine at present, and UsualSlowness apart from spells, both as multiples of the usual.
+	// They are 0 if the replica reports none.
+	Slowness      float64 `json:"slowness,omitempty"`
+	UsualSlowness float64 `json:"usualSlowness,omitempty"`
 }
 
 // Peer is another entry VM as seen by this one.
@@ -114,7 +118,11 @@
 			case r.Suspected:
 				state = "suspected of hanging"
 			}
-			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs)
+			slowness := ""
+			if r.UsualSlowness > 0 {
+				slowness = fmt.Sprintf("\tslowness %.1f, usually %.1f", r.Slowness, r.UsualSlowness)
+			}
+			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms%s\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs, slowness)
 		}
 	}
 	for _, p := range s.Peers {
--- a/internal/serve/hgpace/replica.go
+++ b/internal/serve/hgpace/replica.go
@@ -28,6 +28,7 @@
 	why         evidence
 	// probedAt is when this node last sent a probe.
 	probedAt time.Duration
+	slowness slowness
 }
 
 // Request is a request of this node that waits for its answer.
--- a/internal/serve/hgpace/tracker.go
+++ b/internal/serve/hgpace/tracker.go
@@ -76,9 +76,6 @@
 	}
 }
 
-// Enable enables the verdict for the service of a replica, which has reported its slowness.
-func (r *Replica) Enable() { r.service.enabled = true }
-
 // claim is what this node observes of an overdue replica, which has been silent since first towards the first overdue request, and
 // since the time since towards the last one.
 type claim struct {
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -43,6 +43,8 @@
 	Errored, Failed, Misdirected bool
 	// Leaving says that the replica announced that it is leaving.
 	Leaving bool
+	// Slowness is the slowness in percent that the replica reported; 0 if it reported none.
+	Slowness int
 }
 
 // Adopt returns a lease for a place that another node granted. That node counts the request as in flight, so this one does
@@ -80,7 +82,7 @@
 // Apply records the outcome that the holder on another node reported, and releases the lease.
 func (l *Lease) Apply(o Outcome) {
 	if o.Answered || o.Errored {
-		l.recordAnswer(hgattempt.Answer{Failed: o.Errored}, o.Took, o.Held)
+		l.recordAnswer(hgattempt.Answer{Failed: o.Errored, Slowness: boundSlowness(o.Slowness)}, o.Took, o.Held)
 		l.answered = l.set.timer.Now() - o.Held
 	}
 	if o.Failed {
@@ -116,7 +118,7 @@
 	}
 	if l.answered > 0 {
 		l.outcome.Held = l.set.timer.Now() - l.answered
-		l.set.observeHold(l.replica.Service, l.outcome.Held)
+		l.set.observeHold(l.replica.Service, time.Duration(float64(l.outcome.Held)/l.replica.pace.Slowness(l.set.timer.Now())))
 	}
 }
 
@@ -148,6 +150,8 @@
 	}
 	r.streak = 0
 	l.outcome.Answered, l.outcome.Took = true, took
+	// The average is that of the replica's own work, so that a spell does not count twice.
+	took = time.Duration(float64(took) / r.pace.Slowness(now-age))
 	if r.delay == 0 {
 		r.delay = float64(took)
 	}
--- a/internal/serve/hgreplica/pace.go
+++ b/internal/serve/hgreplica/pace.go
@@ -83,7 +83,8 @@
 	r := l.replica.pace
 	took, age = min(max(took, 0), maxOutcomeTime), min(max(age, 0), maxOutcomeTime)
 	if a.Slowness > 0 {
-		r.Enable()
+		r.ObserveSlowness(a.Slowness, now-age)
+		l.outcome.Slowness = a.Slowness
 	}
 	if l.sent != nil {
 		l.sent.Answered(now)
@@ -94,3 +95,8 @@
 		r.RecordTook(now, took)
 	}
 }
+
+// maxSlowness bounds the slowness in the outcomes of other nodes, in percent.
+const maxSlowness = 10_000
+
+func boundSlowness(percent int) int { return min(max(percent, 0), maxSlowness) }
--- a/internal/serve/hgreplica/score.go
+++ b/internal/serve/hgreplica/score.go
@@ -45,11 +45,16 @@
 	farCost time.Duration
 	// coldLeft is how much longer the replica is slow after its start.
 	coldLeft time.Duration
+	// slowness is how long work takes on the replica, as a multiple of the usual.
+	slowness float64
 }
 
 // cost returns the time that a request is expected to lose on the replica.
 func (v view) cost() time.Duration {
 	c := v.readTime(v.missTokens) + v.fetchCost
+	if v.slowness != 1 {
+		c += time.Duration(float64(v.readTime(v.missTokens)+v.baseline+v.hold) * (v.slowness - 1))
+	}
 	c += time.Duration(v.inFlight) * batchCost
 	if over := v.inFlight + 1 - v.slots; over > 0 {
 		c += (v.baseline + v.hold) * time.Duration(over) / time.Duration(max(v.slots, 1))
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -292,7 +292,7 @@
 	}
 	return view{
 		slots: r.Slots, inFlight: r.inFlight + r.othersInFlight(now), delay: delay, baseline: baseline,
-		failures: r.recentFailures(now), coldLeft: r.ColdLeft,
+		failures: r.recentFailures(now), coldLeft: r.ColdLeft, slowness: r.pace.Slowness(now),
 	}
 }
 
--- a/internal/serve/hgreplica/summary.go
+++ b/internal/serve/hgreplica/summary.go
@@ -17,6 +17,9 @@
 	Delay time.Duration
 	// Suspected says that the replica is suspected of hanging, so that it gets only probes; Out is empty nevertheless.
 	Suspected bool
+	// Slowness is how long work is expected to take there now, and UsualSlowness apart from spells, both as multiples of the usual;
+	// UsualSlowness is 0 if the replica has not reported it.
+	Slowness, UsualSlowness float64
 }
 
 // Summaries returns a summary of each replica, in no particular order.
@@ -28,6 +31,7 @@
 		all = append(all, Summary{
 			ID: r.ID, Service: r.Service, Domain: r.Domain, Out: r.unusableReason(now), InFlight: r.inFlight,
 			Failures: r.recentFailures(now), Delay: time.Duration(r.delay), Suspected: r.pace.IsSuspected(),
+			Slowness: r.pace.Slowness(now), UsualSlowness: r.pace.UsualSlowness(),
 		})
 	}
 	return all
