hgcap, hgpeer, hgentry: usage caps of teams across all VMs

Cause: nothing bounds how many requests of a team run, and each VM sees only its own part of them.

Change: each team has an owner among the live VMs, by rendezvous hashing. VMs lease tokens from it for half a second of their demand (call Cap). The owner keeps a token bucket, a bucket for programs that begin and a count over the sliding window. A team whose owner changes is handed over if the previous owner answers. Without an owner a VM uses 1/nodes of the cap. 429 carries Retry-After. Off while capWindowSeconds is 0.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -59,8 +59,10 @@
 	ledger    *hgledger.Ledger
 	retention retention
 	places    *hgpeer.Places
-	replicas  *hgreplica.Set
-	entry     *hgentry.Entry
+	// caps is nil if the settings enforce no usage caps.
+	caps     *hgpeer.Caps
+	replicas *hgreplica.Set
+	entry    *hgentry.Entry
 	// watches are the watches of the store's tables, by table.
 	watches map[string]*hgfeed.Watch
 	// nodeRows, replicaRows and suspectRows cache the decoded rows of the watched tables; suspectRows are the rows of
@@ -117,7 +119,7 @@
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.replicas, n.timer, log, n.metrics, n.suspects,
-		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)))
+		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)), n.capOptions(boot)...)
 	n.public = hgserver.NewServer(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
@@ -159,6 +161,9 @@
 	n.timer.Every(reachPeriod, n.watchStore)
 	n.timer.Every(suspectPeriod, n.suspects.save)
 	n.timer.Every(removePeriod, n.removeGone)
+	if n.caps != nil {
+		n.timer.Every(capPeriod, n.caps.Tick)
+	}
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
 	n.timer.After(minRetention, func(time.Duration) { n.ledger.AddKnownPrograms(nil, true) })
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -48,6 +48,14 @@
 // Leave ends a peer's request for a place, or its use of one.
 func (h *peerHandler) Leave(q hgpeer.LeaveRequest) { h.places.HandleLeave(q) }
 
+// Cap grants leases on usage caps to a peer.
+func (h *peerHandler) Cap(q hgpeer.CapRequest) hgpeer.CapReply {
+	if h.caps == nil {
+		return hgpeer.CapReply{}
+	}
+	return h.caps.HandleCap(h.ctx, q)
+}
+
 // Seen returns the programs that this node knows of, by digest, and whether these are all.
 func (h *peerHandler) Seen() hgpeer.SeenReply {
 	programs, complete := h.ledger.KnownPrograms()
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -1,6 +1,7 @@
 package hgpeer
 
 import (
+	"hyssopgrade/internal/serve/hgcap"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgsuspect"
@@ -91,6 +92,21 @@
 	// Place reserves a place on a replica for a request of a peer, and Leave releases it.
 	Place(a hgplacer.PlaceRequest) PlaceReply
 	Leave(q LeaveRequest)
+	// Cap grants leases on the usage caps of teams that this node owns, and hands teams over to the calling node.
+	Cap(q CapRequest) CapReply
+}
+
+// CapRequest asks for leases on the usage caps of teams, and for the teams that the calling node has come to own.
+type CapRequest struct {
+	Asks []hgcap.Ask
+	// Surrender are the names of teams to hand over.
+	Surrender []string
+}
+
+// CapReply answers a CapRequest, in the order of the request.
+type CapReply struct {
+	Grants    []hgcap.Grant
+	Handovers []hgcap.Handover
 }
 
 // PlaceReply is a place on a replica, or a verdict that says why there is none.
--- a/internal/peer/hgpeer/owner.go
+++ b/internal/peer/hgpeer/owner.go
@@ -85,9 +85,13 @@
 // rendezvous returns the strong node with the highest hash for a program. Nodes that know the same members select the same
 // one.
 func rendezvous(nodes []Info, program string) (owner Info) {
+	return highest(ServingNodes(nodes), "\x00"+strconv.Itoa(hgledger.Partition(program)))
+}
+
+// highest returns the node with the highest hash of its name and a key.
+func highest(nodes []Info, key string) (owner Info) {
 	var most uint64
-	key := "\x00" + strconv.Itoa(hgledger.Partition(program))
-	for _, i := range ServingNodes(nodes) {
+	for _, i := range nodes {
 		if h := xxhash.Sum64String(i.Name + key); h >= most {
 			owner, most = i, h
 		}
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -83,6 +83,12 @@
 	return nil
 }
 
+// Cap grants leases on the usage caps of teams.
+func (s service) Cap(q CapRequest, reply *CapReply) error {
+	*reply = s.h.Cap(q)
+	return nil
+}
+
 // Serve handles the calls of peers on a listener until it is closed. It then closes all connections and returns the error of
 // Accept.
 func Serve(l net.Listener, h Handler) (err error) {
@@ -268,3 +274,8 @@
 	_, err := call[LeaveRequest, Empty](ctx, c, address, "Leave", q)
 	return err
 }
+
+// Cap asks the owner of teams for leases on their usage caps, or for the teams themselves.
+func (c *Client) Cap(ctx context.Context, address string, q CapRequest) (CapReply, error) {
+	return call[CapRequest, CapReply](ctx, c, address, "Cap", q)
+}
--- a/internal/serve/hgcap/cap.go
+++ b/internal/serve/hgcap/cap.go
@@ -30,4 +30,7 @@
 type Reply struct {
 	Verdict    Verdict
 	RetryAfter time.Duration
+	// Leased identifies the lease that a granted request used by when its owner, the process Boot, granted it. Boot is empty if it used none.
+	Leased time.Duration
+	Boot   string
 }
--- /dev/null
+++ b/internal/serve/hgcap/owned.go
@@ -0,0 +1,37 @@
+package hgcap
+
+import (
+	"math"
+	"time"
+
+	"hyssopgrade/internal/serve/hgteam"
+)
+
+// ownedTeam is what an owner knows of a team.
+type ownedTeam struct {
+	cap            hgteam.Cap
+	tokens, starts bucket
+	used           window
+	// requests and programs are the smoothed counts of granted requests and programs.
+	requests, programs float64
+	learned, asked     time.Duration
+	// lostAt is when another node became the owner; 0 if this one is. movedUntil is until when this node has handed the team over.
+	lostAt, movedUntil time.Duration
+	// overUntil is when the team ceases to be over its cap; 0 if it is not.
+	overUntil time.Duration
+	refused   int
+}
+
+// learn counts granted requests and programs.
+func (t *ownedTeam) learn(now time.Duration, requests, programs float64) {
+	keep := math.Exp(-(now - t.learned).Seconds() / learnTime.Seconds())
+	t.requests, t.programs, t.learned = t.requests*keep+requests, t.programs*keep+programs, now
+}
+
+// programSize returns the mean number of requests of a program; 1 before anything is known.
+func (t *ownedTeam) programSize() float64 {
+	if t.programs < minPrograms {
+		return 1
+	}
+	return min(max(t.requests/t.programs, 1), maxProgram)
+}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -15,6 +15,7 @@
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/peer/hgpeer"
 	"hyssopgrade/internal/serve/hgattempt"
+	"hyssopgrade/internal/serve/hgcap"
 	"hyssopgrade/internal/serve/hgdesired"
 	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgplacer"
@@ -166,6 +167,9 @@
 	turn     *turn
 	// team is the team that the request belongs to; the zero value if it belongs to none.
 	team hgteam.Team
+	// capReply is the last decision on the cap of the team, and capAt when it was made.
+	capReply hgcap.Reply
+	capAt    time.Duration
 
 	// sent counts the replicas that may have run the request; tries counts all that were asked, including those that
 	// refused it.
@@ -236,6 +240,7 @@
 		return
 	}
 	x.forward()
+	x.returnCap()
 }
 
 // startWait is how long a request waits for the desired state of a node that has just started. A start takes about 10 ms if
@@ -347,11 +352,11 @@
 	}
 }
 
-// respond writes an error of this node's own. retryAfter, in seconds, is sent with status 503 only.
+// respond writes an error of this node's own. retryAfter, in seconds, is sent with status 503 and 429 only.
 func (x *exchange) respond(status int, reason string, retryAfter float64) {
 	x.announceClose()
 	h := x.w.Header()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 2, 64))
 	}
 	h.Set("Content-Type", "application/json")
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -63,6 +63,8 @@
 	errSuspect = errors.New("replicas broke off under this request")
 	// errStopping means that the node stops before the request may have ended.
 	errStopping = errors.New("VM is stopping")
+	// errOverCap means that the team has used its cap.
+	errOverCap = errors.New("team is over its usage cap")
 	// errNoLease means that no replica had room before the wait for a lease was over.
 	errNoLease = errors.New("no replica had room in time")
 )
@@ -118,6 +120,10 @@
 		lease.Release()
 		return nil, errStopping
 	}
+	if !x.recountCap() {
+		lease.Release()
+		return nil, errOverCap
+	}
 	x.tries++
 	x.replica, x.decision = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
@@ -230,7 +236,7 @@
 // canRetry reports whether the request may be sent to another replica after an error.
 func (x *exchange) canRetry(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errOverCap), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
 		return false
 	case errors.Is(err, errAnswerLost):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -240,7 +246,7 @@
 
 // ownErrors are the errors whose texts are sent to callers, the more specific ones first.
 var ownErrors = []error{
-	errStopping, errSuspect, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
+	errStopping, errSuspect, errOverCap, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
 }
 
 // ownError returns what callers are told of an error. The text of a library's error may name addresses; it is logged only.
@@ -261,6 +267,8 @@
 		x.respond(http.StatusServiceUnavailable, reason, left.Seconds())
 	case errors.Is(err, errStopping):
 		x.respond(http.StatusServiceUnavailable, reason, retryAfterStopping)
+	case errors.Is(err, errOverCap) && x.sent == 0:
+		x.refuseCap()
 	case errors.Is(err, errBusy):
 		x.respond(http.StatusServiceUnavailable, reason, retryAfterFull*(0.5+rand.Float64()))
 	case x.sent == 0 && x.ctx.Err() == nil && !x.entry.replicas.HasAny(hgreplica.Want{Service: x.service()}):
