--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -51,7 +51,7 @@
 type Placer interface {
 	// Take waits for a lease until a.Wait has passed or ctx ends; l is nil unless v is hgplacer.Granted.
 	Take(ctx context.Context, a hgplacer.PlaceRequest) (l *hgreplica.Lease, v hgplacer.Verdict)
-	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a route's priority.
+	// IsFull reports whether the replicas of a service are known to be too busy for a new program of a priority.
 	IsFull(service string, priority int) bool
 }
 
@@ -97,6 +97,7 @@
 	// freshness and caps apply to the requests of teams.
 	freshness Freshness
 	caps      Caps
+	uses      teamUses
 }
 
 // NewEntry returns a handler that rejects all requests until SetDesired has been called.
@@ -371,6 +372,7 @@
 
 // logResult logs how a request ended, which replica ran it and the figures by which that replica was picked.
 func (x *exchange) logResult(status int, reason string) {
+	x.countTeam(status)
 	now := x.entry.timer.Now()
 	args := []any{
 		"attempt", x.attempt.ID, "program", x.attempt.Program, "digest", x.digests.Caller, "route", x.route.Name, "status", status, "reason", reason,
@@ -385,6 +387,9 @@
 		args = append(args, "session", x.attempt.Session, "aimLeftMs", x.attempt.ProgramLeft.Milliseconds(), "prompt", x.attempt.TokensIn,
 			"openMs", x.openTime.Milliseconds(), "placeMs", x.leaseTime.Milliseconds(), "headMs", x.headTime.Milliseconds(), "keepMs", x.retainTime.Milliseconds())
 	}
+	if x.team.Name != "" {
+		args = append(args, "team", x.team.Name)
+	}
 	if x.turn != nil {
 		args = append(args, "owner", x.turn.owner.Name)
 	}
--- a/internal/serve/hgentry/place.go
+++ b/internal/serve/hgentry/place.go
@@ -30,6 +30,7 @@
 		Wait: min(maxLeaseWait, time.Duration(leaseWaitShare*float64(x.remaining()))),
 	}
 	began := x.entry.timer.Now()
+	defer x.entry.uses.wait(x.team.Name)()
 	l, v := x.entry.placer.Take(x.ctx, a)
 	waited := x.entry.timer.Now() - began
 	x.leaseTime += waited
@@ -47,7 +48,7 @@
 
 // rank returns the request's rank in the placer's queue.
 func (x *exchange) rank() hgplacer.Rank {
-	return hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.route.Priority}
+	return hgplacer.Rank{New: x.turn != nil && x.turn.open.New && x.tries == 0, Late: x.isLate(), Priority: x.priority(), Team: x.team.Name}
 }
 
 // isLate reports whether the deadline of the request's program has passed.
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -76,6 +76,8 @@
 	answer hgattempt.Answer
 	began  time.Duration
 	conn   connUse
+	// ended is called when the try ends.
+	ended func()
 }
 
 // end closes the response, which closes the connection unless the body was read to its end, and releases the lease.
@@ -84,6 +86,7 @@
 		t.resp.Body.Close()
 	}
 	t.lease.Release()
+	t.ended()
 }
 
 // maxRefusalBytes is the largest body of a refusal after which its connection is reused.
@@ -120,6 +123,12 @@
 		lease.Release()
 		return nil, errStopping
 	}
+	team, err := x.reauthorize()
+	if err != nil {
+		lease.Release()
+		return nil, err
+	}
+	x.team = team
 	if !x.recountCap() {
 		lease.Release()
 		return nil, errOverCap
@@ -127,7 +136,7 @@
 	x.tries++
 	x.replica, x.decision = lease.ID, lease.Why
 	w.Exclude[lease.ID] = true
-	t = &try{lease: lease, began: x.entry.timer.Now()}
+	t = &try{lease: lease, began: x.entry.timer.Now(), conn: connUse{mayDispatch: x.mayDispatch}, ended: x.entry.uses.run(x.team.Name)}
 	if err = x.roundTrip(t, body, lastEvent); err != nil {
 		t.end()
 		return nil, err
@@ -141,11 +150,16 @@
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
 		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
 	}).WithContext(httptrace.WithClientTrace(x.ctx, t.conn.hooks()))
-	x.entry.dialect.Prepare(r.Header, hgattempt.Send{Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom})
+	x.entry.dialect.Prepare(r.Header, hgattempt.Send{
+		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
+	})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
 	}
 	t.resp, err = t.lease.Client.Do(r)
+	if refused := t.conn.refused.Load(); err != nil && refused != nil {
+		return *refused
+	}
 	if err != nil {
 		if x.r.Context().Err() == nil {
 			t.lease.MarkFailed()
@@ -236,7 +250,7 @@
 // canRetry reports whether the request may be sent to another replica after an error.
 func (x *exchange) canRetry(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errOverCap), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit):
+	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errOverCap), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit), isUnauthorized(err):
 		return false
 	case errors.Is(err, errAnswerLost):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
@@ -246,7 +260,7 @@
 
 // ownErrors are the errors whose texts are sent to callers, the more specific ones first.
 var ownErrors = []error{
-	errStopping, errSuspect, errOverCap, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
+	errNoKey, errStale, errOtherTeam, errStopping, errSuspect, errOverCap, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errAnswerLost, errNotRun, errNotSent,
 }
 
 // ownError returns what callers are told of an error. The text of a library's error may name addresses; it is logged only.
@@ -262,6 +276,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller left")
+	case isUnauthorized(err) && x.sent == 0:
+		x.respondUnauthorized(err)
 	case errors.Is(err, errSuspect) && x.sent == 0:
 		left, _ := x.entry.suspects.Refused(x.digests)
 		x.respond(http.StatusServiceUnavailable, reason, left.Seconds())
