--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -63,6 +63,8 @@
 	entry     *hgentry.Entry
 	// fresh decides whether keys may be served; nil without a bound on revocation.
 	fresh *freshness
+	// caps is nil if the settings enforce no usage caps.
+	caps *hgpeer.Caps
 	// watches are the watches of the store's tables, by table.
 	watches map[string]*hgfeed.Watch
 	// nodeRows, replicaRows and suspectRows cache the decoded rows of the watched tables; suspectRows are the rows of
@@ -120,7 +122,7 @@
 	n.replicas.OnEnd(n.suspects.replicaEnded)
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
-	var opts []hgentry.Option
+	opts := n.capOptions(boot)
 	if revoke := hgconfig.Seconds(cfg.Teams.RevokeMs / 1000); cfg.Teams.StrictRevoke && revoke > 0 {
 		n.fresh = newFreshness(revoke, bootClock, n.metrics, log)
 		opts = append(opts, hgentry.WithFreshness(n.fresh.evidence))
@@ -172,6 +174,9 @@
 	if n.fresh != nil {
 		n.timer.Every(freshPeriod, n.fresh.observe)
 	}
+	if n.caps != nil {
+		n.timer.Every(capPeriod, n.caps.Tick)
+	}
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
 	// (Ledger.KnownPrograms).
 	n.timer.After(minRetention, func(time.Duration) { n.ledger.AddKnownPrograms(nil, true) })
