--- a/internal/peer/hgpeer/caps.go
+++ b/internal/peer/hgpeer/caps.go
@@ -148,6 +148,7 @@
 	var remote rpc.ServerError
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) && !errors.As(err, &remote) {
 		c.members.Suspect(peer.Name)
+		c.look(true)
 	}
 }
 
--- a/internal/serve/hgcap/owned.go
+++ b/internal/serve/hgcap/owned.go
@@ -15,7 +15,8 @@
 	// requests and programs are the smoothed counts of granted requests and programs.
 	requests, programs float64
 	learned, asked     time.Duration
-	// lostAt is when another node became the owner; 0 if this one is. movedUntil is until when this node has handed the team over.
+	// lost says that another node has become the owner, and lostAt when. Until movedUntil this node has handed the team over.
+	lost               bool
 	lostAt, movedUntil time.Duration
 	// warmUntil is until when the team may lack tokens because the owner began with few.
 	warmUntil time.Duration
--- a/internal/serve/hgcap/owner.go
+++ b/internal/serve/hgcap/owner.go
@@ -114,11 +114,14 @@
 	}
 	for name, t := range o.teams {
 		switch {
-		case t.lostAt == 0 && !owns(name):
-			t.lostAt = now
-		case t.lostAt > 0 && owns(name) && now >= t.movedUntil && now-t.lostAt < resumeTime:
+		case !owns(name):
+			if !t.lost {
+				t.lost, t.lostAt = true, now
+			}
+			t.movedUntil = 0
+		case t.lost && now >= t.movedUntil && now-t.lostAt < resumeTime:
 			// Nobody took the team over: it accrues nothing for the time between.
-			t.tokens.at, t.starts.at, t.lostAt = now, now, 0
+			t.tokens.at, t.starts.at, t.lost = now, now, false
 		}
 	}
 }
@@ -128,7 +131,7 @@
 	if now-o.ticked > pauseTime {
 		o.since, o.past = now, nil
 		for _, t := range o.teams {
-			t.lostAt = now - resumeTime
+			t.lost, t.lostAt = true, now-resumeTime
 		}
 	}
 	o.ticked = now
@@ -154,7 +157,7 @@
 	now := o.timer.Now()
 	o.detectPause(now)
 	t, known := o.teams[team]
-	if o.owns == nil || !o.owns(team) || known && (t.lostAt == 0 || now < t.movedUntil) {
+	if o.owns == nil || !o.owns(team) || known && (!t.lost || now < t.movedUntil) {
 		return false
 	}
 	ok, _ := o.owned(team, now)
@@ -194,7 +197,7 @@
 func (o *Owner) Adopt(team string, c hgteam.Cap, h Handover, answered bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if t, ok := o.teams[team]; ok && t.lostAt == 0 {
+	if t, ok := o.teams[team]; ok && !t.lost {
 		return
 	}
 	t := o.begin(team, c, !answered)
@@ -206,32 +209,29 @@
 	o.teams[team] = t
 }
 
-// Surrender hands a team over to another node. This node grants no tokens of it until it knows the other one as the owner.
+// Surrender hands a team over to another node. If this node takes itself for the owner, it grants no tokens until it knows the other one.
 func (o *Owner) Surrender(team string) (h Handover) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.timer.Now()
 	o.detectPause(now)
-	t, ok := o.teams[team]
-	if !ok {
-		o.teams[team] = &ownedTeam{lostAt: now, movedUntil: now + movedTime, used: newWindow(o.bounds.Window+lag, now), asked: now}
-		return h
-	}
-	old := t.lostAt > 0 && now-t.lostAt >= resumeTime
-	if t.lostAt == 0 {
-		t.lostAt = now
-	}
-	moved := now < t.movedUntil
-	t.movedUntil = now + movedTime
-	if old || moved {
-		return h
-	}
 	// A state that was lost a moment ago accrues nothing after that.
-	now = min(now, t.lostAt)
-	o.advance(t, t.cap, now)
-	return Handover{
-		Found: true, Tokens: t.tokens.tokens, Starts: t.starts.tokens, Requests: t.requests, Programs: t.programs, Used: t.used.newestFirst(),
+	if t, ok := o.teams[team]; ok && now >= t.movedUntil && (!t.lost || now-t.lostAt < resumeTime) {
+		if !t.lost {
+			o.advance(t, t.cap, now)
+		}
+		h = Handover{
+			Found: true, Tokens: t.tokens.tokens, Starts: t.starts.tokens, Requests: t.requests, Programs: t.programs, Used: t.used.newestFirst(),
+		}
+		if t.overUntil > 0 {
+			o.report(Over{Team: team, Refused: t.refused})
+		}
+	}
+	delete(o.teams, team)
+	if o.owns != nil && o.owns(team) {
+		o.teams[team] = &ownedTeam{lost: true, lostAt: now - resumeTime, movedUntil: now + movedTime, used: newWindow(o.bounds.Window+lag, now), asked: now}
 	}
+	return h
 }
 
 // Grant answers an ask for a lease, under the cap of the team that is in force at this node.
@@ -244,7 +244,7 @@
 	if o.owns == nil || !o.owns(q.Team) || ok && now < t.movedUntil {
 		return Grant{NotOwner: true}
 	}
-	if !ok || t.lostAt > 0 {
+	if !ok || t.lost {
 		t = o.begin(q.Team, c, false)
 		o.teams[q.Team] = t
 	}
@@ -374,10 +374,10 @@
 		if now-t.asked <= o.bounds.Window+lag || now < t.movedUntil || t.overUntil > 0 {
 			continue
 		}
-		if t.lostAt == 0 {
+		if !t.lost {
 			o.advance(t, t.cap, now)
 		}
-		if t.lostAt > 0 || t.tokens.tokens >= o.size(t.cap) {
+		if t.lost || t.tokens.tokens >= o.size(t.cap) {
 			delete(o.teams, name)
 		}
 	}
