hgcap, hgentry: requests that wait for a replica use one token

Cause: a request that waited for more than 0.4 s took a second token and lost the first, and tokens were returned to the owner for 1.6 s only. While replicas are busy, a team would have had half its cap.

Change: the first token is given back, to the slot of the window in which it was granted, as long as that slot is in the window.

--- a/internal/serve/hgcap/lease.go
+++ b/internal/serve/hgcap/lease.go
@@ -27,8 +27,8 @@
 	maxPause = 500 * time.Millisecond
 	// idleTime is how long the state of a team is kept without requests.
 	idleTime = 10 * time.Second
-	// maxUnused bounds the leases that are returned with one ask.
-	maxUnused = 8
+	// maxUnused bounds the leases that are returned with one ask: those of some seconds, at two to four a second.
+	maxUnused = 16
 )
 
 // Step is the result of a look at the leases. If it is not Decided, the caller has to wait for Done and look again.
@@ -118,13 +118,26 @@
 // expire turns expired leases into unused tokens.
 func (t *localTeam) expire(now time.Duration) {
 	for len(t.leases) > 0 && now >= t.leases[0].until {
-		if e := t.leases[0]; e.tokens > 0 && len(t.unused) < maxUnused {
-			t.unused = append(t.unused, Unused{Granted: e.granted, Tokens: e.tokens, Starts: e.starts})
+		if e := t.leases[0]; e.tokens > 0 {
+			t.giveUp(Unused{Granted: e.granted, Tokens: e.tokens, Starts: e.starts})
 		}
 		t.leases = t.leases[1:]
 	}
 }
 
+// giveUp adds tokens to those that are returned with the next ask.
+func (t *localTeam) giveUp(u Unused) {
+	for i := range t.unused {
+		if have := &t.unused[i]; have.Granted == u.Granted {
+			have.Tokens, have.Starts = have.Tokens+u.Tokens, have.Starts+u.Starts
+			return
+		}
+	}
+	if len(t.unused) < maxUnused {
+		t.unused = append(t.unused, u)
+	}
+}
+
 // held returns the tokens and starts of all leases.
 func (t *localTeam) held() (tokens, starts int) {
 	for _, e := range t.leases {
@@ -300,9 +313,7 @@
 			return
 		}
 	}
-	if len(t.unused) < maxUnused {
-		t.unused = append(t.unused, Unused{Granted: r.Leased, Tokens: 1, Starts: starts})
-	}
+	t.giveUp(Unused{Granted: r.Leased, Tokens: 1, Starts: starts})
 }
 
 // Evict drops the teams without recent requests.
--- a/internal/serve/hgcap/owner.go
+++ b/internal/serve/hgcap/owner.go
@@ -251,7 +251,7 @@
 	o.advance(t, c, now)
 	t.asked = now
 	if q.Boot == o.boot {
-		o.takeBack(t, q.Unused, now)
+		o.takeBack(t, q.Unused)
 	}
 	g = Grant{Granted: now, Boot: o.boot}
 	t.used.add(now, float64(max(q.Spent, 0)))
@@ -327,10 +327,10 @@
 	return max(1, min(asked, int(free*grantShare)))
 }
 
-// takeBack returns unused tokens to the buckets. Tokens of old leases are not returned, as the bucket has accrued others since; o.mu is held.
-func (o *Owner) takeBack(t *ownedTeam, unused []Unused, now time.Duration) {
+// takeBack returns unused tokens to the buckets, unless their lease has left the window; o.mu is held.
+func (o *Owner) takeBack(t *ownedTeam, unused []Unused) {
 	for _, u := range unused {
-		if u.Tokens <= 0 || now-u.Granted > 2*LeaseTime || !t.used.add(u.Granted, -float64(u.Tokens)) {
+		if u.Tokens <= 0 || !t.used.add(u.Granted, -float64(u.Tokens)) {
 			continue
 		}
 		t.tokens.tokens = min(t.tokens.tokens+float64(u.Tokens), o.size(t.cap))
--- a/internal/serve/hgentry/cap.go
+++ b/internal/serve/hgentry/cap.go
@@ -72,6 +72,9 @@
 		return true
 	}
 	q := x.capRequest()
+	if x.sent == 0 {
+		x.entry.caps.Return(hgcap.Request{Team: x.team}, x.capReply)
+	}
 	q.New = false // The start of the program is counted already.
 	reply := x.entry.caps.Take(x.ctx, q)
 	x.capReply, x.capAt = reply, x.entry.timer.Now()
