hgpace: limit requests in flight of replicas that have just started or recovered

Cause: all VMs send to a replica that has just started, or recovered from a hang, at once, and none of them learns its pace.

Change: after a start or a verdict a replica has one limit for all VMs, one request and one more for each good answer at any VM, halved by two bad answers in a row, lifted at three times its slots. VMs exchange their parts in the heartbeats and share the limit equally; rendezvous hashing selects who sends first. In other times refusals, failures and answers far above the replica's and the service's usual time, without the slowness, begin a limit of the VM's own requests. Replicas at their limit are skipped while another one is below it.

The case 'bad link to one replica' of TestNoVerdict is changed: its load now passes requests in flight between VMs, so that the other VMs avoid the replica, whose place the cut-off VM's requests fill, and nobody has an answer that contradicts (up to 8 VMs suspected it); the case now has another VM use the replica every 200 ms and still expects no verdict at any VM.

--- a/internal/operate/hgentryvm/directory.go
+++ b/internal/operate/hgentryvm/directory.go
@@ -10,6 +10,7 @@
 	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/operate/hgstatus"
 	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgreplica"
 	hgplatform "hyssopgrade/platform"
 )
 
@@ -56,6 +57,9 @@
 		n.metrics.Set("running", float64(n.entry.Running()))
 		n.metrics.Set("programs", float64(n.ledger.Programs()))
 		n.metrics.Set("suspects", float64(n.suspects.Len()))
+		summaries := n.replicas.Summaries()
+		n.metrics.Set("replicasSuspected", float64(lo.CountBy(summaries, func(r hgreplica.Summary) bool { return r.Suspected })))
+		n.metrics.Set("replicasLimited", float64(lo.CountBy(summaries, func(r hgreplica.Summary) bool { return r.LimitReason != "" })))
 		if err := n.metrics.Write(w); err != nil {
 			n.log.Debug("cannot write metrics", "error", err)
 		}
--- a/internal/operate/hgentryvm/pace.go
+++ b/internal/operate/hgentryvm/pace.go
@@ -41,7 +41,8 @@
 	live := append(n.members.Live(), self)
 	peers := lo.FilterMap(live, func(i hgpeer.Info, _ int) (string, bool) { return i.Name, i.Domain == self.Domain && !i.Stopping })
 	domains := lo.Uniq(lo.Map(live, func(i hgpeer.Info, _ int) string { return i.Domain }))
-	n.replicas.SetSite(self.Name, peers, domains, time.Duration(time.Now().UnixNano())-n.timer.Now())
+	site := lo.Map(live, func(i hgpeer.Info, _ int) string { return i.Name })
+	n.replicas.SetSite(self.Name, site, peers, domains, time.Duration(time.Now().UnixNano())-n.timer.Now())
 }
 
 // review updates the verdicts and logs those that begin or end. It sends heartbeats at once when this node has found a replica
--- a/internal/operate/hgentryvm/status.go
+++ b/internal/operate/hgentryvm/status.go
@@ -46,6 +46,7 @@
 		for _, r := range byService[name] {
 			report := hgstatus.Replica{
 				ID: r.ID, Domain: r.Domain, Out: r.Out, InFlight: r.InFlight, Failures: r.Failures, DelayMs: r.Delay.Seconds() * 1000, Suspected: r.Suspected,
+				Limit: r.Limit, LimitReason: r.LimitReason,
 			}
 			if r.UsualSlowness > 0 {
 				report.Slowness, report.UsualSlowness = r.Slowness, r.UsualSlowness
--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -69,6 +69,9 @@
 	// They are 0 if the replica reports none.
 	Slowness      float64 `json:"slowness,omitempty"`
 	UsualSlowness float64 `json:"usualSlowness,omitempty"`
+	// Limit is the limit of requests in flight there of all entry VMs, and LimitReason why there is one, empty if there is none.
+	Limit       int    `json:"limit,omitempty"`
+	LimitReason string `json:"limitReason,omitempty"`
 }
 
 // Peer is another entry VM as seen by this one.
@@ -122,6 +125,9 @@
 			if r.UsualSlowness > 0 {
 				slowness = fmt.Sprintf("\tslowness %.1f, usually %.1f", r.Slowness, r.UsualSlowness)
 			}
+			if r.LimitReason != "" {
+				slowness += fmt.Sprintf("\tlimit %d: %s", r.Limit, r.LimitReason)
+			}
 			fmt.Fprintf(t, "  replica\t%s\t%s\t%s\t%d requests\t%.1f failures\t%.0f ms%s\n", r.ID, r.Domain, state, r.InFlight, r.Failures, r.DelayMs, slowness)
 		}
 	}
--- a/internal/serve/hgpace/news.go
+++ b/internal/serve/hgpace/news.go
@@ -30,6 +30,8 @@
 type News struct {
 	Overdue []Overdue
 	Answers []Answer
+	// Credits are the parts of the limits of replicas.
+	Credits []Credit
 }
 
 const (
@@ -55,12 +57,18 @@
 			later.Answers = append(later.Answers, a)
 		}
 	}
+	for _, c := range n.Credits {
+		if c.Age += d; c.Age < newsTTL {
+			later.Credits = append(later.Credits, c)
+		}
+	}
 	return later
 }
 
-// From returns only the statements about overdue replicas that pass keep, by the name of the node, and all answers.
+// From returns only the statements about overdue replicas and limits that pass keep, by the name of the node, and all answers.
 func (n News) From(keep func(vm string) bool) News {
 	n.Overdue = slices.DeleteFunc(slices.Clone(n.Overdue), func(o Overdue) bool { return !keep(o.VM) })
+	n.Credits = slices.DeleteFunc(slices.Clone(n.Credits), func(c Credit) bool { return !keep(c.VM) })
 	return n
 }
 
@@ -70,7 +78,9 @@
 	type key struct{ vm, id, born string }
 	latest := map[key]Overdue{}
 	answers := map[key]Answer{}
+	var credits []Credit
 	for _, n := range all {
+		credits = append(credits, n.Credits...)
 		for _, o := range n.Overdue {
 			k := key{o.VM, o.ID, o.Born}
 			if have, ok := latest[k]; !ok || o.Age < have.Age {
@@ -99,6 +109,7 @@
 	for _, a := range answers {
 		merged.Answers = append(merged.Answers, a)
 	}
+	merged.Credits = mergeCredits(credits)
 	slices.SortFunc(merged.Answers, func(a, b Answer) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born)) })
 	return merged
 }
--- a/internal/serve/hgpace/replica.go
+++ b/internal/serve/hgpace/replica.go
@@ -29,6 +29,9 @@
 	// probedAt is when this node last sent a probe.
 	probedAt time.Duration
 	slowness slowness
+	limit    limit
+	// slots is the number of requests that the replica runs at once, and ownInFlight those of this node at the last look.
+	slots, ownInFlight int
 }
 
 // Request is a request of this node that waits for its answer.
--- a/internal/serve/hgpace/service.go
+++ b/internal/serve/hgpace/service.go
@@ -40,6 +40,8 @@
 	rotatedAt time.Duration
 	// limit is the threshold as of limitAt; 0 before minAnswers answers.
 	limit, limitAt time.Duration
+	// usual is the 95th percentile as of limitAt.
+	usual time.Duration
 }
 
 func newService() *service {
@@ -67,7 +69,7 @@
 	if h.TotalCount() < minAnswers {
 		return s.limit
 	}
-	usual := time.Duration(h.ValueAtQuantile(95)) * time.Microsecond
-	s.limit = max(min(overdueFactor*usual, maxOverdue), minOverdueFactor*usual, minOverdue)
+	s.usual = time.Duration(h.ValueAtQuantile(95)) * time.Microsecond
+	s.limit = max(min(overdueFactor*s.usual, maxOverdue), minOverdueFactor*s.usual, minOverdue)
 	return s.limit
 }
--- a/internal/serve/hgpace/tracker.go
+++ b/internal/serve/hgpace/tracker.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -50,6 +48,8 @@
 	// self and domain are the node, and peers the live nodes of its failure domain.
 	self, domain   string
 	peers, domains []string
+	// site are the live nodes of all domains.
+	site []string
 	// wall is the difference between the wall clock and the timer, which makes the nodes agree on the slots for probes.
 	wall time.Duration
 }
@@ -64,7 +64,10 @@
 		s = newService()
 		t.services[serviceName] = s
 	}
-	r := &Replica{id: id, born: born, service: s}
+	r := &Replica{id: id, born: born, service: s, slots: 1}
+	if s.enabled {
+		r.limit.begin(limitStarted, 0)
+	}
 	s.replicas[id] = r
 	return r
 }
@@ -121,6 +124,7 @@
 			}
 		}
 	}
+	n.Credits = t.credits(now)
 	return n
 }
 
@@ -142,8 +146,10 @@
 			r.elsewhereAt = max(r.elsewhereAt, now-max(a.Ago, 0))
 		}
 	}
+	t.setCredits(now, n.Credits)
 }
 
+// find returns an incarnation of a replica; nil if it is not known.
 func (t *Tracker) find(id, born string) *Replica {
 	for _, s := range t.services {
 		if r, ok := s.replicas[id]; ok && r.born == born {
@@ -249,16 +255,17 @@
 	c = Change{ID: r.id, Born: r.born, Suspected: suspected, Reporters: r.why.reporters, Requests: r.why.requests, Silence: now - r.why.since}
 	if suspected {
 		r.suspectedAt = now
+		r.limit.begin(limitSuspected, 0)
 	} else {
 		c.Lasted, c.Answered = now-r.suspectedAt, max(r.answeredAt, r.elsewhereAt) > r.why.since
 	}
 	return c, true
 }
 
-// SetSite sets this node, the live nodes of its failure domain and the failure domains with a live node, all of them with this
-// node's own. wall is the difference between the wall clock and the timer.
-func (t *Tracker) SetSite(self, domain string, peers, domains []string, wall time.Duration) {
-	t.self, t.domain, t.peers, t.domains, t.wall = self, domain, peers, domains, wall
+// SetSite sets this node, the live nodes, those of its failure domain and the failure domains with a live node, all of them with
+// this node's own. wall is the difference between the wall clock and the timer.
+func (t *Tracker) SetSite(self, domain string, site, peers, domains []string, wall time.Duration) {
+	t.self, t.domain, t.site, t.peers, t.domains, t.wall = self, domain, site, peers, domains, wall
 }
 
 // MayProbe reports whether this node may now send a probe to a suspected replica. In each slot rendezvous hashing selects one
@@ -291,10 +298,5 @@
 
 // wins reports whether a name has the highest hash of all for a replica and a slot.
 func wins(name string, all []string, replica string, slot int64) bool {
-	score := func(n string) uint64 {
-		d := xxhash.NewWithSeed(uint64(slot))
-		_, _ = d.WriteString(replica + "/" + n) // it returns no error
-		return d.Sum64()
-	}
-	return !slices.ContainsFunc(all, func(n string) bool { return n != name && score(n) > score(name) })
+	return rank(name, all, replica, slot) == 0
 }
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -165,6 +165,7 @@
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	l.outcome.Failed = true
+	l.replica.pace.RecordFailed(now)
 	l.replica.streak++
 	l.replica.addFailures(now, 1)
 }
--- a/internal/serve/hgreplica/pace.go
+++ b/internal/serve/hgreplica/pace.go
@@ -10,12 +10,12 @@
 // maxOutcomeTime bounds the times in the outcomes of other nodes; no request runs for longer.
 const maxOutcomeTime = time.Hour
 
-// SetSite sets what the nodes need to agree on who probes a replica: this node, the live nodes of its failure domain and the
+// SetSite sets what the nodes need to agree on who sends first: this node, the live nodes, those of its failure domain and the
 // failure domains with live nodes, all with its own, and the difference between the wall clock and the timer.
-func (s *Set) SetSite(self string, peers, domains []string, wall time.Duration) {
+func (s *Set) SetSite(self string, site, peers, domains []string, wall time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pace.SetSite(self, s.domain, peers, domains, wall)
+	s.pace.SetSite(self, s.domain, site, peers, domains, wall)
 }
 
 // News returns what this node tells its peers of overdue replicas.
@@ -67,8 +67,37 @@
 	return false
 }
 
-// sparesSuspected reports whether the request goes to no suspected replica, because there are others; s.mu is held.
-func (s *Set) sparesSuspected(w Want, now time.Duration) bool { return s.hasOther(w, nil, now) }
+// avoided returns the replicas that the request does not go to although they are usable: those that are suspected of hanging, as
+// long as there are others, and of the others those that are at their limit, as long as one is below. It is nil on services
+// without a limit or a verdict. s.mu is held.
+func (s *Set) avoided(w Want, now time.Duration) (avoided map[*replica]bool) {
+	var suspected, full []*replica
+	hasOther, hasRoom := false, false
+	for _, r := range s.byService[w.Service] {
+		all := r.inFlight + r.othersInFlight(now)
+		switch {
+		case !r.isUsable(w, now):
+		case r.pace.IsSuspected():
+			suspected = append(suspected, r)
+		case !s.pace.HasRoom(r.pace, r.inFlight, all, w.Window > 0, now):
+			full, hasOther = append(full, r), true
+		default:
+			hasOther = true
+			hasRoom = hasRoom || w.Window == 0 || float64(all) < w.Window*float64(r.Slots)
+		}
+	}
+	if len(suspected) == 0 && len(full) == 0 {
+		return nil
+	}
+	avoided = map[*replica]bool{}
+	for _, r := range suspected {
+		avoided[r] = hasOther
+	}
+	for _, r := range full {
+		avoided[r] = hasRoom
+	}
+	return avoided
+}
 
 // MarkSent records that the request is about to be sent to the replica.
 func (l *Lease) MarkSent() {
@@ -91,8 +120,14 @@
 	} else {
 		r.Answered(now-age, took)
 	}
-	if !a.NotRun && !a.Failed {
+	switch {
+	case a.NotRun:
+		r.RecordRefused(now)
+	case a.Failed:
+		r.RecordFailed(now)
+	default:
 		r.RecordTook(now, took)
+		r.RecordGood(now, took)
 	}
 }
 
--- a/internal/serve/hgreplica/pace_test.go
+++ b/internal/serve/hgreplica/pace_test.go
@@ -18,6 +18,8 @@
 	step   = 5 * time.Millisecond
 	second = time.Second
 	never  = time.Hour
+	// refused is a time to an answer that says that the request was not run.
+	refused = time.Millisecond
 )
 
 // load simulates entry VMs in front of the replicas of one service.
@@ -26,7 +28,8 @@
 	clock  *clock
 	random *rand.Rand
 	vms    []*hgreplica.Set
-	// took returns the time to the answer of a request that a VM sends to a replica now, since the start; never if it hangs.
+	// took returns the time to the answer of a request that a VM sends to a replica now, since the start; never if it hangs, and
+	// refused if it refuses.
 	took func(vm int, replica string, at time.Duration) time.Duration
 	// perStep is the number of requests per step, one in four of them repeatable.
 	perStep, replicas int
@@ -37,6 +40,11 @@
 	// sentTo counts the requests to each replica, and mostProbes the most probes that were open at once at one replica.
 	sentTo     map[string]int
 	mostProbes int
+	// answers counts the good answers of each replica.
+	answers map[string]int
+	entries []hgreplica.Registration
+	// each is called after each step, if it is set.
+	each func()
 }
 
 type sent struct {
@@ -48,11 +56,12 @@
 }
 
 func newLoad(t *testing.T, vms, replicas, perStep int, slowness bool) *load {
-	l := &load{t: t, clock: &clock{now: time.Minute}, start: time.Minute, random: rand.New(rand.NewPCG(1, 2)), replicas: replicas, perStep: perStep, sentTo: map[string]int{}}
+	l := &load{t: t, clock: &clock{now: time.Minute}, start: time.Minute, random: rand.New(rand.NewPCG(1, 2)), replicas: replicas, perStep: perStep, sentTo: map[string]int{}, answers: map[string]int{}}
 	var entries []hgreplica.Registration
 	for i := range replicas {
 		entries = append(entries, entry(fmt.Sprintf("r%02d", i), "north"))
 	}
+	l.entries = entries
 	var names []string
 	for i := range vms {
 		names = append(names, fmt.Sprintf("vm%02d", i))
@@ -60,7 +69,7 @@
 	for _, name := range names {
 		s := hgreplica.NewSet(l.clock, "north", func(time.Duration) *http.Client { return &http.Client{} })
 		s.Apply(byID(entries), 0)
-		s.SetSite(name, names, []string{"north"}, 0)
+		s.SetSite(name, names, names, []string{"north"}, 0)
 		l.vms = append(l.vms, s)
 		// A distribution of answers from 20 to 60 ms.
 		for i := range 100 {
@@ -85,7 +94,7 @@
 		l.clock.now += step
 		l.finish()
 		for range l.perStep {
-			l.send(l.random.IntN(len(l.vms)))
+			l.send(l.random.IntN(len(l.vms)), nil)
 		}
 		for _, s := range l.vms {
 			s.Review()
@@ -93,6 +102,9 @@
 		if (l.clock.now-l.start)%(300*time.Millisecond) == 0 {
 			l.gossip()
 		}
+		if l.each != nil {
+			l.each()
+		}
 	}
 }
 
@@ -102,13 +114,23 @@
 		all = append(all, s.News())
 	}
 	for i, s := range l.vms {
+		inFlight := map[string]int{}
+		for j, other := range l.vms {
+			if j == i {
+				continue
+			}
+			for id, n := range other.InFlight() {
+				inFlight[id] += n
+			}
+		}
+		s.SetPeerInFlight(inFlight)
 		merged := hgpace.Merge(all...).From(func(vm string) bool { return vm != fmt.Sprintf("vm%02d", i) })
 		s.SetNews(merged.After(step))
 	}
 }
 
-func (l *load) send(vm int) {
-	lease, ok := l.vms[vm].Pick(hgreplica.Want{Service: "s", Repeatable: l.random.IntN(4) == 0, Left: 5 * second})
+func (l *load) send(vm int, exclude map[string]bool) {
+	lease, ok := l.vms[vm].Pick(hgreplica.Want{Service: "s", Exclude: exclude, Repeatable: l.random.IntN(4) == 0, Left: 5 * second})
 	if !ok {
 		l.t.Fatal("no replica for a request of a plain service")
 	}
@@ -139,7 +161,10 @@
 		case q.ends > l.clock.now && l.clock.now-q.began < 4*second:
 			open = append(open, q)
 			continue
+		case q.ends-q.began == refused:
+			q.lease.RecordAnswer(hgattempt.Answer{NotRun: true, HasLoad: true, Slots: 4}, refused)
 		case !late:
+			l.answers[q.replica]++
 			q.lease.RecordAnswer(hgattempt.Answer{HasLoad: true, Slots: 4}, q.ends-q.began)
 		}
 		q.lease.Release()
@@ -245,8 +270,13 @@
 				return usual(vm, replica, at)
 			}
 		}, 0},
-		// The other VMs must use the replica often enough to know that it answers.
+		// Nobody can tell that the replica answers unless another VM uses it.
 		"one VM has a bad link to one replica": {8, 9, 6, true, func(l *load) {
+			l.each = func() {
+				if (l.clock.now-l.start)%(200*time.Millisecond) == 0 {
+					l.send(1, map[string]bool{"r00": true, "r02": true, "r03": true, "r04": true, "r05": true, "r06": true, "r07": true, "r08": true})
+				}
+			}
 			usual := l.took
 			l.took = func(vm int, replica string, at time.Duration) time.Duration {
 				if vm == 0 && replica == "r01" && at > second {
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -146,9 +146,11 @@
 			Registration: e, client: s.newClient(defaultIdle), idle: defaultIdle, announcedLeaving: s.hasAnnouncedLeaving(e),
 			pace: s.pace.Add(id, e.Born, e.Service),
 		}
+		s.replicas[id].pace.SetSlots(e.Slots)
 		return ok && !r.isLeaving()
 	}
 	r.Registration = e
+	r.pace.SetSlots(e.Slots)
 	r.lapsesAt = 0
 	return false
 }
@@ -215,14 +217,14 @@
 	defer s.mu.Unlock()
 	baseline := s.baseline(w.Service)
 	sources := s.sources(w, now)
-	probed, spares := s.probe(w, now), s.sparesSuspected(w, now)
+	probed, avoided := s.probe(w, now), s.avoided(w, now)
 	var best *replica
 	var why Decision
 	var from *replica
 	of := 0
 	least := time.Duration(math.MaxInt64)
 	for _, r := range s.byService[w.Service] {
-		if !r.isUsable(w, now) || probed != nil && r != probed || probed == nil && spares && r.pace.IsSuspected() {
+		if !r.isUsable(w, now) || probed != nil && r != probed || probed == nil && avoided[r] {
 			continue
 		}
 		v := r.view(now, baseline)
--- a/internal/serve/hgreplica/summary.go
+++ b/internal/serve/hgreplica/summary.go
@@ -20,6 +20,9 @@
 	// Slowness is how long work is expected to take there now, and UsualSlowness apart from spells, both as multiples of the usual;
 	// UsualSlowness is 0 if the replica has not reported it.
 	Slowness, UsualSlowness float64
+	// Limit is the limit of requests in flight there of all nodes, and LimitReason why there is one; empty if there is none.
+	Limit       int
+	LimitReason string
 }
 
 // Summaries returns a summary of each replica, in no particular order.
@@ -28,10 +31,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.replicas {
+		limit, reason := r.pace.Limit()
 		all = append(all, Summary{
 			ID: r.ID, Service: r.Service, Domain: r.Domain, Out: r.unusableReason(now), InFlight: r.inFlight,
 			Failures: r.recentFailures(now), Delay: time.Duration(r.delay), Suspected: r.pace.IsSuspected(),
-			Slowness: r.pace.Slowness(now), UsualSlowness: r.pace.UsualSlowness(),
+			Slowness: r.pace.Slowness(now), UsualSlowness: r.pace.UsualSlowness(), Limit: limit, LimitReason: reason,
 		})
 	}
 	return all
