hghostile: crowds of clients that nobody controls, against the process itself

The tests start 'hyssopgrade entry' with 64 MB and 256 descriptors, one crowd a case, and check that it lives, answers an ordinary request while the crowd stays connected, and that the peak of its resident memory (VmHWM) and its open descriptors stay within the settings. vm.maxDescriptors is read and filled in by the template from limits.max_fds, and has no effect yet.

--- a/internal/operate/hgconfig/entry_test.go
+++ b/internal/operate/hgconfig/entry_test.go
@@ -27,7 +27,7 @@
 	}
 	// The platform repeats this section for each failure domain.
 	text := regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`).ReplaceAllStringFunc(string(data), func(string) string { return `"north","south"` })
-	for _, m := range regexp.MustCompile(`\{\{#(bounds\.[a-z_]+)\}\}(.*)\{\{/bounds\.[a-z_]+\}\}`).FindAllStringSubmatch(text, -1) {
+	for _, m := range regexp.MustCompile(`\{\{#((?:bounds|limits)\.[a-z_]+)\}\}(.*)\{\{/(?:bounds|limits)\.[a-z_]+\}\}`).FindAllStringSubmatch(text, -1) {
 		section := ""
 		if v, ok := optional[m[1]]; ok {
 			section = strings.ReplaceAll(m[2], "{{.}}", v)
@@ -56,6 +56,23 @@
 	}
 }
 
+// Guards against a template that does not pass the VM's limit on descriptors on, or that needs one.
+func TestMaxDescriptors(t *testing.T) {
+	for value, want := range map[string]float64{"": 0, "4100": 4100} {
+		optional := map[string]string{}
+		if value != "" {
+			optional["limits.max_fds"] = value
+		}
+		e, err := hgconfig.ParseEntry(filledTemplate(t, optional))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e.VM.MaxDescriptors != want {
+			t.Errorf("%g descriptors, want %g", e.VM.MaxDescriptors, want)
+		}
+	}
+}
+
 func TestBoundsOnTeams(t *testing.T) {
 	e, err := hgconfig.ParseEntry(filledTemplate(t, map[string]string{
 		"bounds.strict_revoke": "true", "bounds.revoke_ms": "5000", "bounds.quota_window_s": "5", "bounds.quota_overage": "0.1", "bounds.quota_slack": "20",
--- /dev/null
+++ b/internal/proof/hghostile/process_test.go
@@ -0,0 +1,176 @@
+package hghostile_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/proof/hgsite"
+)
+
+const (
+	// memoryMB is the memory of the VM under test, and maxDescriptors the number of its descriptors. Both are small, so that a
+	// crowd of hundreds of clients exceeds them if nothing bounds it.
+	memoryMB       = 64
+	maxDescriptors = 256
+	// answerLimit is how long the process may need to answer an ordinary request again. It is long, as the machine may be loaded.
+	answerLimit = 60 * time.Second
+	// settleTime is how long a crowd stays connected before the check, so that the process has read what the system holds for it.
+	settleTime = 3 * time.Second
+	// samplePeriod is the time between two counts of open descriptors.
+	samplePeriod = 10 * time.Millisecond
+)
+
+// binary is the path of the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hghostile")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "hyssopgrade")
+	if out, err := exec.Command("go", "build", "-o", binary, "hyssopgrade/cmd/hyssopgrade").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// vm is an entry VM that runs as a process of its own.
+type vm struct {
+	site   *hgsite.Site
+	cfg    hgconfig.EntryConfig
+	pid    int
+	exited chan struct{}
+	// exit is the error of the process's end; it is set once exited is closed.
+	exit   error
+	stderr bytes.Buffer
+	// descriptors is the largest number of open descriptors that was seen.
+	descriptors atomic.Int64
+}
+
+// startVM starts a store, replicas and the process of one entry VM, and waits until it serves.
+func startVM(t *testing.T) *vm {
+	t.Helper()
+	s, err := hgsite.NewSite(0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	cfg, err := s.AddConfig(s.StoreAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memoryMB, maxDescriptors
+	v := &vm{site: s, cfg: cfg, exited: make(chan struct{})}
+	var settings bytes.Buffer
+	if err := toml.NewEncoder(&settings).Encode(cfg); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "vm.toml")
+	if err := os.WriteFile(path, settings.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(binary, "entry", "--config", path)
+	cmd.Stderr = &v.stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	v.pid = cmd.Process.Pid
+	go func() {
+		v.exit = cmd.Wait()
+		close(v.exited)
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill() // an error means that it has exited
+		<-v.exited
+	})
+	v.checkAnswers(t)
+	go v.sample()
+	return v
+}
+
+// sample keeps the peak of the number of open descriptors until the process exits.
+func (v *vm) sample() {
+	for {
+		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.pid)); err == nil {
+			v.descriptors.Store(max(v.descriptors.Load(), int64(len(open))))
+		}
+		select {
+		case <-v.exited:
+			return
+		case <-time.After(samplePeriod):
+		}
+	}
+}
+
+// residentMB returns the peak of the process's resident memory (VmRSS), which the system keeps as VmHWM.
+func (v *vm) residentMB(t *testing.T) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(rest + " 0")[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kb >> 10
+}
+
+// checkAnswers checks that an ordinary request is answered, while the clients of the crowd stay connected.
+func (v *vm) checkAnswers(t *testing.T) {
+	t.Helper()
+	last := "no answer"
+	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-v.exited:
+			t.Fatalf("the process exited: %v: %.2000s", v.exit, v.stderr.String())
+		default:
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
+		q.NewConn = true
+		reply, err := v.site.Call(ctx, 0, q)
+		cancel()
+		switch {
+		case err != nil:
+			last = err.Error()
+		case reply.Status == http.StatusOK && reply.Complete:
+			return
+		default:
+			last = fmt.Sprintf("status %d: %.100s", reply.Status, reply.Body)
+		}
+	}
+	t.Errorf("no ordinary request was answered: %s", last)
+}
+
+// check checks that the process lives, serves, and has stayed within the memory and the descriptors of its VM.
+func (v *vm) check(t *testing.T) {
+	t.Helper()
+	time.Sleep(settleTime)
+	v.checkAnswers(t)
+	resident, descriptors := v.residentMB(t), v.descriptors.Load()
+	t.Logf("peaks: %d MB resident, %d descriptors", resident, descriptors)
+	if resident > memoryMB {
+		t.Errorf("%d MB resident, want %d at most", resident, memoryMB)
+	}
+	if descriptors > maxDescriptors {
+		t.Errorf("%d descriptors open, want %d at most", descriptors, maxDescriptors)
+	}
+}
