--- a/internal/operate/hgconfig/config.go
+++ b/internal/operate/hgconfig/config.go
@@ -110,6 +110,10 @@
 	CompactRecords int `toml:"compactRecords"`
 	// Subset is the largest number of endpoints per target that a node uses.
 	Subset int `toml:"subset"`
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes, and MaxDescriptors the number of its file
+	// descriptors; 0 means that the machine sets no limit.
+	MemoryMB       int `toml:"memoryMb"`
+	MaxDescriptors int `toml:"maxDescriptors"`
 }
 
 // Endpoint describes an engine or a tool that the node sends calls to.
@@ -162,6 +166,8 @@
 		bound("limits.maxBodyBytes", l.MaxBodyBytes, 1<<10, 64<<20),
 		bound("limits.compactRecords", l.CompactRecords, 10, 1<<30),
 		bound("limits.subset", l.Subset, 1, 1000),
+		bound("limits.memoryMb", l.MemoryMB, 0, 1<<20),
+		bound("limits.maxDescriptors", l.MaxDescriptors, 0, 1<<24),
 	}
 }
 
--- a/internal/proof/hghostile/process_test.go
+++ b/internal/proof/hghostile/process_test.go
@@ -50,10 +50,10 @@
 	os.Exit(code)
 }
 
-// vm is an entry VM that runs as a process of its own.
-type vm struct {
-	site   *hgsite.Site
-	cfg    hgconfig.EntryConfig
+// process is a process of the system under test.
+type process struct {
+	// ask sends an ordinary request and returns what is wrong with the answer; "" if it is complete.
+	ask    func(ctx context.Context) (fault string)
 	pid    int
 	exited chan struct{}
 	// exit is the error of the process's end; it is set once exited is closed.
@@ -63,6 +63,13 @@
 	descriptors atomic.Int64
 }
 
+// vm is an entry VM that runs as a process of its own.
+type vm struct {
+	*process
+	site *hgsite.Site
+	cfg  hgconfig.EntryConfig
+}
+
 // startVM starts a store, replicas and the process of one entry VM, and waits until it serves.
 func startVM(t *testing.T) *vm {
 	t.Helper()
@@ -76,42 +83,60 @@
 		t.Fatal(err)
 	}
 	cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memoryMB, maxDescriptors
-	v := &vm{site: s, cfg: cfg, exited: make(chan struct{})}
+	return &vm{site: s, cfg: cfg, process: startProcess(t, "entry", cfg, func(ctx context.Context) (fault string) {
+		q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
+		q.NewConn = true
+		reply, err := s.Call(ctx, 0, q)
+		switch {
+		case err != nil:
+			return err.Error()
+		case reply.Status != http.StatusOK || !reply.Complete:
+			return fmt.Sprintf("status %d: %.100s", reply.Status, reply.Body)
+		}
+		return ""
+	})}
+}
+
+// startProcess starts the program with the command and the settings, and waits until it answers.
+func startProcess(t *testing.T, command string, cfg any, ask func(ctx context.Context) string, env ...string) *process {
+	t.Helper()
+	p := &process{ask: ask, exited: make(chan struct{})}
 	var settings bytes.Buffer
 	if err := toml.NewEncoder(&settings).Encode(cfg); err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "vm.toml")
+	path := filepath.Join(t.TempDir(), "settings.toml")
 	if err := os.WriteFile(path, settings.Bytes(), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(binary, "entry", "--config", path)
-	cmd.Stderr = &v.stderr
+	cmd := exec.Command(binary, command, "--config", path)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stderr = &p.stderr
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	v.pid = cmd.Process.Pid
+	p.pid = cmd.Process.Pid
 	go func() {
-		v.exit = cmd.Wait()
-		close(v.exited)
+		p.exit = cmd.Wait()
+		close(p.exited)
 	}()
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill() // an error means that it has exited
-		<-v.exited
+		<-p.exited
 	})
-	v.checkAnswers(t)
-	go v.sample()
-	return v
+	p.checkAnswers(t)
+	go p.sample()
+	return p
 }
 
 // sample keeps the peak of the number of open descriptors until the process exits.
-func (v *vm) sample() {
+func (p *process) sample() {
 	for {
-		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.pid)); err == nil {
-			v.descriptors.Store(max(v.descriptors.Load(), int64(len(open))))
+		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid)); err == nil {
+			p.descriptors.Store(max(p.descriptors.Load(), int64(len(open))))
 		}
 		select {
-		case <-v.exited:
+		case <-p.exited:
 			return
 		case <-time.After(samplePeriod):
 		}
@@ -119,9 +144,9 @@
 }
 
 // residentMB returns the peak of the process's resident memory (VmRSS), which the system keeps as VmHWM.
-func (v *vm) residentMB(t *testing.T) int {
+func (p *process) residentMB(t *testing.T) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,38 +159,31 @@
 }
 
 // checkAnswers checks that an ordinary request is answered, while the clients of the crowd stay connected.
-func (v *vm) checkAnswers(t *testing.T) {
+func (p *process) checkAnswers(t *testing.T) {
 	t.Helper()
 	last := "no answer"
 	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		select {
-		case <-v.exited:
-			t.Fatalf("the process exited: %v: %.2000s", v.exit, v.stderr.String())
+		case <-p.exited:
+			t.Fatalf("the process exited: %v: %.2000s", p.exit, p.stderr.String())
 		default:
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
-		q.NewConn = true
-		reply, err := v.site.Call(ctx, 0, q)
+		last = p.ask(ctx)
 		cancel()
-		switch {
-		case err != nil:
-			last = err.Error()
-		case reply.Status == http.StatusOK && reply.Complete:
+		if last == "" {
 			return
-		default:
-			last = fmt.Sprintf("status %d: %.100s", reply.Status, reply.Body)
 		}
 	}
 	t.Errorf("no ordinary request was answered: %s", last)
 }
 
 // check checks that the process lives, serves, and has stayed within the memory and the descriptors of its VM.
-func (v *vm) check(t *testing.T) {
+func (p *process) check(t *testing.T) {
 	t.Helper()
 	time.Sleep(settleTime)
-	v.checkAnswers(t)
-	resident, descriptors := v.residentMB(t), v.descriptors.Load()
+	p.checkAnswers(t)
+	resident, descriptors := p.residentMB(t), p.descriptors.Load()
 	t.Logf("peaks: %d MB resident, %d descriptors", resident, descriptors)
 	if resident > memoryMB {
 		t.Errorf("%d MB resident, want %d at most", resident, memoryMB)
