hgmemory, hgentry, hgserver, hgpeer: request memory of an entry VM is bounded

Cause: readBody read each body in full into a growing slice of its own, nothing bounded connections or unfinished heads, and net/rpc let gob allocate what a peer's message declares.

Change: hgmemory.Bodies charges the bytes of all bodies of a VM as they arrive, in blocks; at its limit the unfinished body with the largest product of bytes and time gives way, small bodies give way to small ones only and have a reserve. A body has to be whole by the request's deadline and keep a least pace (408); one that finds no memory gets 503, not run; 413 as soon as the size is known, with a bounded lingering close. hgserver bounds connections and bytes of unfinished heads; the longest idle connection is closed first. hgpeer charges a message of a peer before gob allocates it, and closes the longest silent connection. Near Go's memory limit only small bodies are taken. Counters by reason, one log line per 5 s; lines about single closed connections are bounded.

--- a/cmd/hyssopgrade/entry.go
+++ b/cmd/hyssopgrade/entry.go
@@ -19,9 +19,6 @@
 // logQueueLines is the number of log lines that may wait for a slow output; further ones are dropped and counted.
 const logQueueLines = 4096
 
-// memoryShare is the share of the VM's memory that is set as the soft memory limit of the Go runtime.
-const memoryShare = 0.6
-
 func entryCommand() *cli.Command {
 	return &cli.Command{
 		Name: "entry", Usage: "run an entry VM of the users' platform until SIGTERM",
@@ -44,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(cfg.VM.MemoryMB * (1 << 20) * memoryShare))
+	debug.SetMemoryLimit(int64(cfg.VM.MemoryMB * (1 << 20) * hgentryvm.MemoryShare))
 	n, err := hgentryvm.NewNode(cfg, log)
 	if err != nil {
 		return err
--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -35,7 +35,11 @@
 	// storeTimeout bounds one operation of the store. Answers usually take 4 ms, and a few hundred when the store is slow.
 	storeTimeout = 900 * time.Millisecond
 	// headerTimeout bounds the time a client may take to send the header of a request.
-	headerTimeout = 30 * time.Second
+	headerTimeout = 15 * time.Second
+	// readTimeout and writeTimeout bound a whole request and its answer at the ports for readiness, the directory and metrics, which
+	// take no bodies and send a few KB.
+	readTimeout  = 20 * time.Second
+	writeTimeout = 60 * time.Second
 	// idleTimeout is how long connections of callers stay open without a request. It is longer than
 	// any caller reuses an idle connection.
 	idleTimeout = 5 * time.Minute
@@ -70,6 +74,7 @@
 	suspectRows hgfeed.RowCache[hgsuspect.Row]
 	metrics     *hgtelemetry.Recorder
 	suspects    *suspects
+	bounds      *bounds
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -103,6 +108,7 @@
 	n.reach = reach{monitor: hgreach.NewMonitor(), timer: n.timer}
 	n.store = hgplatform.NewStore(cfg.Store.Address, storeTimeout, n.reach)
 	n.metrics = hgtelemetry.NewRecorder(log)
+	n.bounds = newBounds(cfg.VM, log, n.metrics.Count, n.timer)
 	n.members = hgpeer.NewMembers(n.timer, hgpeer.Info{
 		Name: cfg.VM.Name, Boot: boot, Peer: cfg.Listen.Peer, Public: cfg.Listen.Public, Domain: cfg.VM.Domain,
 		Power: cfg.VM.CPUShare * cfg.VM.Cores, Started: time.Now().UnixMilli(), Joining: !cfg.VM.FirstStart,
@@ -117,11 +123,11 @@
 	programs := hgpeer.NewPrograms(n.ledger, n.members, n.client, log)
 	n.places = hgpeer.NewPlaces(hgplacer.NewPlacer(n.replicas, n.timer), n.replicas, n.members, n.client, log)
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.replicas, n.timer, log, n.metrics, n.suspects,
-		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)))
-	n.public = hgserver.NewServer(&http.Server{
+		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)), n.bounds.entryOption())
+	n.public = n.bounds.server(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
-	}, log)
+	}, publicPart)
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, wait),
@@ -141,11 +147,19 @@
 	if err := n.listen(n.cfg.Listen.Public, n.public.Serve); err != nil {
 		return err
 	}
-	for address, handler := range map[string]http.Handler{
-		n.cfg.Listen.Ready: n.readyHandler(), n.cfg.Listen.Directory: n.directoryHandler(), n.cfg.Listen.Metrics: n.metricsHandler(),
+	for _, port := range []struct {
+		address string
+		handler http.Handler
+		part    float64
+	}{
+		{n.cfg.Listen.Ready, n.readyHandler(), operatorPart}, {n.cfg.Listen.Directory, n.directoryHandler(), directoryPart},
+		{n.cfg.Listen.Metrics, n.metricsHandler(), operatorPart},
 	} {
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		if err := n.listen(address, srv.Serve); err != nil {
+		srv := n.bounds.server(&http.Server{
+			Handler: port.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		}, port.part)
+		if err := n.listen(port.address, srv.Serve); err != nil {
 			return err
 		}
 	}
@@ -157,6 +171,7 @@
 	n.timer.Every(minRetention/4, n.evict)
 	n.timer.Every(savePeriod, n.saveBudgets)
 	n.timer.Every(reachPeriod, n.watchStore)
+	n.timer.Every(heapPeriod, n.bounds.watchHeap)
 	n.timer.Every(suspectPeriod, n.suspects.save)
 	n.timer.Every(removePeriod, n.removeGone)
 	// A node that has run for minRetention counts as knowing all programs of its failure domain within the retention time
@@ -171,7 +186,7 @@
 	if n.tlsConfig != nil {
 		l = tls.NewListener(l, n.tlsConfig)
 	}
-	return hgpeer.Serve(l, (*peerHandler)(n))
+	return hgpeer.Serve(l, (*peerHandler)(n), n.bounds.peers(n.timer))
 }
 
 // listen opens a TCP listener and serves it in the background until the node ends.
--- a/internal/operate/hgloss/cause.go
+++ b/internal/operate/hgloss/cause.go
@@ -30,6 +30,9 @@
 	RefusedBusy       Cause = "busy"
 	RefusedNoReplica  Cause = "noPlace"
 	RefusedNotReady   Cause = "notReady"
+	RefusedMemory     Cause = "memory"
+	RefusedSlow       Cause = "slowBody"
+	RefusedSize       Cause = "bodySize"
 	FailedNotStored   Cause = "notStored"
 	FailedBrokeOff    Cause = "brokeOff"
 	FailedTool        Cause = "toolFailed"
@@ -48,6 +51,9 @@
 	{"no replica", RefusedNoReplica},
 	{"the service has no replica", RefusedNoReplica},
 	{"no desired state", RefusedNotReady},
+	{"no memory is left for request bodies", RefusedMemory},
+	{"body came too slowly", RefusedSlow},
+	{"body is too large", RefusedSize},
 	{"turn could not be kept", FailedNotStored},
 	{"stream broke off: turn is longer", FailedTokenBudget},
 	{"stream broke off", FailedBrokeOff},
--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -83,39 +83,6 @@
 	return nil
 }
 
-// Serve handles the calls of peers on a listener until it is closed. It then closes all connections and returns the error of
-// Accept.
-func Serve(l net.Listener, h Handler) (err error) {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName(rpcName, service{h}); err != nil {
-		return trace.Wrap(err)
-	}
-	var mu sync.Mutex
-	conns := map[net.Conn]bool{}
-	defer func() {
-		mu.Lock()
-		defer mu.Unlock()
-		for conn := range conns {
-			conn.Close()
-		}
-	}()
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		mu.Lock()
-		conns[conn] = true
-		mu.Unlock()
-		go func() {
-			srv.ServeConn(conn)
-			mu.Lock()
-			delete(conns, conn)
-			mu.Unlock()
-		}()
-	}
-}
-
 // Client calls peers over one connection to each; it is safe for concurrent use.
 type Client struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/peer/hgpeer/silentowner_test.go
+++ b/internal/peer/hgpeer/silentowner_test.go
@@ -67,7 +67,7 @@
 	}
 	defer l.Close()
 	owner := &pausedOwner{resume: make(chan struct{})}
-	go func() { _ = hgpeer.Serve(l, owner) }() // ends with the listener
+	go func() { _ = hgpeer.Serve(l, owner, hgpeer.Bounds{}) }() // ends with the listener
 	timer := hgtimer.NewService()
 	defer timer.Close()
 	m := hgpeer.NewMembers(timer, hgpeer.Info{Name: "self", Boot: "self/1", Started: 1, Ready: true})
--- a/internal/peer/hgpeer/tls_test.go
+++ b/internal/peer/hgpeer/tls_test.go
@@ -52,7 +52,7 @@
 	if cfg != nil {
 		l = tls.NewListener(l, cfg)
 	}
-	go func() { _ = hgpeer.Serve(l, echo{}) }()
+	go func() { _ = hgpeer.Serve(l, echo{}, hgpeer.Bounds{}) }()
 	return address
 }
 
--- a/internal/proof/hghostile/process_test.go
+++ b/internal/proof/hghostile/process_test.go
@@ -71,7 +71,10 @@
 }
 
 // startVM starts a store, replicas and the process of one entry VM, and waits until it serves.
-func startVM(t *testing.T) *vm {
+func startVM(t *testing.T) *vm { return startVMOf(t, memoryMB) }
+
+// startVMOf is startVM for a VM with the given memory.
+func startVMOf(t *testing.T, memory float64) *vm {
 	t.Helper()
 	s, err := hgsite.NewSite(0, nil)
 	if err != nil {
@@ -82,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memoryMB, maxDescriptors
+	cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memory, maxDescriptors
 	return &vm{site: s, cfg: cfg, process: startProcess(t, "entry", cfg, func(ctx context.Context) (fault string) {
 		q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
 		q.NewConn = true
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -86,7 +85,9 @@
 	metrics  Metrics
 	suspects Suspects
 	// memory bounds the bytes of all responses that are buffered until they are complete.
-	memory  *hgmemory.Pool
+	memory *hgmemory.Pool
+	// bodies bounds the bytes of all requests' bodies.
+	bodies  *hgmemory.Bodies
 	desired atomic.Pointer[hgdesired.State]
 	// hasDesired is closed when the first desired state is known.
 	hasDesired chan struct{}
@@ -102,7 +103,7 @@
 func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool, opts ...Option) *Entry {
 	e := &Entry{
 		dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m,
-		hasDesired: make(chan struct{}),
+		bodies: hgmemory.NewBodies(defaultBodyBytes, timer), hasDesired: make(chan struct{}),
 	}
 	e.stop.ended, e.stop.end = context.WithCancel(context.Background())
 	for _, opt := range opts {
@@ -134,8 +135,6 @@
 func (e *Entry) Running() int { return int(e.running.Load()) }
 
 const (
-	// defaultMaxBody is the largest request body in bytes if the desired state sets no limit.
-	defaultMaxBody = 4 << 20
 	// defaultTimeout is the timeout of requests of routes that set none.
 	defaultTimeout = 30 * time.Second
 )
@@ -158,6 +157,8 @@
 	route   hgdesired.Route
 	attempt hgattempt.Attempt
 	body    []byte
+	// held is the charge for the body; nil if there is none.
+	held *hgmemory.Body
 	// digests identify the request in Suspects.
 	digests hgsuspect.Request
 	ctx     context.Context
@@ -192,6 +193,7 @@
 		x.refuse(http.StatusBadRequest, err.Error())
 		return
 	}
+	defer x.closeBody()
 	if !x.readBody() {
 		return
 	}
@@ -276,28 +278,6 @@
 	return host
 }
 
-// readBody reads the request's body and reports whether that succeeded. If not, it has responded to the caller.
-func (x *exchange) readBody() bool {
-	maxBytes := int64(defaultMaxBody)
-	if x.state != nil && x.state.Limits.MaxBodyBytes > 0 {
-		maxBytes = x.state.Limits.MaxBodyBytes
-	}
-	if x.r.ContentLength > maxBytes {
-		x.refuse(http.StatusRequestEntityTooLarge, "body is too large")
-		return false
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.refuse(http.StatusRequestEntityTooLarge, "body is too large")
-	case err != nil:
-		x.refuse(http.StatusBadRequest, "body could not be read")
-	}
-	x.body = body
-	return err == nil
-}
-
 // forward serves a request after its route was found, according to the kind of the route.
 func (x *exchange) forward() {
 	if x.route.Kind != hgdesired.Stream {
--- /dev/null
+++ b/internal/serve/hgentry/request.go
@@ -0,0 +1,138 @@
+package hgentry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"hyssopgrade/internal/serve/hgmemory"
+)
+
+const (
+	// defaultMaxBody is the largest request body in bytes if the desired state sets no limit.
+	defaultMaxBody = 4 << 20
+	// defaultBodyBytes is the memory for the bodies of all requests of an Entry without WithBodies.
+	defaultBodyBytes = 64 << 20
+	// paceBytes and paceTime are the least pace of a body: each paceBytes of it, and its rest, have to come within paceTime. That is
+	// 3.2 KB/s, a thousandth of the smallest VM's link of 30 Mbit/s, so that only a body that has stopped falls below it.
+	paceBytes = 16 << 10
+	paceTime  = 5 * time.Second
+	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the caller can read the refusal before its
+	// connection ends. The bytes are those of a whole body of legal size, which take 1.1 s on a link of 30 Mbit/s.
+	lingerTime  = 2 * time.Second
+	lingerBytes = defaultMaxBody
+)
+
+// WithBodies sets the memory that the bodies of all requests share.
+func WithBodies(p *hgmemory.Bodies) Option { return func(e *Entry) { e.bodies = p } }
+
+// Reasons of refused bodies, as callers and the log see them; hgloss knows them by their beginning.
+const (
+	reasonTooLarge   = "body is too large"
+	reasonUnreadable = "body could not be read"
+	reasonSlow       = "body came too slowly; not run"
+	reasonMemory     = "no memory is left for request bodies; not run"
+)
+
+// readBody reads the request's body and reports whether that succeeded. If not, it has responded to the caller. The bytes stay charged
+// until closeBody.
+func (x *exchange) readBody() bool {
+	maxBytes := int64(defaultMaxBody)
+	if x.state != nil && x.state.Limits.MaxBodyBytes > 0 {
+		maxBytes = x.state.Limits.MaxBodyBytes
+	}
+	switch {
+	case x.r.ContentLength > maxBytes:
+		x.refuseBody(http.StatusRequestEntityTooLarge, reasonTooLarge, "body_refused_size")
+		return false
+	case x.r.ContentLength == 0 || x.r.Body == nil:
+		x.body = []byte{}
+		return true
+	}
+	conn := http.NewResponseController(x.w)
+	setDeadline := func(t time.Time) {
+		if err := conn.SetReadDeadline(t); err != nil {
+			x.entry.log.Debug("cannot set the deadline of a body", "attempt", x.attempt.ID, "error", err)
+		}
+	}
+	x.held = x.entry.bodies.Open(func() { setDeadline(time.Unix(1, 0)) })
+	began := time.Now()
+	end := began.Add(x.allowed())
+	mark, due := 0, began.Add(paceTime)
+	body, err := x.held.Read(x.r.Body, x.r.ContentLength, maxBytes, func(size int) {
+		switch {
+		case size == 0:
+			setDeadline(earlier(due, end))
+		case size >= mark+paceBytes:
+			mark, due = size, time.Now().Add(paceTime)
+			setDeadline(earlier(due, end))
+		}
+	})
+	switch {
+	case err == nil:
+		setDeadline(time.Time{})
+		x.body = body
+		return true
+	case errors.Is(err, hgmemory.ErrTooLong):
+		x.refuseBody(http.StatusRequestEntityTooLarge, reasonTooLarge, "body_refused_size")
+	case errors.Is(err, hgmemory.ErrShed) || x.held.IsShed():
+		x.refuseBody(http.StatusServiceUnavailable, reasonMemory, "body_refused_memory")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.entry.metrics.Count("body_refused_pace")
+		x.w.Header().Set("Connection", "close")
+		x.refuse(http.StatusRequestTimeout, reasonSlow)
+	default:
+		x.refuse(http.StatusBadRequest, reasonUnreadable)
+	}
+	return false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// allowed returns the time from the request's arrival to its deadline, the caller's or that of its route, as far as both are known.
+func (x *exchange) allowed() time.Duration {
+	allowed := defaultTimeout
+	if x.state != nil {
+		if route, ok := x.state.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath()); ok && route.Timeout > 0 {
+			allowed = route.Timeout
+		}
+	}
+	if x.attempt.Deadline > 0 {
+		allowed = min(allowed, x.attempt.Deadline)
+	}
+	return allowed
+}
+
+// refuseBody refuses a request whose body is not read, frees its memory, and then drops what the caller still sends for a bounded time:
+// bytes that nobody reads would reset the connection and with it the response.
+func (x *exchange) refuseBody(status int, reason, counter string) {
+	x.closeBody()
+	x.entry.metrics.Count(counter)
+	conn := http.NewResponseController(x.w)
+	if err := errors.Join(conn.EnableFullDuplex(), conn.SetReadDeadline(time.Now().Add(lingerTime))); err != nil {
+		x.entry.log.Debug("cannot linger", "attempt", x.attempt.ID, "error", err)
+	}
+	x.w.Header().Set("Connection", "close")
+	x.refuse(status, reason)
+	if err := conn.Flush(); err != nil || x.r.Body == nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, x.r.Body, lingerBytes); err != nil && !errors.Is(err, io.EOF) {
+		x.entry.log.Debug("refused body ended", "attempt", x.attempt.ID, "error", err)
+	}
+}
+
+// closeBody ends the charge for the body's memory.
+func (x *exchange) closeBody() {
+	if x.held != nil {
+		x.held.Close()
+		x.held = nil
+	}
+}
--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -25,6 +25,9 @@
 	// part of it that came while the request before was served.
 	received, ahead int
 	receivedAt      time.Time
+	// headAt is when the first byte of the next request was read, and counted its share of the server's headBytes.
+	headAt  time.Time
+	counted int
 	// usedAt is when the connection was accepted or last answered a request.
 	usedAt time.Time
 	// requests counts the requests that a handler was called for.
@@ -36,18 +39,23 @@
 }
 
 // beginRequest records that a handler was called for the request on the connection. A request that was read together with the one
-// before counts only from here on, so that the deadline of the wait for it may still be set.
-func (c *conn) beginRequest() {
+// before counts only from here on, so that the deadline of the wait for it may still be set. It reports false if the server has closed the connection.
+func (c *conn) beginRequest() (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	c.handling = true
 	c.requests++
+	c.count(0)
 	if !c.server.stopping.Load() {
-		return
+		return true
 	}
 	if err := c.applyReadDeadline(); err != nil {
 		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
 	}
+	return true
 }
 
 // endRequest records that the request was answered.
@@ -91,6 +99,7 @@
 // caller does not close a connection with a request on it.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	defer c.server.boundHeads()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isQuiet() {
@@ -103,6 +112,12 @@
 	wasQuiet := c.isQuiet()
 	c.received += n
 	c.receivedAt = time.Now()
+	if wasQuiet {
+		c.headAt = c.receivedAt
+	}
+	if !c.handling {
+		c.count(c.received)
+	}
 	// While a handler runs, net/http reads single bytes to notice that the client leaves. Such a byte is the first of the next request.
 	if c.handling && len(p) == 1 {
 		c.ahead = n
@@ -120,6 +135,7 @@
 	c.mu.Lock()
 	if !c.handling {
 		c.received = 0
+		c.count(0)
 	}
 	c.mu.Unlock()
 	return c.Conn.Write(p)
@@ -151,6 +167,7 @@
 func (c *conn) reportUnserved() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.count(0)
 	if c.closed || c.handling || c.ended {
 		return
 	}
@@ -159,7 +176,11 @@
 	if c.received == 0 && unread == 0 {
 		return
 	}
-	args := []any{"client", c.RemoteAddr().String(), "requests", c.requests, "received", c.received, "unread", unread, "stopping", c.server.stopping.Load()}
+	omitted, ok := c.server.reports.take(time.Now())
+	if !ok {
+		return
+	}
+	args := []any{"client", c.RemoteAddr().String(), "requests", c.requests, "received", c.received, "unread", unread, "stopping", c.server.stopping.Load(), "omitted", omitted}
 	if c.received > 0 {
 		args = append(args, "sinceMs", time.Since(c.receivedAt).Milliseconds())
 	}
--- a/internal/serve/hgserver/listener.go
+++ b/internal/serve/hgserver/listener.go
@@ -19,7 +19,10 @@
 		nc, err = l.Listener.Accept()
 		switch {
 		case err == nil:
-			return l.server.addConn(nc), nil
+			if c := l.server.addConn(nc); c != nil {
+				return c, nil
+			}
+			continue
 		case !l.server.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case !isReadable(l.Listener):
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -24,18 +23,31 @@
 	// serving counts the calls of Serve, and open the connections that are not closed.
 	serving, open sync.WaitGroup
 
+	// maxConns and maxHeadBytes bound the connections and the bytes of unfinished heads; 0 means no bound. refused is called for each
+	// connection that is closed because of them.
+	maxConns, maxHeadBytes int
+	refused                func(reason string)
+	// headBytes is the number of bytes of unfinished heads.
+	headBytes atomic.Int64
+	reports   reportLimit
+
 	mu        sync.Mutex
 	listeners []*listener
 	conns     map[*conn]bool
 }
 
 // NewServer returns a server with the handler, the limits and the ConnContext of cfg, whose ConnState it sets.
-func NewServer(cfg *http.Server, log *slog.Logger) *Server {
-	s := &Server{http: cfg, log: log, conns: map[*conn]bool{}}
+func NewServer(cfg *http.Server, log *slog.Logger, opts ...Option) *Server {
+	s := &Server{http: cfg, log: log, conns: map[*conn]bool{}, refused: func(string) {}}
+	for _, opt := range opts {
+		opt(s)
+	}
 	handler := cfg.Handler
 	cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.beginRequest()
+			if !c.beginRequest() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
@@ -114,15 +126,6 @@
 // Close closes the listeners and all connections; requests in progress are cut off.
 func (s *Server) Close() (err error) { return s.http.Close() }
 
-func (s *Server) addConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc, server: s, usedAt: time.Now()}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = true
-	s.open.Add(1)
-	return c
-}
-
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
