hgfront, hgnode: bounds on bodies, heads and connections of a node

Cause: a node read bodies into memory of their own and bounded no connections. Change: with limits.memoryMb bodies are read into shared, bounded memory before the call is decoded, and Go's memory limit is set; with limits.maxDescriptors connections at both ports are bounded. Without the settings there are no limits, as before, except that a body that is declared too large is followed by a bounded lingering close.

--- a/cmd/hyssopgrade/node.go
+++ b/cmd/hyssopgrade/node.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/samber/do/v2"
 	"github.com/urfave/cli/v3"
 
 	"hyssopgrade/internal/operate/hgconfig"
+	"hyssopgrade/internal/operate/hgentryvm"
 	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/peer/hgnode"
 )
@@ -44,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * (1 << 20) * hgentryvm.MemoryShare))
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	n, err := do.Invoke[*hgnode.Node](hgnode.NewInjector(cfg, keys, log, hgnode.BuildInfo{Version: version}))
--- a/internal/operate/hgmetric/metric.go
+++ b/internal/operate/hgmetric/metric.go
@@ -56,6 +56,11 @@
 // Retried counts one retry of a call.
 func (m *Metrics) Retried() { m.scope.Counter("retries").Inc(1) }
 
+// ConnClosed counts a connection that was closed at a bound, by reason.
+func (m *Metrics) ConnClosed(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("bound_closes").Inc(1)
+}
+
 // Refused counts a refused call by the kind and the reason of the refusal.
 func (m *Metrics) Refused(r *hgcall.Refusal) {
 	m.scope.Tagged(map[string]string{"refusal": string(r.Kind), "reason": string(r.Reason)}).Counter("refusals").Inc(1)
--- a/internal/peer/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -61,7 +61,7 @@
 	// backgroundMu prevents background from adding to wg once Close has begun to wait for it.
 	backgroundMu sync.Mutex
 	public       *hgserver.Server
-	peers        *http.Server
+	peers        *hgserver.Server
 	planMu       sync.Mutex
 	// planAgain is set by every call of plan, so that a plan under way is followed by another.
 	planAgain atomic.Bool
@@ -126,7 +126,7 @@
 	n.owner.SetJournal(n.committer)
 	keys := do.MustInvoke[Keys](i)
 	n.front = hgfront.NewFront(n, hgfront.Options{
-		MaxBody: int64(l.MaxBodyBytes), Metrics: n.metrics.Handler(), Version: do.MustInvoke[BuildInfo](i).Version, OperatorKey: keys.Operator,
+		MaxBody: int64(l.MaxBodyBytes), Bodies: newBodies(l, n.timer), Metrics: n.metrics.Handler(), Version: do.MustInvoke[BuildInfo](i).Version, OperatorKey: keys.Operator,
 	})
 	if keys.Operator == "" {
 		n.log.Warn("operators' routes are open to all callers, because the settings name no operators' key")
@@ -196,10 +196,10 @@
 		_ = public.Close()
 		return err
 	}
-	n.public = hgserver.NewServer(&http.Server{
+	n.public = n.newServer(&http.Server{
 		Handler: n.front, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
-	}, n.log)
-	n.peers = &http.Server{Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}
+	}, publicPart)
+	n.peers = n.newServer(&http.Server{Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}, innerPart)
 	n.wg.Go(func() { _ = n.peers.Serve(peers) })
 	n.wg.Go(func() { _ = n.public.Serve(public) })
 	n.wg.Go(func() { n.committer.Run(n.ctx) })
--- /dev/null
+++ b/internal/serve/hgfront/body.go
@@ -0,0 +1,80 @@
+package hgfront
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"hyssopgrade/hgcall"
+	"hyssopgrade/internal/serve/hgmemory"
+)
+
+const (
+	// copies is the number of copies of a body, beside the one that is read, that decoding it and calling an endpoint make.
+	copies = 1
+	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the caller can read the refusal before its
+	// connection ends.
+	lingerTime  = 2 * time.Second
+	lingerBytes = 4 << 20
+	// retryAfterMemory is when a caller whose body found no memory may come back.
+	retryAfterMemory = time.Second
+)
+
+// readBody reads the request's body into memory that is shared with all bodies, and calls next with it. It refuses bodies that are too
+// large, that come after the server's read timeout, or for which there is no memory: such a request was not run and never will be.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, next func()) {
+	if r.ContentLength > f.opts.MaxBody {
+		f.refuseBody(w, r, http.StatusRequestEntityTooLarge, hgcall.Invalid("body", "%d bytes are too large, the limit is %d", r.ContentLength, f.opts.MaxBody))
+		return
+	}
+	if r.ContentLength == 0 || r.Body == nil {
+		next()
+		return
+	}
+	conn := http.NewResponseController(w)
+	held := f.opts.Bodies.Open(func() {
+		_ = conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed already
+	})
+	defer held.Close()
+	data, err := held.Read(r.Body, r.ContentLength, f.opts.MaxBody, func(int) {})
+	if err == nil {
+		err = held.Charge(copies * len(data))
+	}
+	switch {
+	case err == nil:
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		next()
+	case errors.Is(err, hgmemory.ErrTooLong):
+		held.Close()
+		f.refuseBody(w, r, http.StatusRequestEntityTooLarge, hgcall.Invalid("body", "more bytes than the limit, which is %d", f.opts.MaxBody))
+	case errors.Is(err, hgmemory.ErrShed) || held.IsShed():
+		held.Close()
+		f.refuseBody(w, r, http.StatusServiceUnavailable, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonOverload, retryAfterMemory, "%v", hgmemory.ErrShed))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		held.Close()
+		f.refuseBody(w, r, http.StatusRequestTimeout, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonDeadline, retryAfterMemory, "the body came too slowly"))
+	default:
+		held.Close()
+		f.refuseBody(w, r, http.StatusBadRequest, hgcall.Invalid("body", "%v", err))
+	}
+}
+
+// refuseBody refuses a request whose body was not read to its end, and then drops what the caller still sends for a bounded time: bytes
+// that nobody reads would reset the connection and with it the response.
+func (f *Front) refuseBody(w http.ResponseWriter, r *http.Request, status int, refusal *hgcall.Refusal) {
+	f.backend.Refused(refusal)
+	conn := http.NewResponseController(w)
+	_ = conn.EnableFullDuplex() // an error means that the rest cannot be read, which only costs the caller the response
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody(refusal))
+	if err := conn.Flush(); err == nil && r.Body != nil {
+		_, _ = io.CopyN(io.Discard, r.Body, lingerBytes) // an error means that the caller has no more to send, or is too late
+	}
+}
--- a/internal/serve/hgfront/front.go
+++ b/internal/serve/hgfront/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"hyssopgrade/hgquarantine"
 	"hyssopgrade/hgroute"
 	"hyssopgrade/internal/operate/hgkey"
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgowner"
 )
 
@@ -101,6 +101,8 @@
 type Options struct {
 	// MaxBody is the maximum size of a request body, in bytes.
 	MaxBody int64
+	// Bodies is the memory that all bodies share; nil sets no limit.
+	Bodies *hgmemory.Bodies
 	// Metrics serves GET /metrics.
 	Metrics http.Handler
 	// Version is the release of hyssopgrade, shown in the OpenAPI page.
@@ -132,16 +134,14 @@
 	return f
 }
 
-// ServeHTTP serves one request. If its Content-Length is larger than MaxBody it is refused unread and its connection is
-// closed; a body of unknown length fails when it is read beyond MaxBody.
+// ServeHTTP serves one request, once its body is whole.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.opts.Bodies != nil {
+		f.readBody(w, r, func() { f.mux.ServeHTTP(w, r) })
+		return
+	}
 	if r.ContentLength > f.opts.MaxBody {
-		refusal := hgcall.Invalid("body", "%d bytes are too large, the limit is %d", r.ContentLength, f.opts.MaxBody)
-		f.backend.Refused(refusal)
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		_ = json.NewEncoder(w).Encode(errorBody(refusal))
+		f.refuseBody(w, r, http.StatusRequestEntityTooLarge, hgcall.Invalid("body", "%d bytes are too large, the limit is %d", r.ContentLength, f.opts.MaxBody))
 		return
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, f.opts.MaxBody)
