--- a/internal/operate/hgloss/cause.go
+++ b/internal/operate/hgloss/cause.go
@@ -34,6 +34,9 @@
 	RefusedStale      Cause = "stale"
 	RefusedOverCap    Cause = "overCap"
 	RefusedNoCapOwner Cause = "noCapOwner"
+	RefusedMemory     Cause = "memory"
+	RefusedSlow       Cause = "slowBody"
+	RefusedSize       Cause = "bodySize"
 	FailedNotStored   Cause = "notStored"
 	FailedBrokeOff    Cause = "brokeOff"
 	FailedTool        Cause = "toolFailed"
@@ -56,6 +59,9 @@
 	{"desired state may be out of date", RefusedStale},
 	{"team is over its usage cap", RefusedOverCap},
 	{"usage cap of the team is not known", RefusedNoCapOwner},
+	{"no memory is left for request bodies", RefusedMemory},
+	{"body came too slowly", RefusedSlow},
+	{"body is too large", RefusedSize},
 	{"turn could not be kept", FailedNotStored},
 	{"stream broke off: turn is longer", FailedTokenBudget},
 	{"stream broke off", FailedBrokeOff},
