--- a/internal/peer/hgpeer/caps_test.go
+++ b/internal/peer/hgpeer/caps_test.go
@@ -42,7 +42,7 @@
 	n := &capNode{members: hgpeer.NewMembers(timer, self), ended: l}
 	none := func(string) (c hgteam.Cap, ok bool) { return c, false }
 	n.caps = hgpeer.NewCaps(hgcap.NewOwner(timer, b, name, false, nil), hgcap.NewLeases(timer, b), n.members, hgpeer.NewClient(nil), discard{}, false, none)
-	go func() { _ = hgpeer.Serve(l, n) }()
+	go func() { _ = hgpeer.Serve(l, n, hgpeer.Bounds{}) }()
 	return n
 }
 
