hgentry, hgreplica: freshness is asked before the state is read; failed answers are no sign of life

A request loaded the old desired state, a new one took effect with its evidence, and Fresh then vouched for the old one: a removed key could pass. Fresh is now asked first.

A hung replica answers 504 at the end of a request's time; such an answer now ends no verdict.

The boot clock returned 0 when it could not be read, so that evidence never aged; it now panics.

--- a/internal/operate/hgentryvm/fresh.go
+++ b/internal/operate/hgentryvm/fresh.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
 	"hyssopgrade/hgstore"
@@ -21,12 +22,12 @@
 // freshPeriod is the time between two looks at the evidence for the log and the metrics. Requests look for themselves.
 const freshPeriod = 100 * time.Millisecond
 
-// bootClock returns the time since the machine started, including the time for which it was suspended; 0 if it cannot be read,
-// so that no evidence is recent.
+// bootClock returns the time since the machine started, including the time for which it was suspended.
 func bootClock() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0
+		// Without the clock evidence cannot be dated, and a frozen VM would go on with removed keys.
+		panic(trace.Wrap(err, "read the clock of the evidence for keys"))
 	}
 	return time.Duration(t.Nano())
 }
--- a/internal/serve/hgentry/team.go
+++ b/internal/serve/hgentry/team.go
@@ -32,7 +32,7 @@
 
 // authorize finds the team of the request and reports whether the request may go on. If not, it has responded to the caller.
 func (x *exchange) authorize() bool {
-	team, err := x.identify(x.entry.desired.Load())
+	team, err := x.identify(x.newestDesired())
 	if err != nil {
 		x.respondError(err)
 		return false
@@ -41,9 +41,16 @@
 	return true
 }
 
+// newestDesired returns the newest desired state, and whether it was the newest one recently enough for keys. Freshness is asked first: the
+// evidence of a state that takes effect in between must not vouch for the one before.
+func (x *exchange) newestDesired() (s *hgdesired.State, fresh bool) {
+	fresh = x.entry.freshness == nil || x.entry.freshness.Fresh()
+	return x.entry.desired.Load(), fresh
+}
+
 // identify returns the team that the request belongs to under a desired state; the zero value if it belongs to none. It returns an error
 // if the request may not run.
-func (x *exchange) identify(s *hgdesired.State) (team hgteam.Team, err error) {
+func (x *exchange) identify(s *hgdesired.State, fresh bool) (team hgteam.Team, err error) {
 	if s.Teams == nil {
 		return hgteam.Team{}, nil
 	}
@@ -52,7 +59,7 @@
 		route = x.route
 	}
 	// A node that may have missed a change does not know which keys are valid.
-	if !route.Public && x.entry.freshness != nil && !x.entry.freshness.Fresh() {
+	if !route.Public && !fresh {
 		return hgteam.Team{}, errStale
 	}
 	known := false
@@ -69,11 +76,11 @@
 // desired state has no teams any more. On a public route it goes on without a team once its key is unknown, but not with a turn of that
 // team.
 func (x *exchange) reauthorize() (team hgteam.Team, err error) {
-	s := x.entry.desired.Load()
+	s, fresh := x.newestDesired()
 	if s.Teams == nil {
 		return x.team, nil
 	}
-	team, err = x.identify(s)
+	team, err = x.identify(s, fresh)
 	switch {
 	case err != nil:
 		return hgteam.Team{}, err
--- a/internal/serve/hgentry/team_test.go
+++ b/internal/serve/hgentry/team_test.go
@@ -77,7 +77,7 @@
 			x := &exchange{entry: e, r: httptest.NewRequest("POST", "http://h"+tt.path, nil), state: e.Desired()}
 			x.attempt = hgattempt.Attempt{Key: hgteam.DigestKey(tt.key), HasKey: tt.key != ""}
 			var err error
-			if x.team, err = x.identify(e.Desired()); x.team.Name != tt.want || !errors.Is(err, tt.wantErr) {
+			if x.team, err = x.identify(x.newestDesired()); x.team.Name != tt.want || !errors.Is(err, tt.wantErr) {
 				t.Fatalf("team %q, %v", x.team.Name, err)
 			}
 			if err != nil {
--- a/internal/serve/hgplacer/fair.go
+++ b/internal/serve/hgplacer/fair.go
@@ -10,7 +10,7 @@
 	// requests against each other; only their ratio matters.
 	readPerToken     = 17 * time.Microsecond
 	generatePerToken = 2600 * time.Microsecond
-	// assumedTokens is the number of tokens that a request is expected to generate if it does not say. It is chosen, not measured.
+	// assumedTokens is the number of tokens that a request is expected to generate if it does not say.
 	assumedTokens = 100
 	// maxTokens bounds the tokens of a request that count, so that one wrong number does not shut out its team.
 	maxTokens = 1 << 20
@@ -150,7 +150,7 @@
 }
 
 // FullLoadFair is the load from which new programs are refused also to a team that holds no place while other teams do. It is above
-// FullLoadUrgent, so that the load of a team over its share does not shut out others, and well below Window. It is chosen, not measured.
+// FullLoadUrgent, so that the load of a team over its share does not shut out others, and well below Window.
 const FullLoadFair = 1.5
 
 // usage is the number of places that each team holds on the replicas of one service; it has no entry for a team without any.
--- a/internal/serve/hgreplica/pace.go
+++ b/internal/serve/hgreplica/pace.go
@@ -115,9 +115,14 @@
 		r.ObserveSlowness(a.Slowness, now-age)
 		l.outcome.Slowness = a.Slowness
 	}
-	if l.sent != nil {
+	switch {
+	case a.Failed && l.sent != nil:
+		// A replica that hangs may still fail its requests at the end of their time. That is no sign of life.
+		l.sent.Ended(now)
+	case a.Failed:
+	case l.sent != nil:
 		l.sent.Answered(now)
-	} else {
+	default:
 		r.Answered(now-age, took)
 	}
 	switch {
