hgcap: buckets hold most of what the bounds allow

The window of grants keeps the bound; the bucket holds three quarters of what lies between rate and bound.

--- a/internal/serve/hgcap/owner.go
+++ b/internal/serve/hgcap/owner.go
@@ -37,6 +37,8 @@
 	startPrograms = 5
 	// reserveShare is the share of the burst that new programs leave to programs in progress while the team is over its cap.
 	reserveShare = 0.15
+	// bucketShare is the share of what the bounds allow beyond rate and burst that a bucket may hold.
+	bucketShare = 0.75
 	// startShare is the largest share of its slack with which a new owner begins.
 	startShare = 0.25
 	// grantShare is the largest share of a scarce bucket that one lease takes, so that one node does not get all.
@@ -164,10 +166,11 @@
 	return !ok
 }
 
-// size returns the capacity of a team's bucket. A part of the slack evens out the requests of teams with a small burst: requests that
-// arrive at random exceed a burst of one second's requests now and then, without it 2 of 66 at 5/8 of a rate of 5 a second. o.mu is held.
+// size returns the capacity of a team's bucket: the burst and most of what the bounds allow beyond it. One program of a team with a small
+// cap sends more requests within a second than the burst of its team; the window keeps the bounds. o.mu is held.
 func (o *Owner) size(c hgteam.Cap) float64 {
-	return o.bounds.share(c, o.fraction) + startShare*o.bounds.Slack*o.fraction
+	beyond := o.bounds.most(c) - c.Rate*o.bounds.Window.Seconds() - c.Burst
+	return o.bounds.share(c, o.fraction) + bucketShare*beyond*o.fraction
 }
 
 // startSize returns the capacity of a team's bucket for programs that begin; o.mu is held.
