hgpace, hgreplica, hgmemory: faults found in review

An unanswered probe counts whatever the service's threshold, so that a verdict does not end while all probes fail. An answer raises a limit when the request has ended soundly, not at its head, and once: at the node that placed it. Placers hear of refusals. Blocks that the pool of bodies drops are no longer reachable from it.

--- a/internal/serve/hgentry/probe.go
+++ b/internal/serve/hgentry/probe.go
@@ -53,6 +53,7 @@
 		return errors.Join(errNotSent, errLateProbe)
 	}
 	x.sent++
+	t.lease.MarkLateProbe()
 	r := x.digests.WithRun(hgsuspect.Run{Replica: t.lease.ID, Incarnation: t.lease.Born(), Began: t.began})
 	x.entry.suspects.RecordUnanswered(r, t.lease.ID)
 	return errors.Join(errAnswerLost, errNoHead, errLateProbe)
--- a/internal/serve/hgmemory/bodies.go
+++ b/internal/serve/hgmemory/bodies.go
@@ -110,7 +110,8 @@
 		victims = append(victims, v)
 	}
 	for len(p.free) > 0 && p.used+n+len(p.free)*blockBytes > p.limit {
-		p.free = p.free[:len(p.free)-1]
+		last := len(p.free) - 1
+		p.free[last], p.free = nil, p.free[:last]
 	}
 	p.used += n
 	b.charged += n
--- a/internal/serve/hgpace/replica.go
+++ b/internal/serve/hgpace/replica.go
@@ -40,7 +40,11 @@
 	began   time.Duration
 }
 
-type lostRequest struct{ began, until time.Duration }
+// lostRequest is a request that ended unanswered. If it was a late probe, it counts whatever the threshold of the service.
+type lostRequest struct {
+	began, until time.Duration
+	isProbe      bool
+}
 
 // Begin records that a request is sent to the replica.
 func (r *Replica) Begin(now time.Duration) *Request {
@@ -65,6 +69,13 @@
 	}
 }
 
+// Late records that the request was a probe that was not answered in its time, and ends it.
+func (q *Request) Late(now time.Duration) {
+	r := q.replica
+	r.open = without(r.open, q)
+	r.lost = append(r.lost, lostRequest{began: q.began, until: now + lostTTL, isProbe: true})
+}
+
 func without(open []*Request, q *Request) []*Request {
 	return slices.DeleteFunc(open, func(o *Request) bool { return o == q })
 }
@@ -99,11 +110,11 @@
 func (r *Replica) overdue(now time.Duration) (c claim) {
 	r.lost = slices.DeleteFunc(r.lost, func(l lostRequest) bool { return now >= l.until })
 	c.replica = r
-	add := func(began time.Duration) {
-		if !r.isOverdue(began, now) {
+	add := func(began time.Duration, isProbe bool) {
+		since, ok := r.silentSince(began)
+		if !ok || !isProbe && !r.isOverdue(began, now) {
 			return
 		}
-		since, _ := r.silentSince(began)
 		if c.requests == 0 || since < c.first {
 			c.first = since
 		}
@@ -111,10 +122,10 @@
 		c.requests++
 	}
 	for _, q := range r.open {
-		add(q.began)
+		add(q.began, false)
 	}
 	for _, l := range r.lost {
-		add(l.began)
+		add(l.began, l.isProbe)
 	}
 	return c
 }
--- a/internal/serve/hgpace/tracker.go
+++ b/internal/serve/hgpace/tracker.go
@@ -258,6 +258,10 @@
 		r.limit.begin(limitSuspected, 0)
 	} else {
 		c.Lasted, c.Answered = now-r.suspectedAt, max(r.answeredAt, r.elsewhereAt) > r.why.since
+		if c.Answered && c.Lasted < newsDelay {
+			// The others may never have suspected the replica. They then state no credits and keep it busy, so that the limit would not lift.
+			r.limit.why = ""
+		}
 	}
 	return c, true
 }
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -43,6 +43,8 @@
 	Errored, Failed, Misdirected bool
 	// Leaving says that the replica announced that it is leaving.
 	Leaving bool
+	// Refused says that the replica refused the request without running it.
+	Refused bool
 	// Slowness is the slowness in percent that the replica reported; 0 if it reported none.
 	Slowness int
 }
@@ -88,6 +90,9 @@
 	if o.Failed {
 		l.MarkFailed()
 	}
+	if o.Refused {
+		l.markRefused()
+	}
 	if o.Misdirected {
 		l.MarkMisdirected()
 	}
@@ -116,6 +121,10 @@
 	if l.sent != nil {
 		l.sent.Ended(l.set.timer.Now())
 	}
+	// Only the end shows that the answer was whole and sound. The node that placed the request counts it.
+	if l.outcome.Answered && !l.outcome.Failed && !l.adopted {
+		l.replica.pace.RecordGood(l.answered, l.outcome.Took)
+	}
 	if l.answered > 0 {
 		l.outcome.Held = l.set.timer.Now() - l.answered
 		l.set.observeHold(l.replica.Service, time.Duration(float64(l.outcome.Held)/l.replica.pace.Slowness(l.set.timer.Now())))
@@ -170,6 +179,22 @@
 	l.replica.addFailures(now, 1)
 }
 
+// markRefused records that the replica refused a request of another node.
+func (l *Lease) markRefused() {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.replica.pace.RecordRefused(l.set.timer.Now())
+}
+
+// MarkLateProbe records that the request was a probe that was not answered in its time.
+func (l *Lease) MarkLateProbe() {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	if l.sent != nil {
+		l.sent.Late(l.set.timer.Now())
+	}
+}
+
 // MarkLeaving records that the replica announced that it is leaving, so that it gets no new requests until it has restarted.
 // news is false if this node knew that already.
 func (l *Lease) MarkLeaving() (news bool) {
--- a/internal/serve/hgreplica/pace.go
+++ b/internal/serve/hgreplica/pace.go
@@ -127,12 +127,12 @@
 	}
 	switch {
 	case a.NotRun:
+		l.outcome.Refused = true
 		r.RecordRefused(now)
 	case a.Failed:
 		r.RecordFailed(now)
 	default:
 		r.RecordTook(now, took)
-		r.RecordGood(now, took)
 	}
 }
 
