hgcap, hgteam, hgentry: faults found in review

A lowered cap stopped a team until its grants under the old one had left the window (4.8 s in the reviewer's trial); they are now scaled. Buckets hold what the bounds leave beyond rate and burst, less late tokens and a new owner's start: one program of a team with a cap of 5 a second was refused 7 of 17 requests. The mean size of a program no longer snaps to 1, small leases are not cut, and the next token is waited for instead of all that were asked for. Equal sets of teams compare equal: a rewritten row could stop all keys where two teams share one. A stale VM whose state has no teams refuses requests with a key.

--- a/internal/serve/hgcap/ask.go
+++ b/internal/serve/hgcap/ask.go
@@ -24,6 +24,15 @@
 	return max(c.Burst*fraction, min(1, (b.most(c)-c.Rate*b.Window.Seconds())*fraction))
 }
 
+// bucket returns the size of the bucket with which an owner serves a part of the nodes: the burst and a part of what the bounds allow beyond
+// it, as one program of a team with a small cap sends more requests within a second than the burst of its team. The rest is for tokens that are
+// used late and for what a new owner begins with, whose window is empty; a quarter of the slack is always there.
+func (b Bounds) bucket(c hgteam.Cap, fraction float64) float64 {
+	start := startShare * b.Slack
+	beyond := b.most(c) - c.Rate*(b.Window+lag).Seconds() - c.Burst - start
+	return b.share(c, fraction) + max(beyond, start)*fraction
+}
+
 // Unused are tokens of a lease that a node returns, as the lease has expired. Granted is when the owner granted the lease, on its clock.
 type Unused struct {
 	Granted        time.Duration
--- a/internal/serve/hgcap/bucket.go
+++ b/internal/serve/hgcap/bucket.go
@@ -72,6 +72,15 @@
 	return true
 }
 
+// scale multiplies all counts by a factor.
+func (w *window) scale(factor float64) {
+	w.total = 0
+	for i := range w.used {
+		w.used[i] *= factor
+		w.total += w.used[i]
+	}
+}
+
 // newestFirst returns the slots in order of their age.
 func (w *window) newestFirst() (used []float64) {
 	for i := range int64(len(w.used)) {
--- a/internal/serve/hgcap/cap_test.go
+++ b/internal/serve/hgcap/cap_test.go
@@ -210,3 +210,68 @@
 		t.Errorf("unused %s, want %s", got, want)
 	}
 }
+
+// Guards against a team that is stopped after its cap was lowered, although it stays below the new one: what it sent under the old cap is
+// no debt.
+func TestLoweredCapStopsNobody(t *testing.T) {
+	s := newSim(6, 1, bounds)
+	s.caps["a"] = hgteam.Cap{Rate: 650, Burst: 650}
+	demand := 400.0
+	send := func() {
+		for range s.poisson(demand) {
+			s.take(s.vms[s.random.IntN(6)], request("a", false))
+		}
+	}
+	s.run(10*time.Second, send)
+	s.caps["a"], demand = hgteam.Cap{Rate: 100, Burst: 100}, 60
+	s.refused = map[string]int{}
+	s.run(5*time.Second, send)
+	if s.refused["a"] > 0 {
+		t.Errorf("%d requests refused below the lowered cap", s.refused["a"])
+	}
+}
+
+// Guards against refusals of a program whose team has a small cap: its turns and tools come at once, but few in a window.
+func TestProgramOfSmallTeam(t *testing.T) {
+	s := newSim(36, 1, bounds)
+	s.caps["a"] = hgteam.Cap{Rate: 5, Burst: 5}
+	s.run(time.Second, func() {})
+	sent := 0
+	s.run(time.Second, func() {
+		if sent < 17 {
+			sent++
+			s.take(s.vms[s.random.IntN(36)], request("a", sent == 1))
+		}
+	})
+	if s.refused["a"] > 0 {
+		t.Errorf("%d of %d requests refused; the bounds allow 53 in 5 s", s.refused["a"], sent)
+	}
+}
+
+// Guards against more requests than the bounds allow when the owner of a team ends while the team, idle before, sends many times its cap.
+func TestOwnerEndsUnderHotTeam(t *testing.T) {
+	for name, c := range map[string]hgteam.Cap{"small": {Rate: 5, Burst: 5}, "middle": {Rate: 40, Burst: 40}, "large": {Rate: 300, Burst: 300}} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				s := newSim(9, seed, bounds)
+				s.caps["a"] = c
+				s.run(7*time.Second, func() {})
+				hot := func() {
+					for range s.poisson(7 * c.Rate) {
+						if v := s.vms[s.random.IntN(9)]; s.runs(v) {
+							s.take(v, request("a", false))
+						}
+					}
+				}
+				s.run(time.Second, hot)
+				owner := s.vms[highest(s.vms[0].view, "a")]
+				owner.downUntil = s.clock.now + time.Second
+				s.start(owner, false)
+				s.run(6*time.Second, hot)
+				if got, want := s.most("a"), limit(bounds, c); float64(got) > want {
+					t.Errorf("seed %d: %d requests in a window, want at most %.0f", seed, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/hgcap/lease.go
+++ b/internal/serve/hgcap/lease.go
@@ -187,7 +187,7 @@
 	}
 	tokens, starts := t.held()
 	switch {
-	case tokens == 0 && now < t.tokensFrom:
+	case tokens == 0 && now < t.tokensFrom && len(t.unused) == 0:
 		return refuse(t.tokensFrom - now)
 	case q.New && starts == 0 && now < t.startsFrom:
 		return refuse(t.startsFrom - now)
--- a/internal/serve/hgcap/owned.go
+++ b/internal/serve/hgcap/owned.go
@@ -15,6 +15,8 @@
 	// requests and programs are the smoothed counts of granted requests and programs.
 	requests, programs float64
 	learned, asked     time.Duration
+	// size is the last mean number of requests of a program that enough programs showed; 0 before.
+	size float64
 	// lost says that another node has become the owner, and lostAt when. Until movedUntil this node has handed the team over.
 	lost               bool
 	lostAt, movedUntil time.Duration
@@ -31,10 +33,11 @@
 	t.requests, t.programs, t.learned = t.requests*keep+requests, t.programs*keep+programs, now
 }
 
-// programSize returns the mean number of requests of a program; 1 before anything is known.
+// programSize returns the mean number of requests of a program; 1 before anything is known. While few programs begin, the last mean holds:
+// a jump would refuse the first turns after it.
 func (t *ownedTeam) programSize() float64 {
-	if t.programs < minPrograms {
-		return 1
+	if t.programs >= minPrograms {
+		t.size = t.requests / t.programs
 	}
-	return min(max(t.requests/t.programs, 1), maxProgram)
+	return min(max(t.size, 1), maxProgram)
 }
--- a/internal/serve/hgcap/owner.go
+++ b/internal/serve/hgcap/owner.go
@@ -37,12 +37,12 @@
 	startPrograms = 5
 	// reserveShare is the share of the burst that new programs leave to programs in progress while the team is over its cap.
 	reserveShare = 0.15
-	// bucketShare is the share of what the bounds allow beyond rate and burst that a bucket may hold.
-	bucketShare = 0.75
 	// startShare is the largest share of its slack with which a new owner begins.
 	startShare = 0.25
-	// grantShare is the largest share of a scarce bucket that one lease takes, so that one node does not get all.
+	// grantShare is the largest share of a scarce bucket that one lease takes, so that one node does not get all. Leases of up to smallGrant
+	// tokens are not cut: they are what a program of a small team sends at once.
 	grantShare = 0.5
+	smallGrant = 4
 )
 
 // Over reports that a team begins or ends to exceed its cap. Refused is the number of tokens that were not granted meanwhile.
@@ -166,12 +166,8 @@
 	return !ok
 }
 
-// size returns the capacity of a team's bucket: the burst and most of what the bounds allow beyond it. One program of a team with a small
-// cap sends more requests within a second than the burst of its team; the window keeps the bounds. o.mu is held.
-func (o *Owner) size(c hgteam.Cap) float64 {
-	beyond := o.bounds.most(c) - c.Rate*o.bounds.Window.Seconds() - c.Burst
-	return o.bounds.share(c, o.fraction) + bucketShare*beyond*o.fraction
-}
+// size returns the capacity of a team's bucket; o.mu is held.
+func (o *Owner) size(c hgteam.Cap) float64 { return o.bounds.bucket(c, o.fraction) }
 
 // startSize returns the capacity of a team's bucket for programs that begin; o.mu is held.
 func (o *Owner) startSize(t *ownedTeam) float64 {
@@ -183,7 +179,7 @@
 	now := o.timer.Now()
 	t := &ownedTeam{cap: c, used: newWindow(o.bounds.Window+lag, now), learned: now, asked: now}
 	ok, least := o.owned(team, now)
-	tokens := o.bounds.share(c, least) + startShare*o.bounds.Slack*least
+	tokens := o.bounds.bucket(c, least)
 	if !ok {
 		t.warmUntil = now + warmTime
 		tokens = min(tokens, startShare*o.bounds.Slack*o.fraction)
@@ -282,6 +278,10 @@
 
 // advance brings the buckets of a team up to date under a cap; o.mu is held.
 func (o *Owner) advance(t *ownedTeam, c hgteam.Cap, now time.Duration) {
+	if before, most := o.bounds.most(t.cap), o.bounds.most(c); most < before {
+		// A lower cap binds from one window after it was set. Counted in full, the grants under the old one would stop the team until then.
+		t.used.scale(most / before)
+	}
 	t.cap = c
 	t.tokens.advance(now, c.Rate*o.fraction, o.size(c))
 	t.starts.advance(now, c.Rate*o.fraction, o.startSize(t))
@@ -308,6 +308,9 @@
 // tokenWait returns the time until a team has some more tokens; free are those that it had before. While the team is over its cap, all
 // nodes ask for more than there is, so that each asks less often; o.mu is held.
 func (o *Owner) tokenWait(t *ownedTeam, missing, free float64) time.Duration {
+	if t.overUntil == 0 {
+		missing = 1
+	}
 	wait := t.tokens.wait(min(missing, o.size(t.cap)), t.cap.Rate*o.fraction)
 	if free < 1 && t.tokens.tokens >= 1 {
 		wait = max(wait, t.used.slot)
@@ -327,7 +330,7 @@
 	if free < 1 {
 		return 0
 	}
-	return max(1, min(asked, int(free*grantShare)))
+	return min(asked, max(int(free*grantShare), min(int(free), smallGrant)))
 }
 
 // takeBack returns unused tokens to the buckets, unless their lease has left the window; o.mu is held.
--- a/internal/serve/hgentry/team.go
+++ b/internal/serve/hgentry/team.go
@@ -51,13 +51,17 @@
 // identify returns the team that the request belongs to under a desired state; the zero value if it belongs to none. It returns an error
 // if the request may not run.
 func (x *exchange) identify(s *hgdesired.State, fresh bool) (team hgteam.Team, err error) {
-	if s.Teams == nil {
-		return hgteam.Team{}, nil
-	}
 	route, ok := s.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath())
 	if !ok {
 		route = x.route
 	}
+	if s.Teams == nil {
+		if x.attempt.HasKey && !route.Public && !fresh {
+			// Teams may have been added, and the key removed, since.
+			return hgteam.Team{}, errStale
+		}
+		return hgteam.Team{}, nil
+	}
 	// A node that may have missed a change does not know which keys are valid.
 	if !route.Public && !fresh {
 		return hgteam.Team{}, errStale
@@ -77,13 +81,12 @@
 // team.
 func (x *exchange) reauthorize() (team hgteam.Team, err error) {
 	s, fresh := x.newestDesired()
-	if s.Teams == nil {
-		return x.team, nil
-	}
 	team, err = x.identify(s, fresh)
 	switch {
 	case err != nil:
 		return hgteam.Team{}, err
+	case s.Teams == nil:
+		return x.team, nil
 	case team.Name == x.team.Name, x.team.Name == "", team.Name == "" && x.turn == nil:
 		return team, nil
 	}
--- a/internal/serve/hgentry/team_test.go
+++ b/internal/serve/hgentry/team_test.go
@@ -58,6 +58,8 @@
 		"no team at all":                 {path: "/", key: "ka", before: hgteam.NewTeams(), wantErr: errNoKey},
 		"stale":                          {path: "/", key: "ka", before: both, stale: true, wantErr: errStale},
 		"unknown key, stale":             {path: "/", key: "kx", before: both, stale: true, wantErr: errStale},
+		"no teams, key, stale":           {path: "/", key: "ka", stale: true, wantErr: errStale},
+		"no teams, no key, stale":        {path: "/", stale: true},
 		"public":                         {path: "/public/", before: both, after: both},
 		"public, stale":                  {path: "/public/", key: "ka", before: both, after: both, stale: true, want: "a", sent: "a"},
 		"public, unknown key":            {path: "/public/", key: "kx", before: both, after: both},
--- a/internal/serve/hgteam/team.go
+++ b/internal/serve/hgteam/team.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"maps"
 	"slices"
 
 	"github.com/samber/lo"
@@ -43,7 +44,9 @@
 // NewTeams returns a set of teams. A later team of the same name replaces the earlier one.
 func NewTeams(teams ...Team) *Teams {
 	t := &Teams{byName: lo.KeyBy(teams, func(t Team) string { return t.Name }), byKey: map[KeyDigest]string{}}
-	for _, team := range t.byName {
+	// The order of the names makes equal sets compare equal.
+	for _, name := range slices.Sorted(maps.Keys(t.byName)) {
+		team := t.byName[name]
 		for _, k := range team.Keys {
 			if holder, ok := t.byKey[k]; ok && holder != team.Name {
 				t.shared, t.holders = append(t.shared, k), append(t.holders, holder, team.Name)
--- a/internal/serve/hgteam/team_test.go
+++ b/internal/serve/hgteam/team_test.go
@@ -1,6 +1,7 @@
 package hgteam_test
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -34,3 +35,16 @@
 		t.Errorf("%d shared keys (-want +got):\n%s", teams.SharedKeys(), diff)
 	}
 }
+
+// Guards against equal desired states that compare as different because of the order in which shared keys were found.
+func TestEqualTeamsCompareEqual(t *testing.T) {
+	teams := func() *hgteam.Teams {
+		k, l := hgteam.DigestKey("k"), hgteam.DigestKey("l")
+		return hgteam.NewTeams(hgteam.Team{Name: "a", Keys: []hgteam.KeyDigest{k, l}}, hgteam.Team{Name: "b", Keys: []hgteam.KeyDigest{l, k}})
+	}
+	for range 100 {
+		if !reflect.DeepEqual(teams(), teams()) {
+			t.Fatal("two sets of the same teams differ")
+		}
+	}
+}
