--- a/internal/operate/hgmetric/metric.go
+++ b/internal/operate/hgmetric/metric.go
@@ -12,6 +12,7 @@
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/internal/serve/hgowner"
+	"hyssopgrade/internal/serve/hgserver"
 )
 
 // reportInterval is how often tally reports metrics to the Prometheus registry.
@@ -36,7 +37,12 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "hyssopgrade", Tags: map[string]string{"node": node}, CachedReporter: rep, Separator: prometheus.DefaultSeparator,
 	}, reportInterval)
-	return &Metrics{scope: scope, closer: closer, handler: rep.HTTPHandler()}, registerErr
+	m = &Metrics{scope: scope, closer: closer, handler: rep.HTTPHandler()}
+	// Served as 0 from the start, so that an increase shows also when it is the first one.
+	for _, reason := range boundReasons {
+		m.boundCloses(reason)
+	}
+	return m, registerErr
 }
 
 // buckets are the upper bounds of the duration histograms: 18 steps from 1 ms, each twice the one before.
@@ -58,7 +64,14 @@
 
 // ConnClosed counts a connection that was closed at a bound, by reason.
 func (m *Metrics) ConnClosed(reason string) {
-	m.scope.Tagged(map[string]string{"reason": reason}).Counter("bound_closes").Inc(1)
+	m.boundCloses(reason).Inc(1)
+}
+
+// boundReasons are the reasons for which a node's server closes connections.
+var boundReasons = []string{hgserver.RefusedConns, hgserver.RefusedHeads}
+
+func (m *Metrics) boundCloses(reason string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": reason}).Counter("bound_closes")
 }
 
 // Refused counts a refused call by the kind and the reason of the refusal.
