--- a/internal/operate/hgconfig/entry_test.go
+++ b/internal/operate/hgconfig/entry_test.go
@@ -1,90 +1,46 @@
 package hgconfig_test
 
 import (
-	"os"
-	"regexp"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"hyssopgrade/internal/operate/hgconfig"
 )
 
-// filledTemplate returns the settings file that the platform makes from the template on a VM. Sections of optional values are dropped
-// unless optional has a value of that name.
-func filledTemplate(t *testing.T, optional map[string]string) string {
-	t.Helper()
-	data, err := os.ReadFile("../../../deploy/entry.toml.tmpl")
-	if err != nil {
-		t.Fatal(err)
-	}
-	values := map[string]string{
-		"node|json": `"vm-1"`, "zone|json": `"north"`, "limits.memory_mb": "154", "limits.cpu_share": "0.4", "limits.cores": "1", "bootstrap|json": "true",
-		"listen.front|json": `"10.0.0.1:80"`, "listen.ready|json": `"10.0.0.1:81"`, "listen.directory|json": `"10.0.0.1:82"`,
-		"ip": "10.0.0.1", "port_range.0": "7380", "port_range.1": "7381", "platform.address|json": `"10.0.0.9:90"`,
-		"platform.writes_per_s": "800", "platform.reads_per_s": "2000.0", "bounds.grace_s": "8", "bounds.ttl_max_s": "4.5",
-	}
-	// The platform repeats this section for each failure domain.
-	text := regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`).ReplaceAllStringFunc(string(data), func(string) string { return `"north","south"` })
-	for _, m := range regexp.MustCompile(`\{\{#((?:bounds|limits)\.[a-z_]+)\}\}(.*)\{\{/(?:bounds|limits)\.[a-z_]+\}\}`).FindAllStringSubmatch(text, -1) {
-		section := ""
-		if v, ok := optional[m[1]]; ok {
-			section = strings.ReplaceAll(m[2], "{{.}}", v)
-		}
-		text = strings.Replace(text, m[0], section, 1)
-	}
-	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string {
-		v, ok := values[strings.Trim(m, "{}")]
-		if !ok {
-			t.Errorf("no value for %s", m)
-		}
-		return v
-	})
-}
+// entrySettings is a settings file of an entry VM.
+const entrySettings = `
+[vm]
+name = "vm-1"
+domain = "north"
+domains = ["north","south"]
+memoryMb = 154
+maxDescriptors = 8200
+cpuShare = 0.4
+cores = 1
+firstStart = true
 
-func TestEntryTemplate(t *testing.T) {
-	e, err := hgconfig.ParseEntry(filledTemplate(t, nil))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if e.Teams != (hgconfig.EntryTeams{}) {
-		t.Errorf("bounds on teams read as %+v from a platform that sets none", e.Teams)
-	}
-	if e.VM.Name != "vm-1" || len(e.VM.Domains) != 2 || !e.VM.FirstStart || e.Listen.Peer != "10.0.0.1:7380" || e.Bounds.AddressTTLSeconds != 4.5 {
-		t.Errorf("read as %+v", e)
-	}
-}
+[listen]
+public = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+directory = "10.0.0.1:82"
+peer = "10.0.0.1:7380"
+metrics = "10.0.0.1:7381"
 
-// Guards against a template that does not pass the VM's limit on descriptors on, or that needs one.
-func TestMaxDescriptors(t *testing.T) {
-	for value, want := range map[string]float64{"": 0, "4100": 4100} {
-		optional := map[string]string{}
-		if value != "" {
-			optional["limits.max_fds"] = value
-		}
-		e, err := hgconfig.ParseEntry(filledTemplate(t, optional))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if e.VM.MaxDescriptors != want {
-			t.Errorf("%g descriptors, want %g", e.VM.MaxDescriptors, want)
-		}
-	}
-}
+[store]
+address = "10.0.0.9:90"
+writesPerSecond = 800
+readsPerSecond = 2000.0
 
-func TestBoundsOnTeams(t *testing.T) {
-	e, err := hgconfig.ParseEntry(filledTemplate(t, map[string]string{
-		"bounds.strict_revoke": "true", "bounds.revoke_ms": "5000", "bounds.quota_window_s": "5", "bounds.quota_overage": "0.1", "bounds.quota_slack": "20",
-	}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	want := hgconfig.EntryTeams{StrictRevoke: true, RevokeMs: 5000, CapWindowSeconds: 5, CapOverage: 0.1, CapSlack: 20}
-	if diff := cmp.Diff(want, e.Teams); diff != "" {
-		t.Error(diff)
-	}
-}
+[bounds]
+graceSeconds = 8
+addressTtlSeconds = 4.5
+
+[teams]
+revokeMs = 5000
+
+[log]
+level = "info"
+`
 
 func TestBadEntrySettings(t *testing.T) {
 	tests := map[string]struct{ old, new, want string }{
@@ -94,12 +50,15 @@
 		"key alone":     {"[log]", "[keys]\ncertificate = \"a.pem\"\n[log]", "keys.certificate"},
 		"bad address":   {`"10.0.0.1:80"`, `"here:80"`, "listen.public"},
 		"little memory": {"154", "3", "vm.memoryMb"},
+		"bad bound":     {"revokeMs = 5000", "revokeMs = -1", "teams.revokeMs"},
 		"no grace":      {"graceSeconds = 8", "graceSeconds = 0", "bounds.graceSeconds"},
 	}
-	good := filledTemplate(t, nil) + "\n[log]\nlevel = \"info\"\n"
+	if _, err := hgconfig.ParseEntry(entrySettings); err != nil {
+		t.Fatal(err)
+	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			_, err := hgconfig.ParseEntry(strings.Replace(good, tt.old, tt.new, 1))
+			_, err := hgconfig.ParseEntry(strings.Replace(entrySettings, tt.old, tt.new, 1))
 			if err == nil || !strings.Contains(err.Error(), tt.want) {
 				t.Errorf("error %v, want one about %s", err, tt.want)
 			}
