--- a/internal/serve/hgentry/request.go
+++ b/internal/serve/hgentry/request.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"hyssopgrade/internal/serve/hgmemory"
+	"hyssopgrade/internal/serve/hgserver"
 )
 
 const (
@@ -19,10 +19,6 @@
 	// 3.2 KB/s, a thousandth of the smallest VM's link of 30 Mbit/s, so that only a body that has stopped falls below it.
 	paceBytes = 16 << 10
 	paceTime  = 5 * time.Second
-	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the caller can read the refusal before its
-	// connection ends. The bytes are those of a whole body of legal size, which take 1.1 s on a link of 30 Mbit/s.
-	lingerTime  = 2 * time.Second
-	lingerBytes = defaultMaxBody
 )
 
 // WithBodies sets the memory that the bodies of all requests share.
@@ -110,23 +106,13 @@
 	return allowed
 }
 
-// refuseBody refuses a request whose body is not read, frees its memory, and then drops what the caller still sends for a bounded time:
-// bytes that nobody reads would reset the connection and with it the response.
+// refuseBody refuses a request whose body is not read, and frees its memory.
 func (x *exchange) refuseBody(status int, reason, counter string) {
 	x.closeBody()
 	x.entry.metrics.Count(counter)
-	conn := http.NewResponseController(x.w)
-	if err := errors.Join(conn.EnableFullDuplex(), conn.SetReadDeadline(time.Now().Add(lingerTime))); err != nil {
+	if err := hgserver.Refuse(x.w, x.r, func() { x.refuse(status, reason) }); err != nil {
 		x.entry.log.Debug("cannot linger", "attempt", x.attempt.ID, "error", err)
 	}
-	x.w.Header().Set("Connection", "close")
-	x.refuse(status, reason)
-	if err := conn.Flush(); err != nil || x.r.Body == nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, x.r.Body, lingerBytes); err != nil && !errors.Is(err, io.EOF) {
-		x.entry.log.Debug("refused body ended", "attempt", x.attempt.ID, "error", err)
-	}
 }
 
 // closeBody ends the charge for the body's memory.
--- a/internal/serve/hgfront/body.go
+++ b/internal/serve/hgfront/body.go
@@ -11,15 +11,12 @@
 
 	"hyssopgrade/hgcall"
 	"hyssopgrade/internal/serve/hgmemory"
+	"hyssopgrade/internal/serve/hgserver"
 )
 
 const (
 	// copies is the number of copies of a body, beside the one that is read, that decoding it and calling an endpoint make.
 	copies = 1
-	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the caller can read the refusal before its
-	// connection ends.
-	lingerTime  = 2 * time.Second
-	lingerBytes = 4 << 20
 	// retryAfterMemory is when a caller whose body found no memory may come back.
 	retryAfterMemory = time.Second
 )
@@ -63,18 +60,13 @@
 	}
 }
 
-// refuseBody refuses a request whose body was not read to its end, and then drops what the caller still sends for a bounded time: bytes
-// that nobody reads would reset the connection and with it the response.
+// refuseBody refuses a request whose body was not read to its end.
 func (f *Front) refuseBody(w http.ResponseWriter, r *http.Request, status int, refusal *hgcall.Refusal) {
 	f.backend.Refused(refusal)
-	conn := http.NewResponseController(w)
-	_ = conn.EnableFullDuplex() // an error means that the rest cannot be read, which only costs the caller the response
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
-	w.Header().Set("Connection", "close")
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(errorBody(refusal))
-	if err := conn.Flush(); err == nil && r.Body != nil {
-		_, _ = io.CopyN(io.Discard, r.Body, lingerBytes) // an error means that the caller has no more to send, or is too late
-	}
+	// An error means that the caller may not see the answer, which promises nothing that depends on it.
+	_ = hgserver.Refuse(w, r, func() {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(errorBody(refusal))
+	})
 }
