--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -16,8 +16,23 @@
 	// plainRemoteCost is the cost of picking a replica in another failure domain for a request of a plain service: a round
 	// trip, at half a millisecond each way.
 	plainRemoteCost = time.Millisecond
+	// unreadTime is how long a caller may leave a block of a plain answer unread. The answer holds memory that all answers share; callers
+	// who read slowly take a block of 16 KiB in far less, and wait for no answer longer.
+	unreadTime = 10 * time.Second
 )
 
+// answerWriter writes a buffered answer to the caller, and ends with an error if a write takes longer than unreadTime.
+type answerWriter struct {
+	w    http.ResponseWriter
+	conn *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (a answerWriter) Write(p []byte) (n int, err error) {
+	_ = a.conn.SetWriteDeadline(time.Now().Add(unreadTime)) // an error means that the connection is closed, as the write shows
+	return a.w.Write(p)
+}
+
 // forwardPlain forwards a request whose response is not a stream, with retries at other replicas.
 func (x *exchange) forwardPlain() {
 	want := hgreplica.Want{Service: x.service(), Exclude: map[string]bool{}, Far: plainRemoteCost}
@@ -67,8 +82,11 @@
 	x.w.WriteHeader(t.resp.StatusCode)
 	x.entry.metrics.Observe(string(x.route.Kind), x.entry.timer.Now()-x.start)
 	reason := ""
-	if _, err := answer.WriteTo(x.w); err != nil {
+	conn := http.NewResponseController(x.w)
+	if _, err := answer.WriteTo(answerWriter{x.w, conn}); err != nil {
 		reason = "caller did not take the answer"
+	} else if err := conn.SetWriteDeadline(time.Time{}); err != nil {
+		x.entry.log.Debug("connection already closed", "attempt", x.attempt.ID, "error", err)
 	}
 	x.logResult(t.resp.StatusCode, reason)
 	return nil
