Reading of the whole change: what stood twice, and what was more than needed

hgserver bounds connections and heads by what a machine has, for entry VMs and nodes alike; both had the shares and the divisors. The time that a request may take is computed in one place. A call to the owner of a team carries one lease or one team, as it always did, instead of lists. The rule for stale nodes is one condition. The errors that end a request are a list. The doc of hgpace names all three decisions.

--- a/internal/operate/hgentryvm/bounds.go
+++ b/internal/operate/hgentryvm/bounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"net/http"
 	"runtime/metrics"
 	"sync"
@@ -20,10 +19,8 @@
 	// MemoryShare is the share of the VM's memory that is set as the soft memory limit of the Go runtime. The rest holds the program
 	// itself and the system's buffers of connections.
 	MemoryShare = 0.6
-	// bodyShare is for the bodies of callers' requests, peerShare for the messages of peers, and headShare for unfinished heads.
-	bodyShare = 0.15
+	// peerShare is for the messages of peers.
 	peerShare = 0.1
-	headShare = 0.05
 	// minBodyBytes is the least memory for bodies or messages: a body of 4 MiB takes twice that for a moment, when it is whole.
 	minBodyBytes = 10 << 20
 	// shortShare is the share of the Go runtime's limit above which the live heap counts as near it: only small bodies are taken.
@@ -32,10 +29,8 @@
 	heapPeriod = 250 * time.Millisecond
 )
 
-// Divisors of the VM's descriptors for the connections of each port. Each request of a caller may hold one more connection to a replica;
-// the rest is for peers, the store and files.
+// Divisors of the VM's descriptors for the connections of the other ports, beside hgserver.PublicPart.
 const (
-	publicPart    = 8.0 / 3
 	peerPart      = 8.0
 	directoryPart = 16.0
 	operatorPart  = 64.0
@@ -58,7 +53,7 @@
 }
 
 func newBounds(vm hgconfig.EntryVM, log *slog.Logger, count func(reason string), clock hgmemory.Clock) *bounds {
-	return &bounds{vm: vm, log: log, count: count, bodies: hgmemory.NewBodies(memoryPart(vm, bodyShare), clock), reasons: map[string]int{}}
+	return &bounds{vm: vm, log: log, count: count, bodies: hgmemory.NewBodies(memoryPart(vm, hgmemory.BodyShare), clock), reasons: map[string]int{}}
 }
 
 // memoryPart returns the bytes of a share of the VM's memory that holds bodies or messages.
@@ -66,23 +61,18 @@
 	return max(int(vm.MemoryMB*(1<<20)*share), minBodyBytes)
 }
 
-// conns returns the number of connections of a port; 0 if the VM sets no limit on descriptors.
-func (b *bounds) conns(part float64) int {
-	if b.vm.MaxDescriptors == 0 {
-		return 0
-	}
-	return max(int(b.vm.MaxDescriptors/part), 1)
+func (b *bounds) machine() hgserver.Machine {
+	return hgserver.Machine{MemoryMB: b.vm.MemoryMB, Descriptors: b.vm.MaxDescriptors}
 }
 
 // server returns a server whose connections are a part of the VM's descriptors.
 func (b *bounds) server(cfg *http.Server, part float64) *hgserver.Server {
-	return hgserver.NewServer(cfg, b.log, hgserver.WithMaxConns(b.conns(part)),
-		hgserver.WithMaxHeadBytes(int(b.vm.MemoryMB*(1<<20)*headShare)), hgserver.WithRefused(b.refused))
+	return hgserver.NewServer(cfg, b.log, hgserver.WithMachine(b.machine(), part), hgserver.WithRefused(b.refused))
 }
 
 // peers returns the bounds of the port for peers.
 func (b *bounds) peers(clock hgmemory.Clock) hgpeer.Bounds {
-	return hgpeer.Bounds{MaxConns: b.conns(peerPart), Memory: hgmemory.NewBodies(memoryPart(b.vm, peerShare), clock), Refused: b.refused}
+	return hgpeer.Bounds{MaxConns: b.machine().Conns(peerPart), Memory: hgmemory.NewBodies(memoryPart(b.vm, peerShare), clock), Refused: b.refused}
 }
 
 // entryOption returns the option that makes the entry's bodies share the memory for them.
@@ -98,7 +88,7 @@
 		return
 	}
 	args := []any{}
-	for name, n := range maps.All(b.reasons) {
+	for name, n := range b.reasons {
 		args = append(args, name, n)
 	}
 	b.log.Warn("connections closed at a bound of the VM", args...)
--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -34,7 +34,7 @@
 const (
 	// storeTimeout bounds one operation of the store. Answers usually take 4 ms, and a few hundred when the store is slow.
 	storeTimeout = 900 * time.Millisecond
-	// headerTimeout bounds the time a client may take to send the header of a request.
+	// headerTimeout bounds the time a client may take to send the header of a request: several times what the desired state allows, 3 s.
 	headerTimeout = 15 * time.Second
 	// readTimeout and writeTimeout bound a whole request and its answer at the ports for readiness, the directory and metrics, which
 	// take no bodies and send a few KB.
@@ -138,7 +138,7 @@
 	n.public = n.bounds.server(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
-	}, publicPart)
+	}, hgserver.PublicPart)
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, n.desiredOptions()...),
--- a/internal/operate/hgentryvm/peer.go
+++ b/internal/operate/hgentryvm/peer.go
@@ -9,6 +9,7 @@
 	"hyssopgrade/hgcodec"
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/serve/hgcap"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
@@ -51,7 +52,7 @@
 // Cap grants leases on usage caps to a peer.
 func (h *peerHandler) Cap(q hgpeer.CapRequest) hgpeer.CapReply {
 	if h.caps == nil {
-		return hgpeer.CapReply{}
+		return hgpeer.CapReply{Grant: hgcap.Grant{NotOwner: true}}
 	}
 	return h.caps.HandleCap(h.ctx, q)
 }
--- a/internal/peer/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -198,7 +198,7 @@
 	}
 	n.public = n.newServer(&http.Server{
 		Handler: n.front, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
-	}, publicPart)
+	}, hgserver.PublicPart)
 	n.peers = n.newServer(&http.Server{Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}, innerPart)
 	n.wg.Go(func() { _ = n.peers.Serve(peers) })
 	n.wg.Go(func() { _ = n.public.Serve(public) })
--- a/internal/peer/hgpeer/caps.go
+++ b/internal/peer/hgpeer/caps.go
@@ -133,13 +133,13 @@
 		c.leases.Settle(q, c.grant(ctx, q), true)
 		return
 	}
-	reply, err := c.client.Cap(ctx, owner.Peer, CapRequest{Asks: []hgcap.Ask{q}})
-	if err != nil || len(reply.Grants) != 1 {
+	reply, err := c.client.Cap(ctx, owner.Peer, CapRequest{Ask: &q})
+	if err != nil {
 		c.noteFailure(owner, err)
 		c.leases.Settle(q, hgcap.Grant{}, false)
 		return
 	}
-	c.leases.Settle(q, reply.Grants[0], true)
+	c.leases.Settle(q, reply.Grant, true)
 }
 
 // noteFailure suspects a peer that refused the connection or broke it, as when the process has ended. One that is only slow remains the owner
@@ -152,12 +152,16 @@
 	}
 }
 
-// HandleCap answers a peer that asks for leases or for teams.
+// HandleCap answers a peer that asks for a lease or for a team.
 func (c *Caps) HandleCap(ctx context.Context, q CapRequest) (r CapReply) {
 	ctx, cancel := context.WithTimeout(ctx, capTimeout)
 	defer cancel()
-	r.Grants = lo.Map(q.Asks, func(a hgcap.Ask, _ int) hgcap.Grant { return c.grant(ctx, a) })
-	r.Handovers = lo.Map(q.Surrender, func(team string, _ int) hgcap.Handover { return c.owner.Surrender(team) })
+	if q.Ask != nil {
+		r.Grant = c.grant(ctx, *q.Ask)
+	}
+	if q.Surrender != "" {
+		r.Handover = c.owner.Surrender(q.Surrender)
+	}
 	return r
 }
 
@@ -190,14 +194,14 @@
 	}
 	call, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	reply, err := c.client.Cap(call, previous.Peer, CapRequest{Surrender: []string{team}})
-	if err != nil || len(reply.Handovers) != 1 {
+	reply, err := c.client.Cap(call, previous.Peer, CapRequest{Surrender: team})
+	if err != nil {
 		// A process that has ended grants no more; one that is slow may.
 		c.noteFailure(previous, err)
 		c.owner.Adopt(team, limit, hgcap.Handover{}, !errors.Is(err, context.DeadlineExceeded))
 		return
 	}
-	c.owner.Adopt(team, limit, reply.Handovers[0], true)
+	c.owner.Adopt(team, limit, reply.Handover, true)
 }
 
 // probe calls the node that this one takes for the owner of a team for which a peer asked here: the peer may have found that the owner has
--- a/internal/peer/hgpeer/message.go
+++ b/internal/peer/hgpeer/message.go
@@ -103,17 +103,18 @@
 	Cap(q CapRequest) CapReply
 }
 
-// CapRequest asks for leases on the usage caps of teams, and for the teams that the calling node has come to own.
+// CapRequest asks for a lease on the usage cap of a team, for a team that the calling node has come to own, or for a sign of life.
 type CapRequest struct {
-	Asks []hgcap.Ask
-	// Surrender are the names of teams to hand over.
-	Surrender []string
+	// Ask is the lease that is asked for; nil if none is.
+	Ask *hgcap.Ask
+	// Surrender is the name of a team to hand over; empty if none is.
+	Surrender string
 }
 
-// CapReply answers a CapRequest, in the order of the request.
+// CapReply answers a CapRequest. What was not asked for has its zero value.
 type CapReply struct {
-	Grants    []hgcap.Grant
-	Handovers []hgcap.Handover
+	Grant    hgcap.Grant
+	Handover hgcap.Handover
 }
 
 // PlaceReply is a place on a replica, or a verdict that says why there is none.
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -218,14 +218,7 @@
 	if !x.authorize() {
 		return
 	}
-	allowed := route.Timeout
-	if allowed <= 0 {
-		allowed = defaultTimeout
-	}
-	if x.attempt.Deadline > 0 {
-		allowed = min(allowed, x.attempt.Deadline)
-	}
-	x.deadline = x.start + allowed
+	x.deadline = x.start + x.allowed(route)
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline-x.entry.timer.Now())
 	defer cancel()
 	defer context.AfterFunc(x.entry.stop.ended, cancel)()
@@ -242,8 +235,20 @@
 	if !x.takeCap() {
 		return
 	}
+	defer x.returnCap() // also if the request is aborted
 	x.forward()
-	x.returnCap()
+}
+
+// allowed returns the time that a request of a route may take from its arrival on; the zero Route stands for an unknown one.
+func (x *exchange) allowed(route hgdesired.Route) time.Duration {
+	allowed := route.Timeout
+	if allowed <= 0 {
+		allowed = defaultTimeout
+	}
+	if x.attempt.Deadline > 0 {
+		allowed = min(allowed, x.attempt.Deadline)
+	}
+	return allowed
 }
 
 // startWait is how long a request waits for the desired state of a node that has just started. A start takes about 10 ms if
--- a/internal/serve/hgentry/request.go
+++ b/internal/serve/hgentry/request.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"hyssopgrade/internal/serve/hgdesired"
 	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgserver"
 )
@@ -54,8 +55,12 @@
 		}
 	}
 	x.held = x.entry.bodies.Open(func() { setDeadline(time.Unix(1, 0)) })
+	var route hgdesired.Route
+	if x.state != nil {
+		route, _ = x.state.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath()) // an unknown route is refused later
+	}
 	began := time.Now()
-	end := began.Add(x.allowed())
+	end := began.Add(x.allowed(route))
 	mark, due := 0, began.Add(paceTime)
 	body, err := x.held.Read(x.r.Body, x.r.ContentLength, maxBytes, func(size int) {
 		switch {
@@ -92,20 +97,6 @@
 	return a
 }
 
-// allowed returns the time from the request's arrival to its deadline, the caller's or that of its route, as far as both are known.
-func (x *exchange) allowed() time.Duration {
-	allowed := defaultTimeout
-	if x.state != nil {
-		if route, ok := x.state.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath()); ok && route.Timeout > 0 {
-			allowed = route.Timeout
-		}
-	}
-	if x.attempt.Deadline > 0 {
-		allowed = min(allowed, x.attempt.Deadline)
-	}
-	return allowed
-}
-
 // refuseBody refuses a request whose body is not read, and frees its memory.
 func (x *exchange) refuseBody(status int, reason, counter string) {
 	x.closeBody()
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -259,10 +259,15 @@
 	return u
 }
 
+// finalErrors are the errors after which a request is sent to no other replica.
+var finalErrors = []error{
+	errNoReplica, errBusy, errNoLease, errSuspect, errStopping, errOverCap, errCallerLeft, errTokenLimit, errNoKey, errStale, errOtherTeam,
+}
+
 // canRetry reports whether the request may be sent to another replica after an error.
 func (x *exchange) canRetry(err error) bool {
 	switch {
-	case x.ctx.Err() != nil, x.tries >= maxTries, errors.Is(err, errNoReplica), errors.Is(err, errBusy), errors.Is(err, errNoLease), errors.Is(err, errSuspect), errors.Is(err, errStopping), errors.Is(err, errOverCap), errors.Is(err, errCallerLeft), errors.Is(err, errTokenLimit), isUnauthorized(err):
+	case x.ctx.Err() != nil, x.tries >= maxTries, lo.SomeBy(finalErrors, func(final error) bool { return errors.Is(err, final) }):
 		return false
 	case errors.Is(err, errAnswerLost):
 		return x.route.Repeatable() && x.sent < x.route.MaxAttempts
--- a/internal/serve/hgentry/team.go
+++ b/internal/serve/hgentry/team.go
@@ -55,17 +55,13 @@
 	if !ok {
 		route = x.route
 	}
+	// A node that may have missed a change does not know which keys are valid, also if it knows of no teams yet.
+	if !fresh && !route.Public && (s.Teams != nil || x.attempt.HasKey) {
+		return hgteam.Team{}, errStale
+	}
 	if s.Teams == nil {
-		if x.attempt.HasKey && !route.Public && !fresh {
-			// Teams may have been added, and the key removed, since.
-			return hgteam.Team{}, errStale
-		}
 		return hgteam.Team{}, nil
 	}
-	// A node that may have missed a change does not know which keys are valid.
-	if !route.Public && !fresh {
-		return hgteam.Team{}, errStale
-	}
 	known := false
 	if x.attempt.HasKey {
 		team, known = s.Teams.ByKey(x.attempt.Key)
--- a/internal/serve/hgmemory/bodies.go
+++ b/internal/serve/hgmemory/bodies.go
@@ -12,6 +12,8 @@
 var ErrShed = errors.New("no memory is left for request bodies")
 
 const (
+	// BodyShare is the share of a machine's memory for the bodies of callers' requests.
+	BodyShare = 0.15
 	// firstBlockBytes is the size of the first block of a body of unknown size, so that a body of few bytes charges little.
 	firstBlockBytes = 2 << 10
 	// SmallBody is the largest body, in bytes, that may use the part of the memory that is reserved for small ones. A declared body up
--- a/internal/serve/hgpace/doc.go
+++ b/internal/serve/hgpace/doc.go
@@ -1,3 +1,3 @@
-// Package hgpace decides from the answers of replicas which of them are suspected of hanging. It addresses replicas that accept
-// requests and leave them unanswered while their health checks succeed. All times are readings of one hgtimer.Timer.
+// Package hgpace decides from the answers of replicas how much each of them gets: which are suspected of hanging, how slow their machines
+// are, and how many requests a replica may have in flight that has just started or recovered. All times are readings of one hgtimer.Timer.
 package hgpace
--- a/internal/serve/hgpace/limit.go
+++ b/internal/serve/hgpace/limit.go
@@ -83,7 +83,7 @@
 // SetSlots sets the number of requests that the replica runs at once.
 func (r *Replica) SetSlots(n int) { r.slots = max(n, 1) }
 
-// RecordGood records an answer after took.
+// RecordGood records that a request ended soundly whose answer began after took; now is when it began.
 func (r *Replica) RecordGood(now, took time.Duration) {
 	l := &r.limit
 	own := float64(took) / r.Slowness(now)
--- a/internal/serve/hgreplica/set.go
+++ b/internal/serve/hgreplica/set.go
@@ -57,7 +57,7 @@
 	announcedLeaving bool
 	// misdirected says that another replica has taken over the address.
 	misdirected bool
-	// pace tracks what the replica leaves unanswered.
+	// pace tracks whether the replica hangs, how slow its machine is, and how many requests it may have.
 	pace *hgpace.Replica
 }
 
--- a/internal/serve/hgserver/limit.go
+++ b/internal/serve/hgserver/limit.go
@@ -25,6 +25,33 @@
 // WithMaxHeadBytes bounds the bytes of all heads that are not complete yet. 0 means no bound.
 func WithMaxHeadBytes(n int) Option { return func(s *Server) { s.maxHeadBytes = n } }
 
+const (
+	// PublicPart is the part of a machine's descriptors, one in PublicPart, for the connections of callers. Each of their requests may hold
+	// one more connection to a replica or an endpoint; the rest is for peers, the store and files.
+	PublicPart = 8.0 / 3
+	// headShare is the share of a machine's memory for all heads that are not complete yet.
+	headShare = 0.05
+)
+
+// Machine is what a process may use; 0 means no limit.
+type Machine struct{ MemoryMB, Descriptors float64 }
+
+// Conns returns the number of connections of a port that gets one in part of the descriptors; 0 if there is no limit.
+func (m Machine) Conns(part float64) int {
+	if m.Descriptors == 0 {
+		return 0
+	}
+	return max(int(m.Descriptors/part), 1)
+}
+
+// WithMachine bounds the connections and the unfinished heads of a port by what the process may use.
+func WithMachine(m Machine, part float64) Option {
+	return func(s *Server) {
+		WithMaxConns(m.Conns(part))(s)
+		WithMaxHeadBytes(int(m.MemoryMB * (1 << 20) * headShare))(s)
+	}
+}
+
 // WithRefused sets a function that is called with the reason of each connection that the server closes because of its bounds.
 func WithRefused(f func(reason string)) Option { return func(s *Server) { s.refused = f } }
 
