One bound of slowness, one share of memory; a request that arrives on a connection that is about to be closed is kept

The reserve of tokens for programs in progress was a number that was either 0 or infinite; it is a condition. At the bound of connections an idle one was closed although a request had arrived on it after it was chosen (found by reading; no test plays it).

--- a/cmd/hyssopgrade/entry.go
+++ b/cmd/hyssopgrade/entry.go
@@ -11,6 +11,7 @@
 	"hyssopgrade/internal/operate/hgentryvm"
 	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/operate/hgsignal"
+	"hyssopgrade/internal/serve/hgmemory"
 )
 
 // settingsEnv is the environment variable with the path of the settings file; the users' platform sets it.
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(cfg.VM.MemoryMB * (1 << 20) * hgentryvm.MemoryShare))
+	debug.SetMemoryLimit(int64(cfg.VM.MemoryMB * (1 << 20) * hgmemory.RuntimeShare))
 	n, err := hgentryvm.NewNode(cfg, log)
 	if err != nil {
 		return err
--- a/cmd/hyssopgrade/node.go
+++ b/cmd/hyssopgrade/node.go
@@ -12,9 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	"hyssopgrade/internal/operate/hgconfig"
-	"hyssopgrade/internal/operate/hgentryvm"
 	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/peer/hgnode"
+	"hyssopgrade/internal/serve/hgmemory"
 )
 
 func settingsFlag() cli.Flag {
@@ -47,7 +47,7 @@
 		return err
 	}
 	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * (1 << 20) * hgentryvm.MemoryShare))
+		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * (1 << 20) * hgmemory.RuntimeShare))
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
--- a/internal/operate/hgentryvm/bounds.go
+++ b/internal/operate/hgentryvm/bounds.go
@@ -14,11 +14,8 @@
 	"hyssopgrade/internal/serve/hgserver"
 )
 
-// Shares of the VM's memory. Together with bufferShare they leave a third of the Go runtime's limit (MemoryShare) for all else.
+// Shares of the VM's memory. Together with bufferShare they leave a third of the Go runtime's limit (hgmemory.RuntimeShare) for all else.
 const (
-	// MemoryShare is the share of the VM's memory that is set as the soft memory limit of the Go runtime. The rest holds the program
-	// itself and the system's buffers of connections.
-	MemoryShare = 0.6
 	// peerShare is for the messages of peers.
 	peerShare = 0.1
 	// minBodyBytes is the least memory for bodies or messages: a body of 4 MiB takes twice that for a moment, when it is whole.
@@ -103,6 +100,6 @@
 	if sample[0].Value.Kind() != metrics.KindUint64 {
 		return
 	}
-	limit := b.vm.MemoryMB * (1 << 20) * MemoryShare * shortShare
+	limit := b.vm.MemoryMB * (1 << 20) * hgmemory.RuntimeShare * shortShare
 	b.bodies.SetShort(float64(sample[0].Value.Uint64()) > limit)
 }
--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -63,6 +63,10 @@
 	HasTeams bool
 }
 
+// MaxSlowness bounds the slowness of a replica in percent. One that takes a hundred times as long as usual is of no use to callers, so that a
+// larger figure is an error of the report.
+const MaxSlowness = 10_000
+
 // Answer is the metadata of a replica's response, as decoded from its status and headers.
 type Answer struct {
 	// AttemptID identifies the attempt that the response belongs to.
--- a/internal/serve/hgcap/owner.go
+++ b/internal/serve/hgcap/owner.go
@@ -1,7 +1,6 @@
 package hgcap
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -257,8 +256,10 @@
 	free := o.free(t)
 	g.Tokens = share(free, q.Tokens)
 	charge := t.programSize()
-	if most := min(t.starts.tokens, o.spare(t, free-float64(g.Tokens))); q.Starts > 0 {
-		g.Starts = min(share(most/charge, q.Starts), g.Tokens)
+	if q.Starts > 0 {
+		if !o.isReserved(t, free-float64(g.Tokens)) {
+			g.Starts = min(share(t.starts.tokens/charge, q.Starts), g.Tokens)
+		}
 		if g.Starts == 0 {
 			g.StartWait = max(t.starts.wait(charge, o.fraction*c.Rate), t.tokens.wait(1, o.fraction*c.Rate))
 		}
@@ -297,12 +298,9 @@
 	return min(t.tokens.tokens, most*o.fraction-t.used.total)
 }
 
-// spare returns the tokens left to new programs; o.mu is held.
-func (o *Owner) spare(t *ownedTeam, free float64) float64 {
-	if t.overUntil > 0 && free < reserveShare*o.size(t.cap) {
-		return 0
-	}
-	return math.Inf(1)
+// isReserved reports whether what is left of a team's tokens is kept for its programs in progress; o.mu is held.
+func (o *Owner) isReserved(t *ownedTeam, left float64) bool {
+	return t.overUntil > 0 && left < reserveShare*o.size(t.cap)
 }
 
 // tokenWait returns the time until a team has some more tokens; free are those that it had before. While the team is over its cap, all
--- a/internal/serve/hgmemory/bodies.go
+++ b/internal/serve/hgmemory/bodies.go
@@ -12,6 +12,9 @@
 var ErrShed = errors.New("no memory is left for request bodies")
 
 const (
+	// RuntimeShare is the share of a machine's memory that is set as the soft memory limit of the Go runtime. The rest holds the program
+	// itself and the system's buffers of connections.
+	RuntimeShare = 0.6
 	// BodyShare is the share of a machine's memory for the bodies of callers' requests.
 	BodyShare = 0.15
 	// firstBlockBytes is the size of the first block of a body of unknown size, so that a body of few bytes charges little.
--- a/internal/serve/hgreplica/lease.go
+++ b/internal/serve/hgreplica/lease.go
@@ -84,7 +84,7 @@
 // Apply records the outcome that the holder on another node reported, and releases the lease.
 func (l *Lease) Apply(o Outcome) {
 	if o.Answered || o.Errored {
-		l.recordAnswer(hgattempt.Answer{Failed: o.Errored, Slowness: boundSlowness(o.Slowness)}, o.Took, o.Held)
+		l.recordAnswer(hgattempt.Answer{Failed: o.Errored, Slowness: min(max(o.Slowness, 0), hgattempt.MaxSlowness)}, o.Took, o.Held)
 		l.answered = l.set.timer.Now() - o.Held
 	}
 	if o.Failed {
--- a/internal/serve/hgreplica/pace.go
+++ b/internal/serve/hgreplica/pace.go
@@ -135,8 +135,3 @@
 		r.RecordTook(now, took)
 	}
 }
-
-// maxSlowness bounds the slowness in the outcomes of other nodes, in percent.
-const maxSlowness = 10_000
-
-func boundSlowness(percent int) int { return min(max(percent, 0), maxSlowness) }
--- a/internal/serve/hgserver/limit.go
+++ b/internal/serve/hgserver/limit.go
@@ -138,10 +138,10 @@
 	c.counted = n
 }
 
-// abort closes the connection because of a bound, unless a request has begun on it.
+// abort closes the connection because of a bound, unless a request has begun on it, or has arrived on it since it was found idle.
 func (c *conn) abort() {
 	c.mu.Lock()
-	if c.handling {
+	if c.handling || c.received == 0 && unreadBytes(c.Conn) > 0 {
 		c.mu.Unlock()
 		return
 	}
