--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -14,11 +14,8 @@
 // is the number of engines.
 const (
 	partsRate = 20.0
-	partsFor  = 80 * time.Second
 	// partsShare is the number of the store's 16 parts that are down at the same time, for partsDown; partsPause lies between.
 	partsShare = 5
-	partsDown  = 1200 * time.Millisecond
-	partsPause = 1300 * time.Millisecond
 	// partsLines is the number of helpers of a program, which begin after its first turn.
 	partsLines = 6
 	// partsFirst is the input of a first turn, which has one event: an engine takes 2.55 ms for each of its 9 tokens.
@@ -29,6 +26,12 @@
 	partsRefused = 3
 )
 
+var (
+	partsFor   = 80 * time.Second
+	partsDown  = 1200 * time.Millisecond
+	partsPause = 1300 * time.Millisecond
+)
+
 // partsBudget runs programs that loop until their budget is spent, while parts of the store are down for a moment.
 func partsBudget(ctx context.Context, s *site, trouble bool) (broken []string, err error) {
 	engine := func(id, zone string) *replica {
--- a/review/stand-2/refused.go
+++ b/review/stand-2/refused.go
@@ -14,17 +14,20 @@
 const (
 	refusedRate = 0.75
 	// A burst brings refusedBurst times the usual for refusedBurstFor; refusedPause lies between two of them.
-	refusedBurst    = 2.1
-	refusedBurstFor = 4 * time.Second
-	refusedPause    = time.Second
-	refusedFor      = 45 * time.Second
-	// refusedCalm is more than contact_ms and than the span after a burst in which machines may count as slowed.
-	refusedCalm = 7 * time.Second
+	refusedBurst = 2.1
 	// refusedPrograms is the number of programs that begin in the calm, with a first turn of the mean size, and go on with a turn of the
 	// largest. refusedTries are the tries from which on the rule counts a turn that reached no replica.
 	refusedPrograms   = 20
 	refusedTries      = 5
 	refusedFirstBytes = 4_300
+)
+
+var (
+	refusedBurstFor = 4 * time.Second
+	refusedPause    = time.Second
+	refusedFor      = 45 * time.Second
+	// refusedCalm is more than contact_ms and than the span after a burst in which machines may count as slowed.
+	refusedCalm = 7 * time.Second
 	// refusedAim is 1.6 times the time of 18 turns on idle replicas, with 26 ms a turn for the way, and the objective of 200 ms.
 	refusedAim = 3250 * time.Millisecond
 )
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -27,13 +27,13 @@
 }
 
 // heartbeatTime is the pause between two writes of a replica's entry, as in the settings.
-const heartbeatTime = 1200 * time.Millisecond
+var heartbeatTime = 1200 * time.Millisecond
 
 // zones are the zones of the deployment; machines and replicas are spread over them in turn.
 var zones = []string{"z-a", "z-b", "z-c"}
 
 // settleTime is the time for which a deployment is left alone before traffic comes.
-const settleTime = 4 * time.Second
+var settleTime = 4 * time.Second
 
 // deploy starts the store, engines like the given one and entry VMs, and waits until these are ready.
 func (s *site) deploy(engineCount, machines int, engine func(id, zone string) *replica, state map[string]any) (err error) {
