--- a/review/stand-3/heads.go
+++ b/review/stand-3/heads.go
@@ -144,13 +144,13 @@
 	return err == nil && reply.Status == http.StatusOK && reply.Complete
 }
 
-// residentMB returns the resident memory of a process in units of 2^20 bytes; 0 if it has ended.
+// residentMB returns the resident memory of a process without the pages of its program file, in units of 2^20 bytes; 0 if it has ended.
 func residentMB(pid int) int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	_, rest, _ := strings.Cut(string(status), "RssAnon:")
 	kb, _ := strconv.Atoi(strings.Fields(rest + " 0")[0])
 	return kb >> 10
 }
