--- a/review/stand-3/budget.go
+++ b/review/stand-3/budget.go
@@ -22,6 +22,9 @@
 	// turnTokens is the most of a turn, which the engines generate in full, and loopBudget the budget of a program.
 	turnTokens = hgsite.Events * hgsite.TokensPerEvent
 	loopBudget = 10 * turnTokens
+)
+
+var (
 	// The store is down for outageTime, and the processes of a failure domain are killed at each of the two times after its begin.
 	outageTime = 7 * time.Second
 	firstKill  = 1500 * time.Millisecond
--- a/review/stand-3/heads.go
+++ b/review/stand-3/heads.go
@@ -24,6 +24,12 @@
 	// the last byte; max_body_bytes is 4194304.
 	headBytes = 14 << 10
 	bodyBytes = 8 << 10
+	// The rule counts machines on which processes end three times; two of them break it.
+	endsPerVM = 3
+	brokenVMs = 2
+)
+
+var (
 	// crowdRamp is the time over which the clients come, and crowdTime how long they stay. One whose connection is closed comes again
 	// after crowdPause.
 	crowdRamp  = 4 * time.Second
@@ -31,11 +37,8 @@
 	crowdPause = time.Second
 	// memoryPeriod is the time between two looks at the memory of the processes.
 	memoryPeriod = 100 * time.Millisecond
-	// The rule counts machines on which processes end three times; two of them break it.
-	endsPerVM  = 3
-	brokenVMs  = 2
-	askPeriod  = time.Second
-	askTimeout = 5 * time.Second
+	askPeriod    = time.Second
+	askTimeout   = 5 * time.Second
 )
 
 // runHeads holds connections with whole heads and unfinished bodies at all VMs. As on the platform, a process that exceeds its memory is
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,7 +16,7 @@
 )
 
 // caseLimit is the longest time that a case may take. After it, or after a signal, its processes are killed and it counts as not run.
-const caseLimit = 110 * time.Second
+var caseLimit = 110 * time.Second
 
 func main() {
 	cases := map[string]func(r *record, trouble bool) (broken bool, err error){"silent": runSilent, "budget": runBudget, "heads": runHeads, "part": runPart}
--- a/review/stand-3/part.go
+++ b/review/stand-3/part.go
@@ -17,18 +17,22 @@
 	partVMs = 3
 	// killedVM is the VM whose process is killed.
 	killedVM = 0
-	// storeParts is the number of partitions of the table with the programs, downParts that of those that are down, and downTime how
-	// long they are.
+	// storeParts is the number of partitions of the table with the programs, and downParts that of those that are down.
 	storeParts = 16
 	downParts  = 4
-	downTime   = 4500 * time.Millisecond
 	// begunPerSecond is the number of programs that begin each second beside those that loop, and shortTurns that of their turns.
 	begunPerSecond = 20
 	shortTurns     = 3
-	// killDelay is the time between the begin of the outage and the kill.
-	killDelay = 1200 * time.Millisecond
+	// partLoops is the number of programs that loop, and partTurns the number of turns that a budget holds.
 	partLoops = 90
 	partTurns = 12
+)
+
+var (
+	// downTime is how long the partitions are down, and killDelay the time between the begin of that and the kill.
+	downTime  = 4500 * time.Millisecond
+	killDelay = 1200 * time.Millisecond
+	// partThink is the mean pause between two turns, and partStart the time for which programs run before the outage.
 	partThink = 300 * time.Millisecond
 	partStart = 2 * time.Second
 )
--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -13,17 +13,20 @@
 const (
 	silentVMs = 6
 	// leavingTool is the replica whose registration is removed.
-	leavingTool = "tool-leaving"
+	leavingTool  = "tool-leaving"
+	warmPrograms = 60
+	warmTurns    = 6
+)
+
+var (
 	// heartbeatTime is the time between two writes of a replica's registration, heartbeat_ms.
 	heartbeatTime = 1200 * time.Millisecond
 	// removedAfter is the time between the silence and the removal.
 	removedAfter = 200 * time.Millisecond
 	// chargesFor is how long callers send charges after the silence, and chargePause the pause between two charges through one VM.
-	chargesFor   = 9 * time.Second
-	chargePause  = 40 * time.Millisecond
-	warmPrograms = 60
-	warmTurns    = 6
-	warmPause    = 3 * time.Second
+	chargesFor  = 9 * time.Second
+	chargePause = 40 * time.Millisecond
+	warmPause   = 3 * time.Second
 )
 
 // sending is a charge that a caller sent.
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -14,11 +14,14 @@
 	vmMemoryMB    = 154
 	vmDescriptors = 8200
 	vmCores       = 0.8
-	readyLimit    = 20 * time.Second
-	settleTime    = 5 * time.Second
-	restartDelay  = 500 * time.Millisecond
-	contactTime   = 3 * time.Second // contact_ms
-	drainTime     = 2 * time.Second // drain_ms
+)
+
+var (
+	readyLimit   = 20 * time.Second
+	settleTime   = 5 * time.Second
+	restartDelay = 500 * time.Millisecond
+	contactTime  = 3 * time.Second // contact_ms
+	drainTime    = 2 * time.Second // drain_ms
 )
 
 // deployment is a store, replicas and the processes of entry VMs.
