--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -47,8 +47,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var removed sync.Map
-	go d.heartbeats(ctx, &removed)
+	var beats heartbeats
+	go beats.run(ctx, d)
 	d.warmUp(r)
 	time.Sleep(warmPause)
 	silent := time.Now()
@@ -75,8 +75,7 @@
 		})
 	}
 	time.Sleep(removedAfter)
-	removed.Store(leavingTool, true)
-	if err := d.Unregister(leavingTool); err != nil {
+	if err := beats.remove(d, leavingTool); err != nil {
 		return false, err
 	}
 	acked := time.Now()
@@ -107,17 +106,31 @@
 }
 
 // heartbeats writes the registrations of all replicas that are not removed.
-func (d *deployment) heartbeats(ctx context.Context, removed *sync.Map) {
-	for ctx.Err() == nil {
+type heartbeats struct {
+	mu      sync.Mutex
+	removed string
+}
+
+func (h *heartbeats) run(ctx context.Context, d *deployment) {
+	for ; ctx.Err() == nil; time.Sleep(heartbeatTime) {
 		for id, replica := range d.Replicas {
-			if _, ok := removed.Load(id); !ok {
+			h.mu.Lock()
+			if id != h.removed {
 				_ = d.Register(replica.Entry) // it is written again with the next heartbeat
 			}
+			h.mu.Unlock()
 		}
-		time.Sleep(heartbeatTime)
 	}
 }
 
+// remove removes the registration of a replica, which writes no heartbeat any more.
+func (h *heartbeats) remove(d *deployment, id string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.removed = id
+	return d.Unregister(id)
+}
+
 // warmUp sends programs with kept turns, and then new programs that continue from turns of these.
 func (d *deployment) warmUp(r *record) {
 	var wg sync.WaitGroup
