--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 go build -o target/review-2 ./review/stand-2
 go build -o target/stand-3 ./review/stand-3
+go build -o target/stand-4 ./review/stand-4
--- a/review/stand-4/chain.go
+++ b/review/stand-4/chain.go
@@ -18,11 +18,15 @@
 	chainTurns = 12
 	// chainTries bounds the attempts at one turn.
 	chainTries = 24
-	// calmTime is the platform's contact_ms, with a margin: all VMs are in touch after it.
-	calmTime = 4 * time.Second
 	// faultEnds is the number of ends by itself that makes a VM count for the rule, and faultVMs the number of such VMs.
 	faultEnds, faultVMs = 3, 2
-	chainTime           = 90 * time.Second
+)
+
+var (
+	// calmTime is the platform's contact_ms, with a margin: all VMs are in touch after it.
+	calmTime = 4 * time.Second
+	// chainTime bounds the case.
+	chainTime = 90 * time.Second
 )
 
 // playChain runs one program whose turns have inputs of the largest legal size, one after the other. The platform kills a process that
--- a/review/stand-4/crowd.go
+++ b/review/stand-4/crowd.go
@@ -14,20 +14,25 @@
 
 const (
 	// crowdBody is the size of the inputs of the crowd, an eighth of the largest legal one. Each of crowdSenders at each VM sends one turn
-	// after the other, with a pause, for crowdSending.
+	// after the other.
 	crowdBody    = maxBody / 8
 	crowdSenders = 2
-	crowdPause   = 20 * time.Millisecond
-	crowdSending = 15 * time.Second
 	// shortBody is the size of every other input of the crowd.
 	shortBody = 16 << 10
 	// nextInput is the size of the input of the turn that is to be served after the crowd has left, four times that of a usual turn.
 	nextInput = 20 << 10
 	// nextTries is the number of tries of that turn, more than the five of the rule.
 	nextTries = 9
-	nextPause = time.Second
 	// programs is the number of programs that go on after the crowd.
-	programs  = 3
+	programs = 3
+)
+
+var (
+	// A sender pauses for crowdPause before each turn, and leaves after crowdSending.
+	crowdPause   = 20 * time.Millisecond
+	crowdSending = 15 * time.Second
+	// nextPause is the pause between two tries, and crowdTime bounds the case.
+	nextPause = time.Second
 	crowdTime = 100 * time.Second
 )
 
--- a/review/stand-4/first.go
+++ b/review/stand-4/first.go
@@ -9,7 +9,7 @@
 )
 
 // firstTurnPeriod is the time between two first turns of other programs.
-const firstTurnPeriod = 200 * time.Millisecond
+var firstTurnPeriod = 200 * time.Millisecond
 
 // startFirstTurns sends first turns of other programs with small inputs to the VMs in turn, and to the next one if a VM breaks the
 // channel. The returned function ends that and returns how many there were and how many reached a replica.
--- a/review/stand-4/kept.go
+++ b/review/stand-4/kept.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	keptTime = 110 * time.Second
-	// keptTries is the number of tries of the turn that is to go on, more than the five of the rule; keptPause is the pause between two.
+	// keptTries is the number of tries of the turn that is to go on, more than the five of the rule.
 	keptTries = 9
-	keptPause = 500 * time.Millisecond
 	// reloadTurns is the number of turns of the program with a long history.
 	reloadTurns = 17
 	// loopTurns is the number of turns of the program that starts sub-agents without end, of which loopAtOnce run at a time.
@@ -30,6 +28,12 @@
 	aimMs = 110_000
 )
 
+var (
+	// keptPause is the pause between two tries, and keptTime bounds the case.
+	keptPause = 500 * time.Millisecond
+	keptTime  = 110 * time.Second
+)
+
 // keptTurn returns a turn of a program with a large budget and an aim that lies behind the end of the case.
 func keptTurn(program, previous, body string) hgsite.Request {
 	q := hgsite.Turn(hgsite.ThreadPath, program, previous, body)
--- a/review/stand-4/main.go
+++ b/review/stand-4/main.go
@@ -1,4 +1,4 @@
-// Command stand-4 runs the cases of the third review: it starts entry VMs as processes, with a store, replicas and callers beside
+// Command stand-4 runs the cases of the third sitting of the second review: it starts entry VMs as processes, with a store, replicas and callers beside
 // them, and checks one rule of the platform.
 package main
 
--- a/review/stand-4/replica.go
+++ b/review/stand-4/replica.go
@@ -101,7 +101,7 @@
 }
 
 // pauseBytes is the part of a body that a slow replica reads before it pauses.
-const pauseBytes = 64 << 10
+const pauseBytes = 16 << 10
 
 // readPaused reads a body to its end, with one pause after pauseBytes.
 func readPaused(body io.Reader, pause time.Duration) (n int64, err error) {
--- a/review/stand-4/slowread.go
+++ b/review/stand-4/slowread.go
@@ -8,26 +8,40 @@
 
 	"github.com/samber/lo"
 
+	"hyssopgrade/internal/operate/hgconfig"
 	"hyssopgrade/internal/proof/hgsite"
 )
 
 const (
-	slowTime = 60 * time.Second
-	// slowPause is how long a replica pauses while it reads a body. Consumer and route allow 4 s.
-	slowPause = 2500 * time.Millisecond
-	// longInput is the size of the program's first input, about the 150,000 tokens of history that a program may have.
-	longInput = 400 << 10
-	slowTries = 14
+	// longInput is the size of the program's first input and longTokens that of the prompt, which fits into an engine's memory of
+	// engineTokens, as on kvemo-tbilisi-grown. vmMemoryMB is the memory of the smallest VM there.
+	longInput    = 160 << 10
+	longTokens   = longInput / 4
+	engineTokens = 54_216
+	vmMemoryMB   = 112
+	slowTries    = 14
 	// slowReceiveBytes is the size of a replica's receive buffer.
-	slowReceiveBytes = 64 << 10
+	slowReceiveBytes = 16 << 10
+)
+
+var (
+	// slowPause is how long a replica pauses while it reads a body. Consumer and route allow 4 s for the turn, and a
+	// consumer waits for the first event for 2 s.
+	slowPause = 1900 * time.Millisecond
+	// slowCalmTime is the platform's contact_ms there, with a margin.
+	slowCalmTime = 5 * time.Second
+	// slowTime bounds the case.
+	slowTime = 60 * time.Second
 )
 
 // playSlowRead sends a kept turn to replicas that read slowly.
 func playSlowRead(s *stand) (verdict int, err error) {
-	if err := s.site.SetDesired(hgsite.Desired(2)); err != nil {
+	d := hgsite.Desired(2)
+	d.Services[hgsite.Engines].Engine.CacheTokens = engineTokens
+	if err := s.site.SetDesired(d); err != nil {
 		return 0, err
 	}
-	if err := s.addVMs(3, nil); err != nil {
+	if err := s.addVMs(3, func(cfg *hgconfig.EntryConfig) { cfg.VM.MemoryMB = vmMemoryMB }); err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), slowTime)
@@ -35,10 +49,10 @@
 	if err := s.waitServing(ctx); err != nil {
 		return 0, err
 	}
-	time.Sleep(calmTime)
+	time.Sleep(slowCalmTime)
 	others := s.startFirstTurns(ctx)
 	first := keptTurn("slow", "", strings.Repeat("x", longInput))
-	first.NewConn = true
+	first.NewConn, first.TokensIn = true, longTokens
 	reply, err := s.site.Call(ctx, 0, first)
 	s.log("first turn %s: status %d, complete %t, error %v", first.ID, reply.Status, reply.Complete, err)
 	if s.trouble {
@@ -47,7 +61,7 @@
 	unreached := 0
 	for try := range slowTries {
 		q := keptTurn("slow", first.ID, "go on")
-		q.NewConn = true
+		q.NewConn, q.TokensIn = true, longTokens
 		reply, err := s.site.Call(ctx, try%len(s.vms), q)
 		n, ran := s.replicas.bodyOf(q.ID)
 		offered := s.replicas.wasOffered(q.ID)
--- a/review/stand-4/store.go
+++ b/review/stand-4/store.go
@@ -11,12 +11,11 @@
 	hgplatform "hyssopgrade/platform"
 )
 
-const (
-	// storeLatency is the time that the platform's store takes to answer.
-	storeLatency = 4 * time.Millisecond
-	// pageBytes is the largest page of rows. The project's handler bounds their number to 500, but not their bytes.
-	pageBytes = 1_000_000
-)
+// storeLatency is the time that the platform's store takes to answer.
+var storeLatency = 4 * time.Millisecond
+
+// pageBytes is the largest page of rows. The project's handler bounds their number to 500, but not their bytes.
+const pageBytes = 1_000_000
 
 // serveStore serves the store with the latency and the page size of the platform's, and returns its address.
 func serveStore(m *hgstore.Memory) (address string, srv *http.Server, err error) {
