--- a/review/stand-4/first.go
+++ b/review/stand-4/first.go
@@ -24,9 +24,8 @@
 				q := hgsite.Turn(hgsite.ThreadPath, "other"+hgsite.NewAttempt(), "", "a small input")
 				q.NewConn = true
 				reply, err := s.site.Call(ctx, (i+try)%len(s.vms), q)
-				if _, ran = s.replicas.bodyOf(q.ID); !ran {
-					s.log("first turn %s at %s did not run: status %d, error %v", q.ID, s.vms[(i+try)%len(s.vms)].cfg.VM.Name, reply.Status, err)
-				}
+				_, ran = s.replicas.bodyOf(q.ID)
+				s.log("first turn %s at %s: status %d, ran %t, error %v", q.ID, s.vms[(i+try)%len(s.vms)].cfg.VM.Name, reply.Status, ran, err)
 			}
 			if ctx.Err() != nil {
 				return
