--- a/internal/proof/hghostile/node_test.go
+++ b/internal/proof/hghostile/node_test.go
@@ -13,8 +13,8 @@
 	"hyssopgrade/internal/proof/hgstandin"
 )
 
-// startNode starts a store, a tool and the process of one node, and waits until it answers.
-func startNode(t *testing.T) (p *process, cfg hgconfig.Config) {
+// startNode starts a store, a tool and the process of one node with the given descriptors, and waits until it answers.
+func startNode(t *testing.T, descriptors int) (p *process, cfg hgconfig.Config) {
 	t.Helper()
 	store, err := hgstandin.NewPlatform("127.0.0.1:0")
 	if err != nil {
@@ -35,8 +35,8 @@
 	cfg.Node.Public, cfg.Node.Inner = addresses[0], addresses[1]
 	cfg.Platform.Address = store.Address()
 	cfg.Endpoint = []hgconfig.Endpoint{{ID: "tool-0", Kind: hgconfig.Tool, Address: tool.Address(), Domain: "north", Targets: []string{"register"}}}
-	cfg.Limits.MemoryMB, cfg.Limits.MaxDescriptors, cfg.Limits.MaxBodyBytes = memoryMB, maxDescriptors, bodyLimit
-	return startProcess(t, "node", cfg, func(ctx context.Context) (fault string) {
+	cfg.Limits.MemoryMB, cfg.Limits.MaxDescriptors, cfg.Limits.MaxBodyBytes = memoryMB, descriptors, bodyLimit
+	return startProcess(t, "node", cfg, memoryMB, descriptors, func(ctx context.Context) (fault string) {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addresses[0]+"/metrics", nil)
 		if err != nil {
 			return err.Error()
@@ -77,7 +77,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			p, cfg := startNode(t)
+			p, cfg := startNode(t, maxDescriptors)
 			crowd(t, tt.port(cfg), tt.clients, tt.run)
 			p.check(t)
 		})
--- a/internal/proof/hghostile/process_test.go
+++ b/internal/proof/hghostile/process_test.go
@@ -59,6 +59,8 @@
 	// exit is the error of the process's end; it is set once exited is closed.
 	exit   error
 	stderr bytes.Buffer
+	// memoryMB and maxDescriptors are what its VM allows.
+	memoryMB, maxDescriptors int
 	// descriptors is the largest number of open descriptors that was seen.
 	descriptors atomic.Int64
 }
@@ -74,36 +76,46 @@
 func startVM(t *testing.T) *vm { return startVMOf(t, memoryMB) }
 
 // startVMOf is startVM for a VM with the given memory.
-func startVMOf(t *testing.T, memory float64) *vm {
+func startVMOf(t *testing.T, memory float64) *vm { return startVMs(t, 1, memory, maxDescriptors)[0] }
+
+// startVMs is startVM for several VMs of one site, each with the given memory and descriptors.
+func startVMs(t *testing.T, n int, memory, descriptors float64) (vms []*vm) {
 	t.Helper()
 	s, err := hgsite.NewSite(0, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	cfg, err := s.AddConfig(s.StoreAddress())
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memory, maxDescriptors
-	return &vm{site: s, cfg: cfg, process: startProcess(t, "entry", cfg, func(ctx context.Context) (fault string) {
-		q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
-		q.NewConn = true
-		reply, err := s.Call(ctx, 0, q)
-		switch {
-		case err != nil:
-			return err.Error()
-		case reply.Status != http.StatusOK || !reply.Complete:
-			return fmt.Sprintf("status %d: %.100s", reply.Status, reply.Body)
+	for i := range n {
+		cfg, err := s.AddConfig(s.StoreAddress())
+		if err != nil {
+			t.Fatal(err)
 		}
-		return ""
-	})}
+		cfg.VM.MemoryMB, cfg.VM.MaxDescriptors = memory, descriptors
+		vms = append(vms, &vm{site: s, cfg: cfg, process: startProcess(t, "entry", cfg, int(memory), int(descriptors), func(ctx context.Context) (fault string) {
+			q := hgsite.Turn(hgsite.CheckPath, "ordinary", "", "x")
+			q.NewConn = true
+			reply, err := s.Call(ctx, i, q)
+			switch {
+			case err != nil:
+				return err.Error()
+			case reply.Status != http.StatusOK || !reply.Complete:
+				return fmt.Sprintf("status %d: %.100s", reply.Status, reply.Body)
+			}
+			return ""
+		}, deployedGOGC)})
+	}
+	return vms
 }
 
-// startProcess starts the program with the command and the settings, and waits until it answers.
-func startProcess(t *testing.T, command string, cfg any, ask func(ctx context.Context) string, env ...string) *process {
+// deployedGOGC is the setting of the garbage collector of deploy/system.toml.
+const deployedGOGC = "GOGC=200"
+
+// startProcess starts the program with the command and the settings of a VM with the given memory and descriptors, and waits until it
+// answers.
+func startProcess(t *testing.T, command string, cfg any, memory, descriptors int, ask func(ctx context.Context) string, env ...string) *process {
 	t.Helper()
-	p := &process{ask: ask, exited: make(chan struct{})}
+	p := &process{ask: ask, exited: make(chan struct{}), memoryMB: memory, maxDescriptors: descriptors}
 	var settings bytes.Buffer
 	if err := toml.NewEncoder(&settings).Encode(cfg); err != nil {
 		t.Fatal(err)
@@ -188,10 +200,10 @@
 	p.checkAnswers(t)
 	resident, descriptors := p.residentMB(t), p.descriptors.Load()
 	t.Logf("peaks: %d MB resident, %d descriptors", resident, descriptors)
-	if resident > memoryMB {
-		t.Errorf("%d MB resident, want %d at most", resident, memoryMB)
+	if resident > p.memoryMB {
+		t.Errorf("%d MB resident, want %d at most", resident, p.memoryMB)
 	}
-	if descriptors > maxDescriptors {
-		t.Errorf("%d descriptors open, want %d at most", descriptors, maxDescriptors)
+	if descriptors > int64(p.maxDescriptors) {
+		t.Errorf("%d descriptors open, want %d at most", descriptors, p.maxDescriptors)
 	}
 }
