--- a/internal/operate/hgconfig/config.go
+++ b/internal/operate/hgconfig/config.go
@@ -114,6 +114,9 @@
 	// descriptors; 0 means that the machine sets no limit.
 	MemoryMB       int `toml:"memoryMb"`
 	MaxDescriptors int `toml:"maxDescriptors"`
+	// RequestMemoryMB is the memory for the requests of callers, with their connections, in units of 2^20 bytes; 0 means a share of
+	// MemoryMB.
+	RequestMemoryMB int `toml:"requestMemoryMb"`
 }
 
 // Endpoint describes an engine or a tool that the node sends calls to.
@@ -168,6 +171,7 @@
 		bound("limits.subset", l.Subset, 1, 1000),
 		bound("limits.memoryMb", l.MemoryMB, 0, 1<<20),
 		bound("limits.maxDescriptors", l.MaxDescriptors, 0, 1<<24),
+		bound("limits.requestMemoryMb", l.RequestMemoryMB, 0, 1<<20),
 	}
 }
 
--- a/internal/operate/hgconfig/entry.go
+++ b/internal/operate/hgconfig/entry.go
@@ -51,6 +51,9 @@
 	MemoryMB float64 `toml:"memoryMb"`
 	// MaxDescriptors is the number of file descriptors that the process may use; 0 means that the VM sets no limit.
 	MaxDescriptors float64 `toml:"maxDescriptors"`
+	// RequestMemoryMB is the memory for the requests of callers, with their connections, in units of 2^20 bytes; 0 means a share of
+	// MemoryMB.
+	RequestMemoryMB float64 `toml:"requestMemoryMb"`
 	// CPUShare is the share of each core that the process gets, and Cores the number of cores.
 	CPUShare float64 `toml:"cpuShare"`
 	Cores    float64 `toml:"cores"`
@@ -125,6 +128,7 @@
 	for key, v := range map[string]struct{ value, low, high float64 }{
 		"vm.memoryMb":              {e.VM.MemoryMB, 32, 1 << 20},
 		"vm.maxDescriptors":        {e.VM.MaxDescriptors, 0, 1 << 24},
+		"vm.requestMemoryMb":       {e.VM.RequestMemoryMB, 0, e.VM.MemoryMB},
 		"vm.cpuShare":              {e.VM.CPUShare, 0.001, 1},
 		"vm.cores":                 {e.VM.Cores, 0.001, 1024},
 		"store.writesPerSecond":    {e.Store.WritesPerSecond, 1, 1e6},
--- a/internal/operate/hgentryvm/bounds.go
+++ b/internal/operate/hgentryvm/bounds.go
@@ -18,9 +18,12 @@
 const (
 	// peerShare is for the messages of peers.
 	peerShare = 0.1
-	// minBodyBytes is the least memory for bodies or messages: a body of 4 MiB takes twice that for a moment, when it is whole.
+	// directoryShare is for the requests of the directory, and operatorShare for those of readiness and of metrics.
+	directoryShare = 0.05
+	operatorShare  = 0.02
+	// minBodyBytes is the least memory for requests or messages: a body of 4 MiB takes twice that for a moment, when it is whole.
 	minBodyBytes = 10 << 20
-	// shortShare is the share of the Go runtime's limit above which the live heap counts as near it: only small bodies are taken.
+	// shortShare is the share of the Go runtime's limit above which the live heap counts as near it: only small requests are taken.
 	shortShare = 0.85
 	// heapPeriod is the time between two looks at the live heap, which changes only when the garbage collector has run.
 	heapPeriod = 250 * time.Millisecond
@@ -38,10 +41,12 @@
 
 // bounds keeps the process within the memory and the descriptors of its VM.
 type bounds struct {
-	vm     hgconfig.EntryVM
-	log    *slog.Logger
-	count  func(reason string)
-	bodies *hgmemory.Bodies
+	vm    hgconfig.EntryVM
+	log   *slog.Logger
+	count func(reason string)
+	clock hgmemory.Clock
+	// requests is the memory for the requests of callers.
+	requests *hgmemory.Account
 
 	mu sync.Mutex
 	// reasons counts the connections closed since loggedAt.
@@ -50,30 +55,47 @@
 }
 
 func newBounds(vm hgconfig.EntryVM, log *slog.Logger, count func(reason string), clock hgmemory.Clock) *bounds {
-	return &bounds{vm: vm, log: log, count: count, bodies: hgmemory.NewBodies(memoryPart(vm, hgmemory.BodyShare), clock), reasons: map[string]int{}}
+	return &bounds{vm: vm, log: log, count: count, clock: clock, requests: hgmemory.NewAccount(requestBytes(vm), clock), reasons: map[string]int{}}
 }
 
-// memoryPart returns the bytes of a share of the VM's memory that holds bodies or messages.
-func memoryPart(vm hgconfig.EntryVM, share float64) int {
-	return max(int(vm.MemoryMB*(1<<20)*share), minBodyBytes)
+// requestBytes returns the memory for the requests of callers.
+func requestBytes(vm hgconfig.EntryVM) int {
+	if vm.RequestMemoryMB > 0 {
+		return int(vm.RequestMemoryMB * (1 << 20))
+	}
+	return max(memoryPart(vm, hgmemory.RequestShare), minBodyBytes)
 }
 
-func (b *bounds) machine() hgserver.Machine {
-	return hgserver.Machine{MemoryMB: b.vm.MemoryMB, Descriptors: b.vm.MaxDescriptors}
+// memoryPart returns the bytes of a share of the VM's memory.
+func memoryPart(vm hgconfig.EntryVM, share float64) int { return int(vm.MemoryMB * (1 << 20) * share) }
+
+// public returns the server of the port for callers.
+func (b *bounds) public(cfg *http.Server) *hgserver.Server {
+	return b.server(cfg, hgserver.PublicPart, b.requests)
 }
 
-// server returns a server whose connections are a part of the VM's descriptors.
-func (b *bounds) server(cfg *http.Server, part float64) *hgserver.Server {
-	return hgserver.NewServer(cfg, b.log, hgserver.WithMachine(b.machine(), part), hgserver.WithRefused(b.refused))
+// other returns the server of another port, whose connections are a part of the VM's descriptors and whose requests have a share of its
+// memory.
+func (b *bounds) other(cfg *http.Server, part, share float64) *hgserver.Server {
+	return b.server(cfg, part, hgmemory.NewAccount(memoryPart(b.vm, share), b.clock))
+}
+
+func (b *bounds) server(cfg *http.Server, part float64, a *hgmemory.Account) *hgserver.Server {
+	return hgserver.NewServer(cfg, b.log, hgserver.WithMaxConns(hgserver.Conns(b.vm.MaxDescriptors, part)), hgserver.WithAccount(a), hgserver.WithRefused(b.refused))
 }
 
 // peers returns the bounds of the port for peers.
-func (b *bounds) peers(clock hgmemory.Clock) hgpeer.Bounds {
-	return hgpeer.Bounds{MaxConns: b.machine().Conns(peerPart), Memory: hgmemory.NewBodies(memoryPart(b.vm, peerShare), clock), Refused: b.refused}
+func (b *bounds) peers() hgpeer.Bounds {
+	memory := max(memoryPart(b.vm, peerShare), minBodyBytes)
+	conns := memory / hgserver.ConnBytes
+	if n := hgserver.Conns(b.vm.MaxDescriptors, peerPart); n > 0 {
+		conns = min(conns, n)
+	}
+	return hgpeer.Bounds{MaxConns: conns, Memory: hgmemory.NewAccount(memory, b.clock), Refused: b.refused}
 }
 
-// entryOption returns the option that makes the entry's bodies share the memory for them.
-func (b *bounds) entryOption() hgentry.Option { return hgentry.WithBodies(b.bodies) }
+// entryOption returns the option that charges bodies to the memory for requests.
+func (b *bounds) entryOption() hgentry.Option { return hgentry.WithAccount(b.requests) }
 
 // refused counts a closed connection by reason. One line per boundLogPeriod says how many there were.
 func (b *bounds) refused(reason string) {
@@ -92,7 +114,7 @@
 	b.reasons, b.loggedAt = map[string]int{}, time.Now()
 }
 
-// watchHeap takes only small bodies while the live heap is near the Go runtime's limit, so that the process refuses requests instead of
+// watchHeap takes only small requests while the live heap is near the Go runtime's limit, so that the process refuses requests instead of
 // collecting garbage without end.
 func (b *bounds) watchHeap(time.Duration) {
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
@@ -101,5 +123,5 @@
 		return
 	}
 	limit := b.vm.MemoryMB * (1 << 20) * hgmemory.RuntimeShare * shortShare
-	b.bodies.SetShort(float64(sample[0].Value.Uint64()) > limit)
+	b.requests.SetShort(float64(sample[0].Value.Uint64()) > limit)
 }
--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -135,10 +135,10 @@
 	}
 	n.entry = hgentry.NewEntry(hgplatform.Dialect{}, programs, n.places, n.replicas, n.timer, log, n.metrics, n.suspects,
 		hgmemory.NewPool(int64(cfg.VM.MemoryMB*(1<<20)*bufferShare)), opts...)
-	n.public = n.bounds.server(&http.Server{
+	n.public = n.bounds.public(&http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn), ConnContext: hgentry.ConnContext,
-	}, hgserver.PublicPart)
+	})
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, n.desiredOptions()...),
@@ -162,14 +162,16 @@
 		address string
 		handler http.Handler
 		part    float64
+		share   float64
 	}{
-		{n.cfg.Listen.Ready, n.readyHandler(), operatorPart}, {n.cfg.Listen.Directory, n.directoryHandler(), directoryPart},
-		{n.cfg.Listen.Metrics, n.metricsHandler(), operatorPart},
+		{n.cfg.Listen.Ready, n.readyHandler(), operatorPart, operatorShare},
+		{n.cfg.Listen.Directory, n.directoryHandler(), directoryPart, directoryShare},
+		{n.cfg.Listen.Metrics, n.metricsHandler(), operatorPart, operatorShare},
 	} {
-		srv := n.bounds.server(&http.Server{
+		srv := n.bounds.other(&http.Server{
 			Handler: port.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-		}, port.part)
+		}, port.part, port.share)
 		if err := n.listen(port.address, srv.Serve); err != nil {
 			return err
 		}
@@ -204,7 +206,7 @@
 	if n.tlsConfig != nil {
 		l = tls.NewListener(l, n.tlsConfig)
 	}
-	return hgpeer.Serve(l, (*peerHandler)(n), n.bounds.peers(n.timer))
+	return hgpeer.Serve(l, (*peerHandler)(n), n.bounds.peers())
 }
 
 // listen opens a TCP listener and serves it in the background until the node ends.
--- a/internal/peer/hgnode/node.go
+++ b/internal/peer/hgnode/node.go
@@ -26,6 +26,7 @@
 	"hyssopgrade/internal/peer/hgnoderpc"
 	"hyssopgrade/internal/serve/hgendpoint"
 	"hyssopgrade/internal/serve/hgfront"
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgowner"
 	"hyssopgrade/internal/serve/hgsched"
 	"hyssopgrade/internal/serve/hgserver"
@@ -62,7 +63,9 @@
 	backgroundMu sync.Mutex
 	public       *hgserver.Server
 	peers        *hgserver.Server
-	planMu       sync.Mutex
+	// requests is the memory for the requests of callers; nil sets no limit.
+	requests *hgmemory.Account
+	planMu   sync.Mutex
 	// planAgain is set by every call of plan, so that a plan under way is followed by another.
 	planAgain atomic.Bool
 
@@ -125,8 +128,9 @@
 		hgjournal.WithCompaction(l.CompactRecords, n.owner.Snapshot))
 	n.owner.SetJournal(n.committer)
 	keys := do.MustInvoke[Keys](i)
+	n.requests = newRequests(l, n.timer)
 	n.front = hgfront.NewFront(n, hgfront.Options{
-		MaxBody: int64(l.MaxBodyBytes), Bodies: newBodies(l, n.timer), Metrics: n.metrics.Handler(), Version: do.MustInvoke[BuildInfo](i).Version, OperatorKey: keys.Operator,
+		MaxBody: int64(l.MaxBodyBytes), Requests: n.requests, Metrics: n.metrics.Handler(), Version: do.MustInvoke[BuildInfo](i).Version, OperatorKey: keys.Operator,
 	})
 	if keys.Operator == "" {
 		n.log.Warn("operators' routes are open to all callers, because the settings name no operators' key")
@@ -198,8 +202,10 @@
 	}
 	n.public = n.newServer(&http.Server{
 		Handler: n.front, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
-	}, hgserver.PublicPart)
-	n.peers = n.newServer(&http.Server{Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn)}, innerPart)
+	}, hgserver.PublicPart, n.requests)
+	n.peers = n.newServer(&http.Server{
+		Handler: n.inner, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+	}, innerPart, newInnerRequests(n.cfg.Limits, n.timer))
 	n.wg.Go(func() { _ = n.peers.Serve(peers) })
 	n.wg.Go(func() { _ = n.public.Serve(public) })
 	n.wg.Go(func() { n.committer.Run(n.ctx) })
--- a/internal/peer/hgpeer/serve.go
+++ b/internal/peer/hgpeer/serve.go
@@ -26,7 +26,7 @@
 	// MaxConns is the number of connections; a further one closes the one that was silent for longest.
 	MaxConns int
 	// Memory bounds the bytes of all messages that are received at the same time.
-	Memory *hgmemory.Bodies
+	Memory *hgmemory.Account
 	// Refused is called with the reason of each connection that is closed because of the bounds.
 	Refused func(reason string)
 }
@@ -119,7 +119,7 @@
 	net.Conn
 	conns *servedConns
 	// charge is the charge for the frame that is received; nil if messages are not bounded.
-	charge *hgmemory.Body
+	charge *hgmemory.Claim
 	// left is the number of bytes of the frame that are still to come, and lengthLeft that of the frame's length, of which length holds
 	// the bytes so far. Only the goroutine that reads uses these.
 	left, length uint64
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -87,8 +87,8 @@
 	suspects Suspects
 	// memory bounds the bytes of all responses that are buffered until they are complete.
 	memory *hgmemory.Pool
-	// bodies bounds the bytes of all requests' bodies.
-	bodies  *hgmemory.Bodies
+	// account bounds the bytes of all requests.
+	account *hgmemory.Account
 	desired atomic.Pointer[hgdesired.State]
 	// hasDesired is closed when the first desired state is known.
 	hasDesired chan struct{}
@@ -105,7 +105,7 @@
 func NewEntry(d Dialect, p Programs, placer Placer, r *hgreplica.Set, timer hgtimer.Timer, log *slog.Logger, f Metrics, s Suspects, m *hgmemory.Pool, opts ...Option) *Entry {
 	e := &Entry{
 		dialect: d, programs: p, placer: placer, replicas: r, timer: timer, log: log, metrics: f, suspects: s, memory: m,
-		bodies: hgmemory.NewBodies(defaultBodyBytes, timer), hasDesired: make(chan struct{}),
+		account: hgmemory.NewAccount(defaultBodyBytes, timer), hasDesired: make(chan struct{}),
 	}
 	e.stop.ended, e.stop.end = context.WithCancel(context.Background())
 	for _, opt := range opts {
@@ -160,7 +160,7 @@
 	attempt hgattempt.Attempt
 	body    []byte
 	// held is the charge for the body; nil if there is none.
-	held *hgmemory.Body
+	held *hgmemory.Claim
 	// digests identify the request in Suspects.
 	digests hgsuspect.Request
 	ctx     context.Context
--- a/internal/serve/hgentry/request.go
+++ b/internal/serve/hgentry/request.go
@@ -14,7 +14,7 @@
 const (
 	// defaultMaxBody is the largest request body in bytes if the desired state sets no limit.
 	defaultMaxBody = 4 << 20
-	// defaultBodyBytes is the memory for the bodies of all requests of an Entry without WithBodies.
+	// defaultBodyBytes is the memory for the bodies of all requests of an Entry without WithAccount.
 	defaultBodyBytes = 64 << 20
 	// paceBytes and paceTime are the least pace of a body: each paceBytes of it, and its rest, have to come within paceTime. That is
 	// 3.2 KB/s, a thousandth of the smallest VM's link of 30 Mbit/s, so that only a body that has stopped falls below it.
@@ -22,8 +22,8 @@
 	paceTime  = 5 * time.Second
 )
 
-// WithBodies sets the memory that the bodies of all requests share.
-func WithBodies(p *hgmemory.Bodies) Option { return func(e *Entry) { e.bodies = p } }
+// WithAccount sets the memory that the bodies of all requests share with their connections and heads.
+func WithAccount(a *hgmemory.Account) Option { return func(e *Entry) { e.account = a } }
 
 // Reasons of refused bodies, as callers and the log see them; hgloss knows them by their beginning.
 const (
@@ -54,7 +54,7 @@
 			x.entry.log.Debug("cannot set the deadline of a body", "attempt", x.attempt.ID, "error", err)
 		}
 	}
-	x.held = x.entry.bodies.Open(func() { setDeadline(time.Unix(1, 0)) })
+	x.held = x.entry.account.OpenBody(hgserver.Claim(x.r.Context()), func() { setDeadline(time.Unix(1, 0)) })
 	var route hgdesired.Route
 	if x.state != nil {
 		route, _ = x.state.Route(hostOnly(x.r.Host), x.r.URL.EscapedPath()) // an unknown route is refused later
@@ -74,12 +74,14 @@
 	switch {
 	case err == nil:
 		setDeadline(time.Time{})
-		x.body = body
+		x.body, x.r.Trailer = body, nil // trailers are not sent on, and their memory is not charged
 		return true
 	case errors.Is(err, hgmemory.ErrTooLong):
 		x.refuseBody(http.StatusRequestEntityTooLarge, reasonTooLarge, "body_refused_size")
 	case errors.Is(err, hgmemory.ErrShed) || x.held.IsShed():
-		x.refuseBody(http.StatusServiceUnavailable, reasonMemory, "body_refused_memory")
+		x.closeBody()
+		x.entry.metrics.Count("body_refused_memory")
+		hgserver.RefuseShed(x.w, x.r, func() { x.refuse(http.StatusServiceUnavailable, reasonMemory) })
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.entry.metrics.Count("body_refused_pace")
 		x.w.Header().Set("Connection", "close")
--- a/internal/serve/hgfront/body.go
+++ b/internal/serve/hgfront/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"hyssopgrade/hgcall"
@@ -21,7 +22,7 @@
 	retryAfterMemory = time.Second
 )
 
-// readBody reads the request's body into memory that is shared with all bodies, and calls next with it. It refuses bodies that are too
+// readBody reads the request's body into memory that is shared with all requests, and calls next with it. It refuses bodies that are too
 // large, that come after the server's read timeout, or for which there is no memory: such a request was not run and never will be.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, next func()) {
 	if r.ContentLength > f.opts.MaxBody {
@@ -33,7 +34,7 @@
 		return
 	}
 	conn := http.NewResponseController(w)
-	held := f.opts.Bodies.Open(func() {
+	held := f.opts.Requests.OpenBody(hgserver.Claim(r.Context()), func() {
 		_ = conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed already
 	})
 	defer held.Close()
@@ -43,14 +44,16 @@
 	}
 	switch {
 	case err == nil:
-		r.Body = io.NopCloser(bytes.NewReader(data))
+		r.Body, r.Trailer = io.NopCloser(bytes.NewReader(data)), nil // the memory of trailers is not charged
 		next()
 	case errors.Is(err, hgmemory.ErrTooLong):
 		held.Close()
 		f.refuseBody(w, r, http.StatusRequestEntityTooLarge, hgcall.Invalid("body", "more bytes than the limit, which is %d", f.opts.MaxBody))
 	case errors.Is(err, hgmemory.ErrShed) || held.IsShed():
 		held.Close()
-		f.refuseBody(w, r, http.StatusServiceUnavailable, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonOverload, retryAfterMemory, "%v", hgmemory.ErrShed))
+		refusal := hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonOverload, retryAfterMemory, "%v", hgmemory.ErrShed)
+		f.backend.Refused(refusal)
+		hgserver.RefuseShed(w, r, func() { writeRefusal(w, http.StatusServiceUnavailable, refusal) })
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		held.Close()
 		f.refuseBody(w, r, http.StatusRequestTimeout, hgcall.NewRefusal(hgcall.KindNotRun, hgcall.ReasonDeadline, retryAfterMemory, "the body came too slowly"))
@@ -64,9 +67,17 @@
 func (f *Front) refuseBody(w http.ResponseWriter, r *http.Request, status int, refusal *hgcall.Refusal) {
 	f.backend.Refused(refusal)
 	// An error means that the caller may not see the answer, which promises nothing that depends on it.
-	_ = hgserver.Refuse(w, r, func() {
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(errorBody(refusal))
-	})
+	_ = hgserver.Refuse(w, r, func() { writeRefusal(w, status, refusal) })
+}
+
+// writeRefusal writes a refusal with its length.
+func writeRefusal(w http.ResponseWriter, status int, refusal *hgcall.Refusal) {
+	body, err := json.Marshal(errorBody(refusal))
+	if err != nil {
+		body = nil // the status says enough
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // an error means that the caller has left
 }
--- a/internal/serve/hgfront/front.go
+++ b/internal/serve/hgfront/front.go
@@ -101,8 +101,8 @@
 type Options struct {
 	// MaxBody is the maximum size of a request body, in bytes.
 	MaxBody int64
-	// Bodies is the memory that all bodies share; nil sets no limit.
-	Bodies *hgmemory.Bodies
+	// Requests is the memory that all requests share; nil sets no limit.
+	Requests *hgmemory.Account
 	// Metrics serves GET /metrics.
 	Metrics http.Handler
 	// Version is the release of hyssopgrade, shown in the OpenAPI page.
@@ -136,7 +136,7 @@
 
 // ServeHTTP serves one request, once its body is whole.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.opts.Bodies != nil {
+	if f.opts.Requests != nil {
 		f.readBody(w, r, func() { f.mux.ServeHTTP(w, r) })
 		return
 	}
--- a/internal/serve/hgmemory/account.go
+++ b/internal/serve/hgmemory/account.go
@@ -1,46 +1,54 @@
 package hgmemory
 
 import (
+	"cmp"
 	"errors"
-	"io"
-	"runtime"
 	"sync"
 	"time"
 )
 
-// ErrShed means that a body gave way to others because the memory for bodies is used up. Its text is sent to callers.
+// ErrShed means that a request gave way to others because the memory for requests is used up. Its text is sent to callers.
 var ErrShed = errors.New("no memory is left for request bodies")
 
 const (
 	// RuntimeShare is the share of a machine's memory that is set as the soft memory limit of the Go runtime. The rest holds the program
 	// itself and the system's buffers of connections.
 	RuntimeShare = 0.6
-	// BodyShare is the share of a machine's memory for the bodies of callers' requests.
-	BodyShare = 0.15
+	// RequestShare is the share of a machine's memory for the requests of callers, without the part of claims that give way.
+	RequestShare = 0.16
 	// firstBlockBytes is the size of the first block of a body of unknown size, so that a body of few bytes charges little.
 	firstBlockBytes = 2 << 10
 	// SmallBody is the largest body, in bytes, that may use the part of the memory that is reserved for small ones. A declared body up
 	// to this size is read into memory of its own size, without a copy.
 	SmallBody = 16 << 10
-	// smallReserve is the divisor of the limit for the part that is reserved for small bodies, so that whole bodies of legal size, which
+	// SmallRequest is the largest request, in bytes with its connection, head and body, that may use that part.
+	SmallRequest = 80 << 10
+	// smallReserve is the divisor of the limit for the part that is reserved for small requests, so that whole bodies of legal size, which
 	// cannot give way, do not keep small ones out.
 	smallReserve = 8
+	// leavingReserve is the divisor of the limit for what is used beyond it by claims that have given way: their connections stay open
+	// until the refusal is sent.
+	leavingReserve = 4
+	// idleGrace is how long a connection without a request is kept before unfinished requests: a new caller is about to send one.
+	idleGrace = time.Second
 )
 
-// Bodies bounds the memory of all bodies that are received or held at the same time; it is safe for concurrent use. Bytes are charged
-// as they arrive. It addresses many large bodies that stop short of their end: before the limit is passed, the unfinished body that
-// has held the most bytes for the longest time gives way, so that small and quick ones go on.
-type Bodies struct {
+// Account bounds the memory of all requests that are received or held at the same time: their connections, heads and bodies. It is safe
+// for concurrent use. Bytes are charged as they arrive. It addresses clients that stop short of the end of a request, with many bytes
+// each or in large numbers: before the limit is passed, the connection that is idle for longest gives way, or if all were used just now the
+// unfinished request that has held the most bytes for the longest time, so that small and quick ones go on.
+type Account struct {
 	limit int
 	clock Clock
 
 	mu sync.Mutex
-	// used is the number of charged bytes; free are the blocks that wait for reuse, which count against the limit too.
-	used int
-	free [][]byte
-	// open are the unfinished bodies.
-	open map[*Body]bool
-	// short says that the process is near its memory limit: only small bodies are taken.
+	// used is the number of charged bytes, and leaving the part of it that claims hold which have given way. free are the blocks that
+	// wait for reuse, which count against the limit too.
+	used, leaving int
+	free          [][]byte
+	// open are the claims that may have to give way.
+	open map[*Claim]bool
+	// short says that the process is near its memory limit: only small requests are taken.
 	short bool
 }
 
@@ -49,245 +57,260 @@
 	Now() time.Duration
 }
 
-// NewBodies returns the account of bodies with a total of limit bytes.
-func NewBodies(limit int, clock Clock) *Bodies {
-	return &Bodies{limit: limit, clock: clock, open: map[*Body]bool{}}
+// NewAccount returns an account with a total of limit bytes, and a quarter more for claims that give way.
+func NewAccount(limit int, clock Clock) *Account {
+	return &Account{limit: limit, clock: clock, open: map[*Claim]bool{}}
 }
 
-// SetShort sets whether the process is near its memory limit. Only small bodies are taken then.
-func (p *Bodies) SetShort(short bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.short = short
+// SetShort sets whether the process is near its memory limit. Only small requests are taken then.
+func (a *Account) SetShort(short bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.short = short
 }
 
-// Body is a body that is received, or held once it is whole. One goroutine uses it.
-type Body struct {
-	pool *Bodies
-	// interrupt ends a read of the body that waits for bytes.
+// claimState says whether a claim can give way.
+type claimState int
+
+const (
+	// stateReceiving is that of an unfinished request.
+	stateReceiving claimState = iota
+	// stateIdle is that of a connection without a request.
+	stateIdle
+	// stateWhole is that of a connection whose request cannot give way.
+	stateWhole
+)
+
+// Claim is what a connection or the body of a request holds of an account. One goroutine uses it.
+type Claim struct {
+	account *Account
+	// conn is the claim of the connection that a body comes on, which ends if the body gives way; nil for others.
+	conn *Claim
+	// interrupt ends a read that waits for bytes, or closes the connection.
 	interrupt func()
-	began     time.Duration
-	// The fields below are guarded by pool.mu. blocks hold the bytes read so far; only the last one is written to. charged is the
-	// number of bytes that the body is charged for.
+	// small is the largest weight of a claim that counts as small.
+	small int
+	// The fields below are guarded by account.mu. began is when the present state began.
+	state claimState
+	began time.Duration
+	// blocks hold the bytes of a body; only the last one is written to. charged is the number of bytes that the claim is charged for.
 	blocks  [][]byte
 	charged int
 	size    int
-	shed    bool
+	// shed says that the claim has given way, and leaving that its bytes count as such.
+	shed, leaving bool
 }
 
-// Open returns a new unfinished body. interrupt is called, from any goroutine, when the body gives way. Close it after use.
-func (p *Bodies) Open(interrupt func()) *Body {
-	b := &Body{pool: p, interrupt: interrupt, began: p.clock.Now()}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[b] = true
-	return b
-}
+// Open returns the claim of a source of bytes, such as an unfinished body. interrupt is called, from any goroutine, when the claim gives
+// way. Close it after use.
+func (a *Account) Open(interrupt func()) *Claim { return a.OpenBody(nil, interrupt) }
 
-// Charge charges the body for n more bytes. It returns ErrShed if the body has given way, or has to.
-func (b *Body) Charge(n int) (err error) {
-	b.pool.mu.Lock()
-	victims, err := b.charge(n)
-	b.pool.mu.Unlock()
-	for _, v := range victims {
-		v.interrupt()
+// OpenBody is Open for a body that comes on a connection; conn is nil if that has no claim.
+func (a *Account) OpenBody(conn *Claim, interrupt func()) *Claim {
+	c := &Claim{account: a, interrupt: interrupt, began: a.clock.Now(), small: SmallBody}
+	if conn != nil && conn.account == a {
+		c.conn, c.small = conn, SmallRequest
 	}
-	return err
+	a.add(c)
+	return c
 }
 
-// charge charges n bytes and returns the bodies that gave way for it; pool.mu is held.
-func (b *Body) charge(n int) (victims []*Body, err error) {
-	p := b.pool
-	limit := p.limit
-	isSmall := b.charged+n <= SmallBody
-	if !isSmall {
-		limit -= p.limit / smallReserve
-	}
-	if b.shed || p.short && !isSmall {
-		return nil, ErrShed
-	}
-	for p.used+n > limit {
-		v := p.heaviest(isSmall)
-		if v == nil || v == b {
-			return victims, ErrShed
-		}
-		v.giveWay()
-		victims = append(victims, v)
-	}
-	for len(p.free) > 0 && p.used+n+len(p.free)*blockBytes > p.limit {
-		last := len(p.free) - 1
-		p.free[last], p.free = nil, p.free[:last]
+// OpenConn returns the claim of a new connection of n bytes. interrupt is called, from any goroutine, when it is to be closed.
+func (a *Account) OpenConn(n int, interrupt func()) (c *Claim, err error) {
+	c = &Claim{account: a, interrupt: interrupt, began: a.clock.Now(), small: SmallRequest, state: stateIdle}
+	if err := c.Charge(n); err != nil {
+		return nil, err
 	}
-	p.used += n
-	b.charged += n
-	return victims, nil
+	a.add(c)
+	return c, nil
 }
 
-// heaviest returns the unfinished body with the largest product of bytes held and time since it began; nil if there is none. Small
-// bodies give way only to small ones. pool.mu is held.
-func (p *Bodies) heaviest(isSmall bool) (v *Body) {
-	now := p.clock.Now()
-	most := -1.0
-	for b := range p.open {
-		if b.shed || b.charged <= SmallBody && !isSmall {
-			continue
-		}
-		if weight := float64(b.charged) * (now - b.began + time.Millisecond).Seconds(); weight > most {
-			v, most = b, weight
-		}
-	}
-	return v
+func (a *Account) add(c *Claim) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open[c] = true
 }
 
-// giveWay releases all blocks but the last, which a read may be writing to; pool.mu is held.
-func (b *Body) giveWay() {
-	b.shed = true
-	if len(b.blocks) == 0 {
-		b.pool.used -= b.charged
-		b.charged = 0
-		return
-	}
-	last := len(b.blocks) - 1
-	b.release(b.blocks[:last])
-	b.blocks = b.blocks[last:]
+// Charge charges n more bytes. It returns ErrShed if the claim has given way, or has to.
+func (c *Claim) Charge(n int) (err error) { return c.change(func() int { return n }) }
+
+// Receive charges a connection n bytes in total, for the part of a request that has arrived.
+func (c *Claim) Receive(n int) (err error) { return c.enter(stateReceiving, n) }
+
+// Hold charges a connection n bytes in total, for a request that cannot give way. The body may, in a claim of its own.
+func (c *Claim) Hold(n int) (err error) { return c.enter(stateWhole, n) }
+
+// Release charges a connection n bytes in total, at most as many as before, until its next request.
+func (c *Claim) Release(n int) {
+	_ = c.enter(stateIdle, n) // a smaller charge always fits
 }
 
-// release returns blocks to the pool; pool.mu is held.
-func (b *Body) release(blocks [][]byte) {
-	for _, block := range blocks {
-		b.charged -= cap(block)
-		b.pool.used -= cap(block)
-		if cap(block) == blockBytes {
-			b.pool.free = append(b.pool.free, block[:0])
+// enter changes the state of a connection and its charge, to n bytes in total.
+func (c *Claim) enter(s claimState, n int) (err error) {
+	return c.change(func() int {
+		if c.state != s {
+			c.state, c.began = s, c.account.clock.Now()
 		}
-	}
+		return n - c.charged
+	})
 }
 
-// IsShed reports whether the body has given way.
-func (b *Body) IsShed() bool {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	return b.shed
+// change charges as many more bytes as by returns, which is called with account.mu held.
+func (c *Claim) change(by func() int) (err error) {
+	a := c.account
+	for {
+		a.mu.Lock()
+		victim, err := c.tryCharge(by())
+		a.mu.Unlock()
+		if victim == nil {
+			return err
+		}
+		victim.interrupt()
+	}
 }
 
-// room returns the last block if it has room, or else a new one, of which the first has the given size.
-func (b *Body) room(first int) (block []byte, err error) {
-	if last := len(b.blocks) - 1; last >= 0 && len(b.blocks[last]) < cap(b.blocks[last]) {
-		return b.blocks[last], nil
+// tryCharge charges n bytes, or returns the claim that has given way for it, after which it is to be called again; account.mu is held.
+func (c *Claim) tryCharge(n int) (victim *Claim, err error) {
+	a := c.account
+	if n <= 0 {
+		c.add(n)
+		return nil, nil
 	}
-	n := blockBytes
-	if len(b.blocks) == 0 {
-		n = first
-	}
-	if err := b.Charge(n); err != nil {
-		return nil, err
+	limit := a.limit
+	isSmall := c.weight()+n <= c.small
+	if !isSmall {
+		limit -= a.limit / smallReserve
 	}
-	if len(b.blocks) > 0 {
-		runtime.Gosched() // Chunks of a few bytes take long to decode; without it dozens of such bodies delay timers and other requests.
+	if c.shed || a.short && !isSmall {
+		return nil, ErrShed
 	}
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	if last := len(b.pool.free) - 1; last >= 0 && n == blockBytes {
-		block, b.pool.free = b.pool.free[last], b.pool.free[:last]
-	} else {
-		block = make([]byte, 0, n)
+	if a.used-a.leaving+n > limit {
+		victim = a.heaviest(isSmall)
+		if victim == nil || victim == c {
+			return nil, ErrShed
+		}
+		victim.giveWay()
+		return victim, nil
 	}
-	if b.shed { // the block was charged before the body gave way, which released only what it held then
-		b.pool.used -= b.charged
-		b.charged = 0
+	total := limit + a.limit/leavingReserve
+	if a.used+n > total {
 		return nil, ErrShed
 	}
-	b.blocks = append(b.blocks, block)
-	return block, nil
+	for len(a.free) > 0 && a.used+n+len(a.free)*blockBytes > total {
+		last := len(a.free) - 1
+		a.free[last], a.free = nil, a.free[:last]
+	}
+	c.add(n)
+	return nil, nil
 }
 
-// Read reads r to its end and returns its bytes in one piece, which stay charged until Close. declared is the number of bytes that the
-// client has announced, or -1. More than maxBytes are ErrTooLong. before is called before each read, with the number of bytes so far.
-func (b *Body) Read(r io.Reader, declared, maxBytes int64, before func(size int)) (data []byte, err error) {
-	first := firstBlockBytes
-	if declared >= 0 && declared <= SmallBody {
-		first = max(int(declared), 1)
+// add changes the charge by n bytes; account.mu is held.
+func (c *Claim) add(n int) {
+	c.charged += n
+	c.account.used += n
+	if c.leaving {
+		c.account.leaving += n
 	}
-	for declared < 0 || int64(b.size) < declared {
-		block, err := b.room(first)
-		if err != nil {
-			return nil, err
-		}
-		before(b.size)
-		if b.IsShed() {
-			return nil, ErrShed
-		}
-		n, readErr := r.Read(block[len(block):cap(block)])
-		if err := b.add(block[:len(block)+n], n); err != nil {
-			return nil, err
-		}
+}
+
+// weight returns the number of bytes that are free once the claim has given way; account.mu is held.
+func (c *Claim) weight() int {
+	if c.conn != nil {
+		return c.charged + c.conn.charged
+	}
+	return c.charged
+}
+
+// heaviest returns the claim that has been idle for longest, beyond idleGrace, or else the unfinished one with the largest product of bytes
+// held and time since it began, or else any idle one; nil if there is none. Small requests give way only to small ones. a.mu is held.
+func (a *Account) heaviest(isSmall bool) (v *Claim) {
+	now := a.clock.Now()
+	var idle, unfinished *Claim
+	var longest time.Duration
+	most := 0.0
+	for c := range a.open {
+		held := now - c.began + time.Millisecond
 		switch {
-		case int64(b.size) > maxBytes:
-			return nil, ErrTooLong
-		case errors.Is(readErr, io.EOF):
-			return b.whole()
-		case readErr != nil:
-			return nil, readErr
+		case c.shed || c.state == stateWhole:
+		case c.state == stateIdle:
+			if held > longest {
+				idle, longest = c, held
+			}
+		case c.weight() > c.small || isSmall:
+			if weight := float64(c.weight()) * held.Seconds(); weight > most {
+				unfinished, most = c, weight
+			}
 		}
 	}
-	return b.whole()
+	if longest > idleGrace {
+		return idle
+	}
+	return cmp.Or(unfinished, idle)
 }
 
-// add records the bytes that a read has added to the last block.
-func (b *Body) add(block []byte, n int) (err error) {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	b.size += n
-	if b.shed {
-		return ErrShed
+// giveWay releases all blocks but the last, which a read may be writing to; account.mu is held.
+func (c *Claim) giveWay() {
+	c.shed = true
+	if last := len(c.blocks) - 1; last > 0 {
+		c.releaseBlocks(c.blocks[:last])
+		c.blocks = c.blocks[last:]
+	}
+	c.leave()
+	if c.conn != nil {
+		c.conn.leave()
 	}
-	b.blocks[len(b.blocks)-1] = block
-	return nil
 }
 
-// whole ends the reception: the body can no longer give way. It returns the bytes in one piece, whose size is charged from here on
-// instead of the blocks.
-func (b *Body) whole() (data []byte, err error) {
-	if len(b.blocks) > 1 || len(b.blocks) == 1 && len(b.blocks[0]) < cap(b.blocks[0]) {
-		if err := b.Charge(b.size); err != nil {
-			return nil, err
-		}
-	}
-	p := b.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if b.shed {
-		return nil, ErrShed
+// leave counts the claim's bytes as those of one that has given way; account.mu is held.
+func (c *Claim) leave() {
+	if !c.leaving {
+		c.leaving = true
+		c.account.leaving += c.charged
 	}
-	delete(p.open, b)
-	switch {
-	case len(b.blocks) == 0:
-		return []byte{}, nil
-	case len(b.blocks) == 1 && len(b.blocks[0]) == cap(b.blocks[0]):
-		return b.blocks[0], nil
+}
+
+// Keep takes back that a connection gives way, as a request has arrived on it. It stays until its next change of state.
+func (c *Claim) Keep() {
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.leaving {
+		c.leaving = false
+		a.leaving -= c.charged
 	}
-	data = make([]byte, 0, b.size)
-	for _, block := range b.blocks {
-		data = append(data, block...)
+	c.shed, c.state = false, stateWhole
+}
+
+// releaseBlocks returns blocks to the account; account.mu is held.
+func (c *Claim) releaseBlocks(blocks [][]byte) {
+	for _, block := range blocks {
+		c.add(-cap(block))
+		if cap(block) == blockBytes {
+			c.account.free = append(c.account.free, block[:0])
+		}
 	}
-	b.release(b.blocks)
-	b.blocks = nil
-	return data, nil
+}
+
+// IsShed reports whether the claim has given way.
+func (c *Claim) IsShed() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.shed
 }
 
 // Reset ends the charge of a source of many messages; the next message starts at 0 bytes.
-func (b *Body) Reset() {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	b.pool.used -= b.charged
-	b.charged, b.size, b.began = 0, 0, b.pool.clock.Now()
+func (c *Claim) Reset() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.add(-c.charged)
+	c.size, c.began = 0, c.account.clock.Now()
 }
 
-// Close ends the charge of the body and drops its memory. Bytes that Read returned may still be in use; the caller drops them.
-func (b *Body) Close() {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	delete(b.pool.open, b)
-	b.pool.used -= b.charged
-	b.charged, b.blocks, b.shed = 0, nil, true
+// Close ends the charge and drops its memory. Bytes that Read returned may still be in use; the caller drops them.
+func (c *Claim) Close() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	delete(c.account.open, c)
+	c.add(-c.charged)
+	c.blocks, c.shed = nil, true
 }
--- a/internal/serve/hgmemory/account_test.go
+++ b/internal/serve/hgmemory/account_test.go
@@ -9,6 +9,8 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hyssopgrade/internal/serve/hgmemory"
 )
 
@@ -20,7 +22,7 @@
 func nothing(int) {}
 
 // stalled returns a body that holds the bytes of a client that stopped short of the end. err is what its read returned.
-func stalled(t *testing.T, p *hgmemory.Bodies, size int) (b *hgmemory.Body, interrupted *bool) {
+func stalled(t *testing.T, p *hgmemory.Account, size int) (b *hgmemory.Claim, interrupted *bool) {
 	t.Helper()
 	interrupted = new(bool)
 	b = p.Open(func() { *interrupted = true })
@@ -34,7 +36,7 @@
 
 // Guards against bodies whose bytes are lost or changed by the blocks, at sizes around those of blocks.
 func TestBodiesAreReadWhole(t *testing.T) {
-	p := hgmemory.NewBodies(16<<20, &testClock{})
+	p := hgmemory.NewAccount(16<<20, &testClock{})
 	for _, size := range []int{0, 1, 2047, 2048, 2049, 16 << 10, 16<<10 + 1, 18 << 10, 18<<10 + 1, 4 << 20} {
 		source := make([]byte, size)
 		for i := range source {
@@ -55,7 +57,7 @@
 
 // Guards against a body beyond the limit that is read on, and against a charge that stays.
 func TestTooLongBody(t *testing.T) {
-	p := hgmemory.NewBodies(1<<20, &testClock{})
+	p := hgmemory.NewAccount(1<<20, &testClock{})
 	for range 100 {
 		b := p.Open(func() {})
 		if _, err := b.Read(strings.NewReader(strings.Repeat("x", 100_000)), -1, 50_000, nothing); !errors.Is(err, hgmemory.ErrTooLong) {
@@ -74,7 +76,7 @@
 // as needed.
 func TestStalledBodyGivesWay(t *testing.T) {
 	clock := &testClock{}
-	p := hgmemory.NewBodies(1<<20, clock)
+	p := hgmemory.NewAccount(1<<20, clock)
 	first, firstEnded := stalled(t, p, 300<<10)
 	defer first.Close()
 	clock.now = time.Second
@@ -93,7 +95,7 @@
 
 // Guards against large bodies, unfinished or whole, that keep small ones out, and against small ones that large ones push out.
 func TestSmallBodiesGoOn(t *testing.T) {
-	p := hgmemory.NewBodies(1<<20, &testClock{})
+	p := hgmemory.NewAccount(1<<20, &testClock{})
 	small := p.Open(func() { t.Error("a small body gave way to a large one") })
 	defer small.Close()
 	if err := small.Charge(1000); err != nil {
@@ -124,7 +126,7 @@
 
 // Guards against bodies of few bytes that cost blocks: memory for 400 KB of them takes 200 bodies of a byte.
 func TestFewBytesCostLittle(t *testing.T) {
-	p := hgmemory.NewBodies(400<<10, &testClock{})
+	p := hgmemory.NewAccount(400<<10, &testClock{})
 	for range 200 {
 		b, interrupted := stalled(t, p, 1)
 		defer b.Close()
@@ -135,3 +137,130 @@
 		}()
 	}
 }
+
+// Guards against a full account that closes the wrong connections: the longest idle goes first, then the heaviest unfinished request, and
+// never a whole one.
+func TestOrderOfGivingWay(t *testing.T) {
+	const size = 10_000
+	clock := &testClock{}
+	a := hgmemory.NewAccount(6*size, clock)
+	var claims []*hgmemory.Claim
+	var order []int
+	for i := range 6 {
+		clock.now += time.Second
+		c, err := a.OpenConn(size, func() {
+			order = append(order, i)
+			claims[i].Close()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		claims = append(claims, c)
+	}
+	if err := errors.Join(claims[0].Hold(size), claims[1].Receive(size), claims[2].Receive(size-1000)); err != nil {
+		t.Fatal(err)
+	}
+	clock.now += time.Second
+	admit := func() error {
+		c, err := a.OpenConn(size, func() { t.Error("a whole request gave way") })
+		if err != nil {
+			return err
+		}
+		return c.Hold(size)
+	}
+	for range 5 {
+		if err := admit(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := admit(); !errors.Is(err, hgmemory.ErrShed) {
+		t.Errorf("a connection beside whole requests: error %v", err)
+	}
+	if diff := cmp.Diff([]int{3, 4, 5, 1, 2}, order); diff != "" {
+		t.Errorf("order of giving way (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against refused requests whose connections are still open and whose memory is used a second time, and against a connection that
+// gives way though a request has arrived on it.
+func TestMemoryOfRefusedRequestsCounts(t *testing.T) {
+	const size = 10_000
+	a := hgmemory.NewAccount(4*size, &testClock{})
+	var claims []*hgmemory.Claim
+	for i := range 5 {
+		c, err := a.OpenConn(size, func() {})
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		claims = append(claims, c)
+	}
+	if _, err := a.OpenConn(size, func() {}); !errors.Is(err, hgmemory.ErrShed) {
+		t.Fatalf("beyond the part for claims that give way: error %v", err)
+	}
+	for _, c := range claims {
+		c.Close()
+	}
+	var kept *hgmemory.Claim
+	kept, err := a.OpenConn(4*size, func() { kept.Keep() })
+	if err != nil {
+		t.Fatalf("after the end of all others: %v", err)
+	}
+	if _, err := a.OpenConn(size, func() {}); !errors.Is(err, hgmemory.ErrShed) {
+		t.Errorf("beside a connection with a request: error %v", err)
+	}
+}
+
+// Guards against a body that gives way by its own bytes alone: its connection ends with it.
+func TestBodyCountsWithItsConnection(t *testing.T) {
+	clock := &testClock{}
+	a := hgmemory.NewAccount(1<<20, clock)
+	ended := ""
+	for name, head := range map[string]int{"large head": 600_000, "small head": 100_000} {
+		conn, err := a.OpenConn(head, func() { t.Error("a connection with a request gave way") })
+		if err == nil {
+			err = conn.Hold(head)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := a.OpenBody(conn, func() { ended += name })
+		if err := body.Charge(1000); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clock.now = time.Second
+	quick := a.Open(func() {})
+	if err := quick.Charge(300_000); err != nil {
+		t.Fatal(err)
+	}
+	if ended != "large head" {
+		t.Errorf("gave way: %q", ended)
+	}
+}
+
+// Guards against callers that are closed between their connection and their first byte while clients hold unfinished requests.
+func TestNewConnectionIsKept(t *testing.T) {
+	clock := &testClock{}
+	a := hgmemory.NewAccount(600_000, clock)
+	var unfinished *hgmemory.Claim
+	gaveWay := false
+	unfinished, err := a.OpenConn(10_000, func() {
+		gaveWay = true
+		unfinished.Close()
+	})
+	if err == nil {
+		err = unfinished.Receive(400_000)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock.now += 100 * time.Millisecond
+	for range 40 {
+		if _, err := a.OpenConn(10_000, func() { t.Error("a new connection gave way") }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !gaveWay {
+		t.Error("the unfinished request has not given way")
+	}
+}
--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -4,9 +4,12 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"hyssopgrade/internal/serve/hgmemory"
 )
 
 // lingerTime is how long a server that stops keeps a connection open after its accept or its last answer, as the client may be about
@@ -17,6 +20,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// claim is what the connection and the heads of its requests hold of the server's memory; nil if that has no bound.
+	claim *hgmemory.Claim
 
 	mu sync.Mutex
 	// handling says that a handler serves a request of the connection.
@@ -25,9 +30,9 @@
 	// part of it that came while the request before was served.
 	received, ahead int
 	receivedAt      time.Time
-	// headAt is when the first byte of the next request was read, and counted its share of the server's headBytes.
-	headAt  time.Time
-	counted int
+	// headAt is when the first byte of the next request was read, and head what its head takes so far.
+	headAt time.Time
+	head   headCost
 	// usedAt is when the connection was accepted or last answered a request.
 	usedAt time.Time
 	// requests counts the requests that a handler was called for.
@@ -39,8 +44,9 @@
 }
 
 // beginRequest records that a handler was called for the request on the connection. A request that was read together with the one
-// before counts only from here on, so that the deadline of the wait for it may still be set. It reports false if the server has closed the connection.
-func (c *conn) beginRequest() (ok bool) {
+// before counts only from here on, so that the deadline of the wait for it may still be set. It reports false if the server has closed the
+// connection, or has to as the head needs more memory than is left.
+func (c *conn) beginRequest(r *http.Request) (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -48,22 +54,40 @@
 	}
 	c.handling = true
 	c.requests++
-	c.count(0)
-	if !c.server.stopping.Load() {
+	if c.server.stopping.Load() {
+		if err := c.applyReadDeadline(); err != nil {
+			c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
+		}
+	}
+	if c.claim == nil {
 		return true
 	}
-	if err := c.applyReadDeadline(); err != nil {
-		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
+	c.mu.Unlock()
+	err := c.claim.Hold(ConnBytes + requestBytes + costOf(r))
+	c.mu.Lock()
+	if err != nil {
+		c.server.refused(RefusedHeads)
+	}
+	return err == nil
+}
+
+// endHandler records that the handler has returned. A connection that closes then stays open for a moment, without its request.
+func (c *conn) endHandler() {
+	if c.claim != nil {
+		_ = c.claim.Hold(ConnBytes) // a smaller charge always fits
 	}
-	return true
 }
 
 // endRequest records that the request was answered.
 func (c *conn) endRequest() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.handling, c.received, c.ahead = false, c.ahead, 0
 	c.usedAt = time.Now()
+	c.head = headCost{}
+	c.mu.Unlock()
+	if c.claim != nil {
+		c.claim.Release(ConnBytes)
+	}
 }
 
 // isQuiet reports whether no request is on the connection, as far as it was read; c.mu is held.
@@ -99,35 +123,46 @@
 // caller does not close a connection with a request on it.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	defer c.server.boundHeads()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isQuiet() {
 		n, err = readArrived(c.Conn, p, err)
 	}
 	c.ended = errors.Is(err, io.EOF)
-	if n == 0 {
+	if n > 0 {
+		err = errors.Join(err, c.recordRead(p[:n], len(p)))
+	}
+	inHead := n > 0 && !c.handling
+	held := ConnBytes + requestBytes + c.head.bytes
+	c.mu.Unlock()
+	if !inHead || c.claim == nil {
 		return n, err
 	}
+	if err := c.claim.Receive(held); err != nil {
+		c.abort(RefusedHeads)
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// recordRead records bytes that were read into a buffer of the given size; c.mu is held.
+func (c *conn) recordRead(p []byte, size int) (err error) {
 	wasQuiet := c.isQuiet()
-	c.received += n
+	c.received += len(p)
 	c.receivedAt = time.Now()
 	if wasQuiet {
 		c.headAt = c.receivedAt
 	}
 	if !c.handling {
-		c.count(c.received)
+		c.head.add(p)
 	}
 	// While a handler runs, net/http reads single bytes to notice that the client leaves. Such a byte is the first of the next request.
-	if c.handling && len(p) == 1 {
-		c.ahead = n
+	if c.handling && size == 1 {
+		c.ahead = len(p)
 	}
 	if wasQuiet && c.server.stopping.Load() {
-		if err := c.applyReadDeadline(); err != nil {
-			return n, err
-		}
+		return c.applyReadDeadline()
 	}
-	return n, err
+	return nil
 }
 
 // Write writes to the connection. What the server writes without a handler answers a malformed request.
@@ -135,7 +170,6 @@
 	c.mu.Lock()
 	if !c.handling {
 		c.received = 0
-		c.count(0)
 	}
 	c.mu.Unlock()
 	return c.Conn.Write(p)
@@ -167,7 +201,6 @@
 func (c *conn) reportUnserved() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.count(0)
 	if c.closed || c.handling || c.ended {
 		return
 	}
--- a/internal/serve/hgserver/limit.go
+++ b/internal/serve/hgserver/limit.go
@@ -1,9 +1,12 @@
 package hgserver
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
+
+	"hyssopgrade/internal/serve/hgmemory"
 )
 
 // Option configures a Server.
@@ -14,73 +17,92 @@
 	// RefusedConns means that there were too many connections: the one that was idle for longest is closed, or the new one if all serve
 	// requests.
 	RefusedConns = "conns_closed"
-	// RefusedHeads means that the unfinished heads held too many bytes: the connection with the largest is closed.
+	// RefusedHeads means that a head was unfinished, or just complete, when the memory for requests was used up: its connection is closed.
 	RefusedHeads = "heads_closed"
+	// RefusedMemory means that the memory for requests was used up: the connection that was idle for longest is closed, or the new one if
+	// all hold requests.
+	RefusedMemory = "memory_closed"
 )
 
 // WithMaxConns bounds the open connections, so that a crowd of them leaves descriptors for peers, replicas and the store. At the bound a
 // new connection closes the one that has been idle for longest. 0 means no bound.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
-// WithMaxHeadBytes bounds the bytes of all heads that are not complete yet. 0 means no bound.
-func WithMaxHeadBytes(n int) Option { return func(s *Server) { s.maxHeadBytes = n } }
-
-const (
-	// PublicPart is the part of a machine's descriptors, one in PublicPart, for the connections of callers. Each of their requests may hold
-	// one more connection to a replica or an endpoint; the rest is for peers, the store and files.
-	PublicPart = 8.0 / 3
-	// headShare is the share of a machine's memory for all heads that are not complete yet.
-	headShare = 0.05
-)
-
-// Machine is what a process may use; 0 means no limit.
-type Machine struct{ MemoryMB, Descriptors float64 }
+// WithAccount sets the account that the connections and the heads of their requests are charged to; nil means no bound. The claim of a
+// request's connection is found with Claim.
+func WithAccount(a *hgmemory.Account) Option { return func(s *Server) { s.account = a } }
 
-// Conns returns the number of connections of a port that gets one in part of the descriptors; 0 if there is no limit.
-func (m Machine) Conns(part float64) int {
-	if m.Descriptors == 0 {
-		return 0
+// Claim returns what the connection of a request with this context holds; nil if its server has no account.
+func Claim(ctx context.Context) *hgmemory.Claim {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.claim
 	}
-	return max(int(m.Descriptors/part), 1)
+	return nil
 }
 
-// WithMachine bounds the connections and the unfinished heads of a port by what the process may use.
-func WithMachine(m Machine, part float64) Option {
-	return func(s *Server) {
-		WithMaxConns(m.Conns(part))(s)
-		WithMaxHeadBytes(int(m.MemoryMB * (1 << 20) * headShare))(s)
+// PublicPart is the part of a machine's descriptors, one in PublicPart, for the connections of callers. Each of their requests may hold
+// one more connection to a replica or an endpoint; the rest is for peers, the store and files.
+const PublicPart = 8.0 / 3
+
+// Conns returns the number of connections of a port that gets one in part of the descriptors of a machine; 0 if that sets no limit.
+func Conns(descriptors, part float64) int {
+	if descriptors == 0 {
+		return 0
 	}
+	return max(int(descriptors/part), 1)
 }
 
 // WithRefused sets a function that is called with the reason of each connection that the server closes because of its bounds.
 func WithRefused(f func(reason string)) Option { return func(s *Server) { s.refused = f } }
 
-// addConn adds a connection. At the bound it closes another one, or closes the new one and returns nil.
+// addConn adds a connection. At a bound it closes another one, or closes the new one and returns nil.
 func (s *Server) addConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc, server: s, usedAt: time.Now()}
+	reason := RefusedMemory
+	if s.claimFor(c) {
+		reason = RefusedConns
+		if s.admit(c) {
+			return c
+		}
+	}
+	s.refused(reason)
+	if err := nc.Close(); err != nil {
+		s.log.Debug("connection already closed", "client", nc.RemoteAddr().String(), "error", err)
+	}
+	if c.claim != nil {
+		c.claim.Close()
+	}
+	return nil
+}
+
+// claimFor sets the claim of a new connection and reports whether the account has the memory for it.
+func (s *Server) claimFor(c *conn) (ok bool) {
+	if s.account == nil {
+		return true
+	}
+	claim, err := s.account.OpenConn(ConnBytes, func() { c.abort(RefusedMemory) })
+	c.claim = claim
+	return err == nil
+}
+
+// admit adds a connection unless there are too many, none of which can be closed.
+func (s *Server) admit(c *conn) (ok bool) {
 	s.mu.Lock()
 	var victim *conn
 	isFull := s.maxConns > 0 && len(s.conns) >= s.maxConns
 	if isFull {
 		victim = s.longestIdle()
 	}
-	if !isFull || victim != nil {
+	ok = !isFull || victim != nil
+	if ok {
 		s.conns[c] = true
 		s.open.Add(1)
 	}
 	s.mu.Unlock()
-	if !isFull {
-		return c
-	}
-	s.refused(RefusedConns)
 	if victim != nil {
-		victim.abort()
-		return c
+		victim.abort(RefusedConns)
 	}
-	if err := nc.Close(); err != nil {
-		s.log.Debug("connection already closed", "client", nc.RemoteAddr().String(), "error", err)
-	}
-	return nil
+	return ok
 }
 
 // longestIdle returns the connection that has been without a request for longest, or else the one whose head is unfinished for longest;
@@ -110,44 +132,22 @@
 	return inHead
 }
 
-// boundHeads closes the connection with the largest unfinished head if all of them hold too many bytes.
-func (s *Server) boundHeads() {
-	if s.maxHeadBytes == 0 || s.headBytes.Load() <= int64(s.maxHeadBytes) {
-		return
-	}
-	var victim *conn
-	most := 0
-	s.mu.Lock()
-	for c := range s.conns {
-		c.mu.Lock()
-		if !c.handling && !c.closed && c.counted > most {
-			victim, most = c, c.counted
-		}
-		c.mu.Unlock()
-	}
-	s.mu.Unlock()
-	if victim != nil {
-		s.refused(RefusedHeads)
-		victim.abort()
-	}
-}
-
-// count sets the connection's share of the bytes of unfinished heads; c.mu is held.
-func (c *conn) count(n int) {
-	c.server.headBytes.Add(int64(n - c.counted))
-	c.counted = n
-}
-
 // abort closes the connection because of a bound, unless a request has begun on it, or has arrived on it since it was found idle.
-func (c *conn) abort() {
+func (c *conn) abort(reason string) {
 	c.mu.Lock()
 	if c.handling || c.received == 0 && unreadBytes(c.Conn) > 0 {
 		c.mu.Unlock()
+		if c.claim != nil {
+			c.claim.Keep()
+		}
 		return
 	}
+	if reason == RefusedMemory && c.received > 0 {
+		reason = RefusedHeads
+	}
 	c.closed = true
-	c.count(0)
 	c.mu.Unlock()
+	c.server.refused(reason)
 	if err := c.Conn.Close(); err != nil {
 		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
 	}
--- a/internal/serve/hgserver/limit_test.go
+++ b/internal/serve/hgserver/limit_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgserver"
 )
 
@@ -83,9 +84,17 @@
 	}
 }
 
+// stoppedClock is a clock whose time does not pass.
+type stoppedClock struct{}
+
+func (stoppedClock) Now() time.Duration { return 0 }
+
+// oneRequest is the memory of a connection with a request of few bytes.
+const oneRequest = 50_000
+
 // Guards against unfinished heads that use up memory: the largest is closed, others go on.
 func TestLargestHeadIsClosed(t *testing.T) {
-	address := startBounded(t, hgserver.WithMaxHeadBytes(10_000))
+	address := startBounded(t, hgserver.WithAccount(hgmemory.NewAccount(2*oneRequest+20_000, stoppedClock{})))
 	small, large := dial(t, address), dial(t, address)
 	if _, err := io.WriteString(small, "GET / HTTP/1.1\r\nHost: x\r\n"); err != nil {
 		t.Fatal(err)
@@ -103,3 +112,36 @@
 		t.Errorf("the small head got no answer: %v", err)
 	}
 }
+
+// Guards against heads that take many times their bytes in memory: those with many lines or long lists are closed before plain ones of the
+// same size, also when they come together with another request.
+func TestCostlyHeadsAreClosed(t *testing.T) {
+	const size = 3000
+	tests := map[string]struct {
+		before, head string
+		want         bool
+	}{
+		"one line":       {"", "X: " + strings.Repeat("x", size), true},
+		"lines":          {"", strings.Repeat("X: x\r\n", size/6) + "X: x", false},
+		"list":           {"", "X: " + strings.Repeat("a,", size/2), false},
+		"lines, behind":  {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", strings.Repeat("X: x\r\n", size/6) + "X: x", false},
+		"as long behind": {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "X: " + strings.Repeat("x", size), true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, startBounded(t, hgserver.WithAccount(hgmemory.NewAccount(oneRequest+20_000, stoppedClock{}))))
+			if _, err := io.WriteString(c, tt.before+"GET / HTTP/1.1\r\nHost: x\r\n"+tt.head+"\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			r := bufio.NewReader(c)
+			if tt.before != "" {
+				if _, err := http.ReadResponse(r, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := http.ReadResponse(r, nil); (err == nil) != tt.want {
+				t.Errorf("answered: %v, want %v", err == nil, tt.want)
+			}
+		})
+	}
+}
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
+
+	"hyssopgrade/internal/serve/hgmemory"
 )
 
 // connKey is the context key of the connection that a request came on.
@@ -23,13 +25,12 @@
 	// serving counts the calls of Serve, and open the connections that are not closed.
 	serving, open sync.WaitGroup
 
-	// maxConns and maxHeadBytes bound the connections and the bytes of unfinished heads; 0 means no bound. refused is called for each
-	// connection that is closed because of them.
-	maxConns, maxHeadBytes int
-	refused                func(reason string)
-	// headBytes is the number of bytes of unfinished heads.
-	headBytes atomic.Int64
-	reports   reportLimit
+	// maxConns and account bound the connections and their memory; 0 and nil mean no bound. refused is called for each connection that is
+	// closed because of them.
+	maxConns int
+	account  *hgmemory.Account
+	refused  func(reason string)
+	reports  reportLimit
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -45,9 +46,10 @@
 	handler := cfg.Handler
 	cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			if !c.beginRequest() {
+			if !c.beginRequest(r) {
 				panic(http.ErrAbortHandler)
 			}
+			defer c.endHandler()
 		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
@@ -127,6 +129,9 @@
 func (s *Server) Close() (err error) { return s.http.Close() }
 
 func (s *Server) removeConn(c *conn) {
+	if c.claim != nil {
+		c.claim.Close()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns[c] {
