--- a/internal/operate/hgconfig/entry.go
+++ b/internal/operate/hgconfig/entry.go
@@ -54,6 +54,8 @@
 	// RequestMemoryMB is the memory for the requests of callers, with their connections, in units of 2^20 bytes; 0 means a share of
 	// MemoryMB.
 	RequestMemoryMB float64 `toml:"requestMemoryMb"`
+	// TurnMemoryMB is the memory for the texts of stored turns, in units of 2^20 bytes; 0 means a share of MemoryMB.
+	TurnMemoryMB float64 `toml:"turnMemoryMb"`
 	// CPUShare is the share of each core that the process gets, and Cores the number of cores.
 	CPUShare float64 `toml:"cpuShare"`
 	Cores    float64 `toml:"cores"`
@@ -129,6 +131,7 @@
 		"vm.memoryMb":              {e.VM.MemoryMB, 32, 1 << 20},
 		"vm.maxDescriptors":        {e.VM.MaxDescriptors, 0, 1 << 24},
 		"vm.requestMemoryMb":       {e.VM.RequestMemoryMB, 0, e.VM.MemoryMB},
+		"vm.turnMemoryMb":          {e.VM.TurnMemoryMB, 0, e.VM.MemoryMB},
 		"vm.cpuShare":              {e.VM.CPUShare, 0.001, 1},
 		"vm.cores":                 {e.VM.Cores, 0.001, 1024},
 		"store.writesPerSecond":    {e.Store.WritesPerSecond, 1, 1e6},
--- a/internal/operate/hgentryvm/bounds.go
+++ b/internal/operate/hgentryvm/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"runtime"
 	"runtime/metrics"
 	"sync"
 	"time"
@@ -12,12 +13,15 @@
 	"hyssopgrade/internal/serve/hgentry"
 	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgserver"
+	"hyssopgrade/internal/state/hgledger"
 )
 
 // Shares of the VM's memory. Together with bufferShare they leave a third of the Go runtime's limit (hgmemory.RuntimeShare) for all else.
 const (
 	// peerShare is for the messages of peers.
 	peerShare = 0.1
+	// turnShare is for the texts of stored turns, which are in the store too.
+	turnShare = 0.1
 	// directoryShare is for the requests of the directory, and operatorShare for those of readiness and of metrics.
 	directoryShare = 0.05
 	operatorShare  = 0.02
@@ -27,6 +31,8 @@
 	shortShare = 0.85
 	// heapPeriod is the time between two looks at the live heap, which changes only when the garbage collector has run.
 	heapPeriod = 250 * time.Millisecond
+	// collectPeriod is the time for which the live heap counts as near the limit without another collection.
+	collectPeriod = time.Second
 )
 
 // Divisors of the VM's descriptors for the connections of the other ports, beside hgserver.PublicPart.
@@ -36,6 +42,9 @@
 	operatorPart  = 64.0
 )
 
+// droppedTexts is the counter of programs whose texts were dropped from memory.
+const droppedTexts = "turn_texts_dropped"
+
 // boundLogPeriod is the least time between two log lines about bounds that were met.
 const boundLogPeriod = 5 * time.Second
 
@@ -48,8 +57,12 @@
 	// requests is the memory for the requests of callers.
 	requests *hgmemory.Account
 
+	// cycle is the number of collections at the last look at the heap, and cycleAt when it last grew. Only watchHeap uses them.
+	cycle   uint64
+	cycleAt time.Duration
+
 	mu sync.Mutex
-	// reasons counts the connections closed since loggedAt.
+	// reasons counts what was closed or dropped since loggedAt.
 	reasons  map[string]int
 	loggedAt time.Time
 }
@@ -97,7 +110,20 @@
 // entryOption returns the option that charges bodies to the memory for requests.
 func (b *bounds) entryOption() hgentry.Option { return hgentry.WithAccount(b.requests) }
 
-// refused counts a closed connection by reason. One line per boundLogPeriod says how many there were.
+// ledgerOption returns the option that bounds the texts of stored turns.
+func (b *bounds) ledgerOption() hgledger.Option {
+	limit := memoryPart(b.vm, turnShare)
+	if b.vm.TurnMemoryMB > 0 {
+		limit = int(b.vm.TurnMemoryMB * (1 << 20))
+	}
+	return hgledger.WithTextLimit(int64(limit), func(programs int) {
+		for range programs {
+			b.refused(droppedTexts)
+		}
+	})
+}
+
+// refused counts what is closed or dropped at a bound, by reason. One line per boundLogPeriod says how many there were.
 func (b *bounds) refused(reason string) {
 	b.count(reason)
 	b.mu.Lock()
@@ -110,18 +136,26 @@
 	for name, n := range b.reasons {
 		args = append(args, name, n)
 	}
-	b.log.Warn("connections closed at a bound of the VM", args...)
+	b.log.Warn("closed or dropped at a bound of the VM", args...)
 	b.reasons, b.loggedAt = map[string]int{}, time.Now()
 }
 
 // watchHeap takes only small requests while the live heap is near the Go runtime's limit, so that the process refuses requests instead of
-// collecting garbage without end.
-func (b *bounds) watchHeap(time.Duration) {
-	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+// collecting garbage without end. The figure is as of the last collection: once the load has gone there may be none for minutes, so that
+// one is run.
+func (b *bounds) watchHeap(now time.Duration) {
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/gc/cycles/total:gc-cycles"}}
 	metrics.Read(sample)
-	if sample[0].Value.Kind() != metrics.KindUint64 {
+	if sample[0].Value.Kind() != metrics.KindUint64 || sample[1].Value.Kind() != metrics.KindUint64 {
 		return
 	}
 	limit := b.vm.MemoryMB * (1 << 20) * hgmemory.RuntimeShare * shortShare
-	b.requests.SetShort(float64(sample[0].Value.Uint64()) > limit)
+	isShort := float64(sample[0].Value.Uint64()) > limit
+	b.requests.SetShort(isShort)
+	if cycle := sample[1].Value.Uint64(); cycle != b.cycle {
+		b.cycle, b.cycleAt = cycle, now
+	}
+	if isShort && now-b.cycleAt >= collectPeriod {
+		runtime.GC()
+	}
 }
--- a/internal/state/hgledger/forget.go
+++ b/internal/state/hgledger/forget.go
@@ -31,6 +31,7 @@
 		if err := l.removeRows(ctx, p); err != nil {
 			return false, err
 		}
+		l.texts.size.Add(-p.textBytes)
 		s := &l.shards[hash(p.id)%numShards]
 		s.mu.Lock()
 		delete(s.programs, p.id)
@@ -46,13 +47,9 @@
 	if !p.rowKnown || p.version == 0 {
 		return nil
 	}
-	var keys []string
-	for _, t := range p.turns {
-		puts, err := turnPuts(homePartition(p.id), p.id, t)
-		if err != nil {
-			return err
-		}
-		keys = append(keys, lo.Map(puts, func(put hgstore.Put, _ int) string { return put.Key })...)
+	keys, err := storedKeys(p)
+	if err != nil {
+		return err
 	}
 	account := accountKey(p.partition(), p.id)
 	_, err = l.table.Commit(ctx, hgstore.Txn{
--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -214,9 +214,7 @@
 	if err := l.copyTurns(ctx, p.id, copied); err != nil {
 		return nil, Undecided, err
 	}
-	for _, t := range copied {
-		p.turns[t.ID] = t
-	}
+	l.keepTurns(p, copied...)
 	return hgturn.Text(path), Granted, nil
 }
 
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -142,6 +142,7 @@
 	// informed reports whether this process has read the watched table from the store since it started.
 	informed func() bool
 	backup   Backup
+	texts    texts
 	known    knownPrograms
 	asks     askLog
 	// unsaved is the number of programs of which this ledger has claimed more than their rows record.
@@ -160,6 +161,7 @@
 func NewLedger(id string, table hgstore.Table, timer hgtimer.Timer, log *slog.Logger, opts ...Option) *Ledger {
 	o := newOptions(opts)
 	l := &Ledger{id: id, table: table, timer: timer, log: log, committer: newCommitter(table, timer, o), reach: o.reach, informed: o.informed, backup: o.backup,
+		texts: texts{limit: o.textLimit, dropped: o.textDropped},
 		known: knownPrograms{lastSeen: map[uint64]time.Duration{}, complete: o.complete}, asks: askLog{entries: map[uint64]askEntry{}}}
 	l.markersRead.Store(!o.awaitMarkers)
 	for i := range l.shards {
@@ -172,6 +174,7 @@
 func (l *Ledger) Open(ctx context.Context, q OpenRequest) (reply OpenReply) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
+	defer l.trimTexts()
 	p := l.program(q.Program)
 	if !p.lockForOpening(ctx, q) {
 		return OpenReply{Verdict: Undecided}
@@ -234,6 +237,7 @@
 	used, beside := l.settleBeside(q)
 	err = l.storeTurn(ctx, q.Program, *q.Turn, beside...)
 	l.settle(q, used, err == nil)
+	l.trimTexts()
 	return err
 }
 
@@ -274,7 +278,7 @@
 		p.cached.add(q.Replica, q.Prompt, q.Used)
 	}
 	if stored {
-		p.turns[q.Turn.ID] = *q.Turn
+		l.keepTurns(p, *q.Turn)
 	}
 }
 
--- a/internal/state/hgledger/options.go
+++ b/internal/state/hgledger/options.go
@@ -17,6 +17,8 @@
 	awaitMarkers bool
 	reach        func() hgreach.State
 	informed     func() bool
+	textLimit    int64
+	textDropped  func(programs int)
 }
 
 // Option configures a ledger.
@@ -44,6 +46,12 @@
 // vouch for programs being new. Without it the ledger counts as informed.
 func WithInformed(informed func() bool) Option { return func(o *options) { o.informed = informed } }
 
+// WithTextLimit bounds the bytes of the text of stored turns that the ledger keeps in memory. Beyond it the texts of the programs that were
+// used longest ago are read from the store again when they are needed; dropped is called with the number of these programs.
+func WithTextLimit(n int64, dropped func(programs int)) Option {
+	return func(o *options) { o.textLimit, o.textDropped = n, dropped }
+}
+
 func newOptions(opts []Option) options {
 	o := options{retryAfter: retryAfter, reach: func() hgreach.State { return hgreach.Reachable }, informed: func() bool { return true }}
 	for _, set := range opts {
--- a/internal/state/hgledger/program.go
+++ b/internal/state/hgledger/program.go
@@ -58,8 +58,11 @@
 	shortfalls map[string]int
 	// closedEarly holds attempts that were closed here before they were opened, as their entry VM had given up on them.
 	closedEarly map[string]bool
-	// turns holds turns whose text is in rows of the program.
-	turns hgturn.Tree
+	// turns holds turns whose text is in rows of the program, and textBytes is the size of their texts. droppedTurns maps the turns whose
+	// text was dropped from memory to the numbers of their rows.
+	turns        hgturn.Tree
+	textBytes    int64
+	droppedTurns map[string]int
 	// cached estimates which tokens of the program's prompts the replicas have cached.
 	cached   cachedPrompts
 	lastUsed time.Duration
@@ -79,7 +82,7 @@
 	p, ok := s.programs[id]
 	if !ok {
 		p = &program{
-			id: id, sem: make(chan struct{}, 1), copies: map[string]int{}, turns: hgturn.Tree{}, cached: cachedPrompts{}, lastUsed: l.timer.Now(),
+			id: id, sem: make(chan struct{}, 1), copies: map[string]int{}, turns: hgturn.Tree{}, droppedTurns: map[string]int{}, cached: cachedPrompts{}, lastUsed: l.timer.Now(),
 			reservations: map[string]int{}, openers: map[string]Opener{}, shortfalls: map[string]int{}, closedEarly: map[string]bool{},
 		}
 		p.moveTo(homePartition(id))
@@ -107,6 +110,16 @@
 	}
 }
 
+// tryLock locks the program if the lock is free.
+func (p *program) tryLock() bool {
+	select {
+	case p.sem <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // lockForOpening is lock for the opening of a turn, which counts as waiting until then.
 func (p *program) lockForOpening(ctx context.Context, q OpenRequest) bool {
 	if q.HasBudget && q.Kept {
@@ -123,7 +136,7 @@
 
 // isUnserved reports whether this ledger has served no turn of the program.
 func (p *program) isUnserved() bool {
-	return p.account.Used == 0 && len(p.reservations) == 0 && len(p.turns) == 0 && len(p.cached) == 0
+	return p.account.Used == 0 && len(p.reservations) == 0 && len(p.turns) == 0 && len(p.droppedTurns) == 0 && len(p.cached) == 0
 }
 
 func (p *program) unlock() { <-p.sem }
--- a/internal/state/hgledger/row.go
+++ b/internal/state/hgledger/row.go
@@ -252,7 +252,7 @@
 	if account.err != nil {
 		return account.err
 	}
-	maps.Copy(p.turns, turns)
+	l.keepTurns(p, lo.Values(turns)...)
 	if p.partition() == homePartition(p.id) && (account.version > 0 || !l.failedOver[p.partition()].Load()) {
 		l.reload(p, account.row, account.version, true)
 	}
