--- a/internal/peer/hgpeer/rpc.go
+++ b/internal/peer/hgpeer/rpc.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/singleflight"
 
+	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgplacer"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgledger"
@@ -24,7 +25,11 @@
 )
 
 // service adapts a Handler to net/rpc. Its method names are part of the protocol between nodes.
-type service struct{ h Handler }
+type service struct {
+	h Handler
+	// memory is what the texts of turns that are sent are charged to; nil sets no bound.
+	memory *hgmemory.Account
+}
 
 // Beat replies to a heartbeat with this node's own.
 func (s service) Beat(b Beat, reply *Beat) error {
@@ -40,7 +45,14 @@
 
 // Open opens a turn in this node's ledger. A refusal is a verdict in the reply, not an error.
 func (s service) Open(q hgledger.OpenRequest, reply *hgledger.OpenReply) error {
+	if s.memory == nil {
+		*reply = s.h.Open(q)
+		return nil
+	}
+	claim := s.memory.Open(func() {})
+	q.Charge = func(bytes int) error { return claim.Hold(messageFactor * bytes) }
 	*reply = s.h.Open(q)
+	reply.Release = claim.Close
 	return nil
 }
 
--- a/internal/peer/hgpeer/serve.go
+++ b/internal/peer/hgpeer/serve.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"hyssopgrade/internal/serve/hgmemory"
+	"hyssopgrade/internal/state/hgledger"
 )
 
 const (
@@ -25,7 +26,7 @@
 type Bounds struct {
 	// MaxConns is the number of connections; a further one closes the one that was silent for longest.
 	MaxConns int
-	// Memory bounds the bytes of all messages that are received at the same time.
+	// Memory bounds the bytes of all messages that are received, and of all texts of turns that are sent, at the same time.
 	Memory *hgmemory.Account
 	// Refused is called with the reason of each connection that is closed because of the bounds.
 	Refused func(reason string)
@@ -47,7 +48,7 @@
 // Accept.
 func Serve(l net.Listener, h Handler, bounds Bounds) (err error) {
 	srv := rpc.NewServer()
-	if err := srv.RegisterName(rpcName, service{h}); err != nil {
+	if err := srv.RegisterName(rpcName, service{h: h, memory: bounds.Memory}); err != nil {
 		return trace.Wrap(err)
 	}
 	conns := servedConns{bounds: bounds, open: map[*servedConn]bool{}}
@@ -241,6 +242,9 @@
 // WriteResponse implements rpc.ServerCodec. A response that cannot be encoded closes the connection, so that the caller does not wait.
 func (c *codec) WriteResponse(r *rpc.Response, body any) (err error) {
 	defer func() {
+		if reply, ok := body.(*hgledger.OpenReply); ok && reply.Release != nil {
+			reply.Release()
+		}
 		if err != nil {
 			c.conn.Close()
 		}
--- a/internal/serve/hgentry/entry.go
+++ b/internal/serve/hgentry/entry.go
@@ -161,6 +161,8 @@
 	body    []byte
 	// held is the charge for the body; nil if there is none.
 	held *hgmemory.Claim
+	// heldText is the charge for the text of the turns that this one continues; nil if it continues none.
+	heldText *hgmemory.Claim
 	// digests identify the request in Suspects.
 	digests hgsuspect.Request
 	ctx     context.Context
--- a/internal/serve/hgentry/plain.go
+++ b/internal/serve/hgentry/plain.go
@@ -50,7 +50,7 @@
 
 // tryPlain sends the request to one replica and relays the response once it is complete.
 func (x *exchange) tryPlain(want hgreplica.Want) error {
-	t, err := x.send(want, x.body, "")
+	t, err := x.send(want, requestBody{input: x.body}, "")
 	if err != nil {
 		return err
 	}
--- a/internal/serve/hgentry/request.go
+++ b/internal/serve/hgentry/request.go
@@ -108,10 +108,14 @@
 	}
 }
 
-// closeBody ends the charge for the body's memory.
+// closeBody ends the charge for the memory of the body, and of the text before it.
 func (x *exchange) closeBody() {
 	if x.held != nil {
 		x.held.Close()
 		x.held = nil
 	}
+	if x.heldText != nil {
+		x.heldText.Close()
+		x.heldText = nil
+	}
 }
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -105,14 +105,19 @@
 	}()
 }
 
-// onceBody is a request body that can be read only once, so that the transport cannot resend the request on its own.
-type onceBody struct{ io.Reader }
+// requestBody is the body of a request to a replica: the text of the turns that it continues, and the caller's input.
+type requestBody struct{ text, input []byte }
 
-func (onceBody) Close() error { return nil }
+func (b requestBody) len() int64 { return int64(len(b.text) + len(b.input)) }
+
+// reader returns a reader that the transport cannot start again, so that it does not resend the request on its own.
+func (b requestBody) reader() io.ReadCloser {
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.text), bytes.NewReader(b.input)))
+}
 
 // send leases a replica, sends the request to it and returns once the response headers have come. On an error the lease
 // is released already.
-func (x *exchange) send(w hgreplica.Want, body []byte, lastEvent string) (t *try, err error) {
+func (x *exchange) send(w hgreplica.Want, body requestBody, lastEvent string) (t *try, err error) {
 	w.Repeatable, w.Left = x.mayProbe(lastEvent), x.remaining()
 	lease, err := x.acquireLease(w)
 	if err != nil {
@@ -149,14 +154,14 @@
 }
 
 // roundTrip sends the request to the leased replica and sets t.resp and t.answer.
-func (x *exchange) roundTrip(t *try, body []byte, lastEvent string) (err error) {
+func (x *exchange) roundTrip(t *try, body requestBody, lastEvent string) (err error) {
 	ctx := x.ctx
 	if limit := t.lease.Why.Probe; limit > 0 {
 		t.probe, ctx = newProbe(ctx, limit)
 	}
 	r := (&http.Request{
 		Method: x.r.Method, URL: x.target(t.lease.Address), Host: x.r.Host, Header: endToEnd(x.r.Header),
-		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
+		Body: body.reader(), ContentLength: body.len(),
 	}).WithContext(httptrace.WithClientTrace(ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{
 		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -51,12 +51,9 @@
 	if engine := x.state.Services[want.Service].Engine; engine != nil {
 		want.Fetch = hgreplica.FetchCost{Setup: fetchSetup, PerToken: engine.FetchPerToken, Charge: fetchCharge}
 	}
-	body := x.body
+	body := requestBody{input: x.body}
 	if x.turn != nil {
-		want.Kept = x.turn.open.Kept
-		if len(x.turn.open.Text) > 0 {
-			body = append(append([]byte(nil), x.turn.open.Text...), x.body...)
-		}
+		want.Kept, body.text = x.turn.open.Kept, x.turn.open.Text
 	}
 	for {
 		err := x.tryStream(s, want, body)
@@ -84,7 +81,7 @@
 }
 
 // tryStream sends the request to one replica and relays its events.
-func (x *exchange) tryStream(s *stream, want hgreplica.Want, body []byte) error {
+func (x *exchange) tryStream(s *stream, want hgreplica.Want, body requestBody) error {
 	t, err := x.send(want, body, s.lastEvent)
 	if err != nil {
 		return err
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -41,6 +41,10 @@
 	if x.route.Retain {
 		q.Previous, q.Kept = a.Previous, true
 	}
+	if q.Previous != "" {
+		claim := x.entry.account.Open(func() {})
+		x.heldText, q.Charge = claim, claim.Hold
+	}
 	began := x.entry.timer.Now()
 	reply, owner := x.entry.programs.Open(x.ctx, q)
 	x.openTime = x.entry.timer.Now() - began
@@ -48,7 +52,13 @@
 	switch reply.Verdict {
 	case hgledger.Granted:
 		x.turn = &turn{open: reply, owner: owner, retained: x.route.Retain, team: q.Team}
-		return true
+		if q.Charge == nil || q.Charge(len(reply.Text)) == nil { // a peer has not charged it here
+			return true
+		}
+		x.closeTurn(&stream{}, false)
+		x.refuseText()
+	case hgledger.NoMemory:
+		x.refuseText()
 	case hgledger.Spent:
 		x.respond(http.StatusPaymentRequired, "budget is spent", 0)
 	case hgledger.NoTurn:
@@ -63,6 +73,12 @@
 	return false
 }
 
+// refuseText refuses a turn as there is no memory for the text that it continues.
+func (x *exchange) refuseText() {
+	x.entry.metrics.Count("text_refused_memory")
+	x.refuse(http.StatusServiceUnavailable, reasonMemory)
+}
+
 // closeTurn closes a turn. A complete turn that is retained must be durable before its response ends; if it can't be stored,
 // the response is aborted.
 func (x *exchange) closeTurn(s *stream, complete bool) {
--- a/internal/state/hgledger/history.go
+++ b/internal/state/hgledger/history.go
@@ -178,9 +178,9 @@
 // one.
 const maxLookups = 12
 
-// history returns the text of a turn and its ancestors. NoTurn is returned only after the newest rows of all partitions
+// history returns a turn and its ancestors, the oldest first. NoTurn is returned only after the newest rows of all partitions
 // have been read and none of them holds the turn. Turns of other teams count as nonexistent.
-func (l *Ledger) history(ctx context.Context, p *program, turn, team string) (text []byte, v Verdict, err error) {
+func (l *Ledger) history(ctx context.Context, p *program, turn, team string) (path []hgturn.Turn, v Verdict, err error) {
 	own := p.turns.Of(team)
 	path, missing := own.Path(turn)
 	if missing != "" {
@@ -215,7 +215,7 @@
 		return nil, Undecided, err
 	}
 	l.keepTurns(p, copied...)
-	return hgturn.Text(path), Granted, nil
+	return path, Granted, nil
 }
 
 // findTurn finds the partition and the program that hold a turn, and returns all turns stored there that a team may continue. It
--- a/internal/state/hgledger/ledger.go
+++ b/internal/state/hgledger/ledger.go
@@ -33,6 +33,8 @@
 	Outage Verdict = "outage"
 	// Busy means that the replicas are busy, so that new programs have to wait.
 	Busy Verdict = "busy"
+	// NoMemory means that there is no memory for the texts of the turns that this one continues.
+	NoMemory Verdict = "noMemory"
 )
 
 // Opener identifies a process of a node that opens turns in ledgers of others, with its address for calls of peers.
@@ -69,6 +71,19 @@
 	Team string
 	// Extendable is set if the asking node extends a reservation that is smaller than Most while the turn runs.
 	Extendable bool
+	// Charge is called with the size of Text before it is made; after an error the verdict is NoMemory. Nil charges nothing. It is not
+	// sent to peers.
+	Charge func(bytes int) error
+}
+
+// text returns the inputs and outputs of the turns that the turn continues.
+func (q OpenRequest) text(path []hgturn.Turn) (text []byte, err error) {
+	if q.Charge != nil && len(path) > 0 {
+		if err := q.Charge(hgturn.Size(path)); err != nil {
+			return nil, err
+		}
+	}
+	return hgturn.Text(path), nil
 }
 
 // OpenReply is the decision on a turn. Peers exchange it with encoding/gob under its Go field names.
@@ -86,6 +101,8 @@
 	New bool
 	// Elsewhere names a ledger with a share of the budget, if the store is unreachable or slow and this ledger has none.
 	Elsewhere string
+	// Release ends the charge for Text at the node that decided, once the reply is sent; nil if there is none. It is not sent.
+	Release func()
 }
 
 // ExtendRequest asks for more tokens for a turn whose reservation is smaller than its maximum output. Peers exchange it with
@@ -189,11 +206,15 @@
 	case q.NoNew && q.Previous == "" && p.isUnserved():
 		return OpenReply{Verdict: Busy}
 	}
-	text, verdict, err := l.history(ctx, p, q.Previous, q.Team)
+	path, verdict, err := l.history(ctx, p, q.Previous, q.Team)
 	if verdict != Granted {
 		l.logRefusal("previous turns not available", q, verdict, err)
 		return OpenReply{Verdict: verdict}
 	}
+	text, err := q.text(path)
+	if err != nil {
+		return OpenReply{Verdict: NoMemory}
+	}
 	reply = OpenReply{Verdict: Granted, Text: text, Kept: p.cached.tokens(q.Prompt), Holder: l.id, New: q.Previous == "" && p.isUnserved()}
 	if !q.HasBudget {
 		return reply
--- a/internal/state/hgturn/tree.go
+++ b/internal/state/hgturn/tree.go
@@ -49,13 +49,17 @@
 	return path, ""
 }
 
-// Text joins the inputs and outputs of the turns of a path, in order.
-func Text(path []Turn) []byte {
-	n := 0
+// Size returns the number of bytes of the text of a path.
+func Size(path []Turn) (n int) {
 	for _, t := range path {
 		n += len(t.Input) + len(t.Output)
 	}
-	text := make([]byte, 0, n)
+	return n
+}
+
+// Text joins the inputs and outputs of the turns of a path, in order.
+func Text(path []Turn) []byte {
+	text := make([]byte, 0, Size(path))
 	for _, t := range path {
 		text = append(append(text, t.Input...), t.Output...)
 	}
