--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -47,6 +47,21 @@
 // before counts only from here on, so that the deadline of the wait for it may still be set. It reports false if the server has closed the
 // connection, or has to as the head needs more memory than is left.
 func (c *conn) beginRequest(r *http.Request) (ok bool) {
+	if !c.markHandling() {
+		return false
+	}
+	if c.claim == nil {
+		return true
+	}
+	if err := c.claim.Hold(ConnBytes + requestBytes + costOf(r)); err != nil {
+		c.server.refused(RefusedHeads)
+		return false
+	}
+	return true
+}
+
+// markHandling records that a handler serves a request. It reports false if the server has closed the connection.
+func (c *conn) markHandling() (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -54,21 +69,13 @@
 	}
 	c.handling = true
 	c.requests++
-	if c.server.stopping.Load() {
-		if err := c.applyReadDeadline(); err != nil {
-			c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
-		}
-	}
-	if c.claim == nil {
+	if !c.server.stopping.Load() {
 		return true
 	}
-	c.mu.Unlock()
-	err := c.claim.Hold(ConnBytes + requestBytes + costOf(r))
-	c.mu.Lock()
-	if err != nil {
-		c.server.refused(RefusedHeads)
+	if err := c.applyReadDeadline(); err != nil {
+		c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
 	}
-	return err == nil
+	return true
 }
 
 // endHandler records that the handler has returned. A connection that closes then stays open for a moment, without its request.
@@ -129,7 +136,9 @@
 	}
 	c.ended = errors.Is(err, io.EOF)
 	if n > 0 {
-		err = errors.Join(err, c.recordRead(p[:n], len(p)))
+		if recordErr := c.recordRead(p[:n], len(p)); recordErr != nil {
+			err = recordErr
+		}
 	}
 	inHead := n > 0 && !c.handling
 	held := ConnBytes + requestBytes + c.head.bytes
--- a/internal/serve/hgserver/limit.go
+++ b/internal/serve/hgserver/limit.go
@@ -80,6 +80,8 @@
 	if s.account == nil {
 		return true
 	}
+	c.mu.Lock() // the connection may have to give way before its claim is set
+	defer c.mu.Unlock()
 	claim, err := s.account.OpenConn(ConnBytes, func() { c.abort(RefusedMemory) })
 	c.claim = claim
 	return err == nil
