--- a/internal/proof/hghostile/turns_test.go
+++ b/internal/proof/hghostile/turns_test.go
@@ -1,7 +1,10 @@
 package hghostile_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,6 +12,8 @@
 	"time"
 
 	"hyssopgrade/internal/proof/hgsite"
+	"hyssopgrade/internal/serve/hgattempt"
+	hgplatform "hyssopgrade/platform"
 )
 
 const (
@@ -19,6 +24,8 @@
 	shortTurnBytes = 16 << 10
 	// longTurns is the number of turns of turnBytes in a program whose last turn is continued.
 	longTurns = 4
+	// endlessTurns is the number of turns whose answers do not end.
+	endlessTurns = 32
 	// turnSenders is the number of clients that send them.
 	turnSenders = 4
 )
@@ -89,3 +96,50 @@
 	}
 	v.check(t)
 }
+
+// Guards against answers without end, whose events are collected for turns that are stored.
+func TestEndlessAnswersOfStoredTurns(t *testing.T) {
+	v := startVMs(t, 1, memoryMB, manyDescriptors)[0]
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, err := hgplatform.Dialect{}.DecodeAttempt(r.Header)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		hgplatform.EncodeAnswer(w.Header(), hgattempt.Answer{AttemptID: a.ID, Sealed: true})
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; err == nil; i++ {
+			_, err = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, body[:4<<10])
+		}
+	})}
+	t.Cleanup(func() { engine.Close() })
+	go func() { _ = engine.Serve(l) }()
+	for _, r := range v.site.Replicas {
+		if r.Entry.Service != hgsite.Engines {
+			continue
+		}
+		r.Entry.Address = l.Addr().String()
+		if err := v.site.Register(r.Entry); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(settleTime) // until the VM has the new addresses
+	crowd(t, v.cfg.Listen.Public, endlessTurns, func(conn net.Conn) {
+		q := hgsite.Turn(hgsite.ThreadPath, "endless"+hgsite.NewAttempt(), "", "x")
+		q.HasBudget = false
+		h := http.Header{}
+		hgplatform.EncodeAttempt(h, q.Attempt)
+		var request bytes.Buffer
+		fmt.Fprintf(&request, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 1\r\n", q.Path, hgsite.Host)
+		_ = h.Write(&request) // a buffer takes all bytes
+		request.WriteString("\r\nx")
+		if sendPieces(conn, request.Bytes(), request.Len(), 0) {
+			_, _ = io.Copy(io.Discard, conn) // the client reads until the VM or its own deadline ends it
+		}
+	})
+	v.check(t)
+}
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -39,14 +39,18 @@
 	sequence  sequence
 	// events is the number of events that were sent.
 	events int
-	// output is the data of the events, each with a line feed; it is collected only for turns that are retained.
-	output []byte
+	// output is the data of the events, each with a line feed; nil unless the turn is retained.
+	output *hgmemory.Claim
 }
 
 // forwardStream forwards a request whose response is a stream of events, and resumes it at other replicas if the route
 // allows that.
 func (x *exchange) forwardStream() {
 	s := &stream{lastEvent: x.attempt.LastEvent, sequence: newSequence(x.attempt.LastEvent)}
+	if x.turn != nil && x.turn.retained {
+		s.output = x.entry.account.OpenOutput()
+		defer s.output.Close()
+	}
 	want := hgreplica.Want{Service: x.service(), Exclude: map[string]bool{}, Prompt: x.attempt.TokensIn, Far: streamRemoteCost}
 	if engine := x.state.Services[want.Service].Engine; engine != nil {
 		want.Fetch = hgreplica.FetchCost{Setup: fetchSetup, PerToken: engine.FetchPerToken, Charge: fetchCharge}
@@ -91,7 +95,7 @@
 		return x.forwardNonStream(t, s)
 	}
 	if err := x.copyEvents(s, t); err != nil {
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errTokenLimit) {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errTokenLimit) || errors.Is(err, errNoMemory) {
 			return err
 		}
 		if x.r.Context().Err() == nil {
@@ -135,6 +139,9 @@
 // errTokenLimit means that the turn's token reservation is used up before the stream ended.
 var errTokenLimit = errors.New("turn is longer than what was reserved for it")
 
+// errNoMemory means that the output of a turn that is retained found no memory.
+var errNoMemory = errors.New("no memory is left for the answer")
+
 // errCallerLeft means that writing to the caller failed.
 var errCallerLeft = errors.New("caller left")
 
@@ -164,7 +171,9 @@
 			return errTokenLimit
 		}
 		x.writeHead(s, t)
-		x.recordEvent(s, e)
+		if err := x.recordEvent(s, e); err != nil {
+			return err
+		}
 		if _, err := x.w.Write(events.Bytes()); err != nil {
 			return errors.Join(errCallerLeft, err)
 		}
@@ -209,17 +218,23 @@
 	x.w.WriteHeader(x.status)
 }
 
-// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event.
-func (x *exchange) recordEvent(s *stream, e event) {
+// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event. An error means
+// that no memory is left for the data.
+func (x *exchange) recordEvent(s *stream, e event) (err error) {
 	if e.isEmpty() {
-		return
+		return nil
 	}
 	s.events++
 	s.sequence = s.sequence.With(e)
 	if e.hasID {
 		s.lastEvent = e.id
 	}
-	if x.turn != nil && x.turn.retained {
-		s.output = append(s.output, e.data...)
+	if s.output == nil {
+		return nil
 	}
+	if _, err := s.output.Write(e.data); err != nil {
+		x.entry.metrics.Count("output_refused_memory")
+		return errors.Join(errNoMemory, err)
+	}
+	return nil
 }
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -95,11 +95,17 @@
 		go x.settle(q)
 		return
 	}
-	q.Turn = &hgturn.Turn{ID: x.attempt.ID, Team: x.turn.team, Previous: x.attempt.Previous, Input: x.body, Output: s.output}
+	output, err := s.output.Bytes()
+	if err != nil {
+		x.entry.running.Add(1)
+		go x.settle(q)
+		x.abort("turn could not be kept: " + errNoMemory.Error())
+	}
+	q.Turn = &hgturn.Turn{ID: x.attempt.ID, Team: x.turn.team, Previous: x.attempt.Previous, Input: x.body, Output: output}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), max(x.remaining(), time.Millisecond))
 	defer cancel()
 	began := x.entry.timer.Now()
-	err := x.entry.programs.Close(ctx, x.turn.owner, q)
+	err = x.entry.programs.Close(ctx, x.turn.owner, q)
 	x.retainTime = x.entry.timer.Now() - began
 	x.entry.metrics.Observe("turnKeep", x.retainTime)
 	if err != nil {
