--- a/internal/proof/hghostile/many_test.go
+++ b/internal/proof/hghostile/many_test.go
@@ -68,15 +68,16 @@
 	tiny := chunks(16<<10, 3)
 	short := shortLines(headBytes)
 	return map[string]client{
-		"silent":                func(net.Conn) {},
-		"idle after a request":  oneRequest,
-		"long lines":            sendAll(unfinished(longLines(headBytes-1<<10), 8<<10)),
-		"short lines":           sendAll(unfinished(short, 2<<10)),
-		"prompt parts":          sendAll(unfinished(promptParts(headBytes), 8<<10)),
-		"unfinished head":       sendAll([]byte(strings.TrimSuffix(head(short), "\r\n"))),
-		"head behind a request": sendAll(append([]byte(declare(1)+"x"), unfinished(shortLines(3<<10), 64)...)),
-		"one piece":             sendAll(unfinished("X: x", 15<<10)),
-		"tiny chunks":           sendAll(append([]byte(head(chunkedLine)), tiny[:len(tiny)-3]...)),
+		"silent":                  func(net.Conn) {},
+		"idle after a request":    oneRequest,
+		"long lines":              sendAll(unfinished(longLines(headBytes-1<<10), 8<<10)),
+		"short lines":             sendAll(unfinished(short, 2<<10)),
+		"prompt parts":            sendAll(unfinished(promptParts(headBytes), 8<<10)),
+		"unfinished head":         sendAll([]byte(strings.TrimSuffix(head(short), "\r\n"))),
+		"head behind a request":   sendAll(append([]byte(declare(1)+"x"), unfinished(shortLines(3<<10), 64)...)),
+		"refused before its body": sendAll(append([]byte("POST "+hgsite.CheckPath+"x HTTP/1.1\r\nHost: "+hgsite.Host+"\r\nContent-Length: 2048\r\n"+short+"\r\n\r\n"), body[:2047]...)),
+		"one piece":               sendAll(unfinished("X: x", 15<<10)),
+		"tiny chunks":             sendAll(append([]byte(head(chunkedLine)), tiny[:len(tiny)-3]...)),
 		"trickled end": func(conn net.Conn) {
 			request := unfinished("X: x", 64<<10)
 			end := len(request) - 100
--- a/internal/serve/hgentry/request.go
+++ b/internal/serve/hgentry/request.go
@@ -74,7 +74,7 @@
 	switch {
 	case err == nil:
 		setDeadline(time.Time{})
-		x.body, x.r.Trailer = body, nil // trailers are not sent on, and their memory is not charged
+		x.body = body
 		return true
 	case errors.Is(err, hgmemory.ErrTooLong):
 		x.refuseBody(http.StatusRequestEntityTooLarge, reasonTooLarge, "body_refused_size")
--- a/internal/serve/hgfront/body.go
+++ b/internal/serve/hgfront/body.go
@@ -44,7 +44,7 @@
 	}
 	switch {
 	case err == nil:
-		r.Body, r.Trailer = io.NopCloser(bytes.NewReader(data)), nil // the memory of trailers is not charged
+		r.Body = io.NopCloser(bytes.NewReader(data))
 		next()
 	case errors.Is(err, hgmemory.ErrTooLong):
 		held.Close()
--- a/internal/serve/hgserver/conn.go
+++ b/internal/serve/hgserver/conn.go
@@ -78,8 +78,15 @@
 	return true
 }
 
-// endHandler records that the handler has returned. A connection that closes then stays open for a moment, without its request.
-func (c *conn) endHandler() {
+// endHandler records that the handler has returned, and whether the body was read to its end. If it was, a connection that closes stays open
+// for a moment without its request. If not, net/http waits for the rest of the body with the request in memory.
+func (c *conn) endHandler(bodyEnded bool) {
+	if !bodyEnded {
+		if err := c.SetReadDeadline(time.Now().Add(quietTime)); err != nil {
+			c.server.log.Debug("connection already closed", "client", c.RemoteAddr().String(), "error", err)
+		}
+		return
+	}
 	if c.claim != nil {
 		_ = c.claim.Hold(ConnBytes) // a smaller charge always fits
 	}
--- a/internal/serve/hgserver/server.go
+++ b/internal/serve/hgserver/server.go
@@ -49,7 +49,9 @@
 			if !c.beginRequest(r) {
 				panic(http.ErrAbortHandler)
 			}
-			defer c.endHandler()
+			var body *requestBody
+			body, r = trackBody(r)
+			defer func() { c.endHandler(body.ended) }()
 		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
