hgentry: a retained turn that is resumed is stored with the events from before

Cause: the output of a turn was what the last attempt had relayed, and a VM that resumes a turn does not see the events before.

Change: a retained turn that is resumed is generated from its first event on. Events that the caller has had go into the output only, and count neither as delivered nor against the budget; the rest is relayed as it comes. It works as event n of a resumable stream is the same at each replica, and as the output is then complete whichever VM was lost. Forwarding the events from the VM that still lives was weighed: it does not help after a loss.

--- a/internal/serve/hgattempt/attempt.go
+++ b/internal/serve/hgattempt/attempt.go
@@ -53,8 +53,10 @@
 	Replica string
 	// Left is the time until the request's deadline.
 	Left time.Duration
-	// LastEvent is the identifier of the event after which to resume a stream; empty to send all of it.
+	// LastEvent is the identifier of the event after which to resume a stream; empty to leave that to the caller's headers.
 	LastEvent string
+	// Anew says that the replica sends the stream from its first event on, whatever the caller asked for.
+	Anew bool
 	// FetchFrom is the address of the replica from which to fetch cached parts of the prompt; empty to fetch none.
 	FetchFrom string
 	// Team is the name of the team that the replica is told, or empty. HasTeams says that the desired state has teams, so that the
--- a/internal/serve/hgentry/event.go
+++ b/internal/serve/hgentry/event.go
@@ -112,3 +112,9 @@
 	}
 	return n > q.last && (q.steps == 0 || q.uneven || n == q.last+1)
 }
+
+// isFollowedBy reports whether an event has a larger identifier than the last one of the sequence.
+func (q sequence) isFollowedBy(e event) bool {
+	n, err := strconv.ParseInt(e.id, 10, 64)
+	return err == nil && q.hasLast && n > q.last
+}
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -164,7 +164,7 @@
 		Body: body.reader(), ContentLength: body.len(),
 	}).WithContext(httptrace.WithClientTrace(ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{
-		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
+		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, Anew: x.isRetained() && lastEvent == "", FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
 	})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
@@ -266,7 +266,7 @@
 
 // finalErrors are the errors after which a request is sent to no other replica.
 var finalErrors = []error{
-	errNoReplica, errBusy, errNoLease, errSuspect, errStopping, errOverCap, errCallerLeft, errTokenLimit, errNoMemory, errNoKey, errStale, errOtherTeam,
+	errNoReplica, errBusy, errNoLease, errSuspect, errStopping, errOverCap, errCallerLeft, errTokenLimit, errNoMemory, errUnknownEvent, errNoKey, errStale, errOtherTeam,
 }
 
 // canRetry reports whether the request may be sent to another replica after an error.
@@ -282,7 +282,7 @@
 
 // ownErrors are the errors whose texts are sent to callers, the more specific ones first.
 var ownErrors = []error{
-	errNoKey, errStale, errOtherTeam, errStopping, errSuspect, errOverCap, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errNotContinued, errNoEvent, errNoMemory, errAnswerLost, errNotRun, errNotSent,
+	errNoKey, errStale, errOtherTeam, errStopping, errSuspect, errOverCap, errBusy, errNoReplica, errNoLease, errNoHead, errFalsePromise, errUnknownEvent, errNotContinued, errNoEvent, errNoMemory, errAnswerLost, errNotRun, errNotSent,
 }
 
 // ownError returns what callers are told of an error. The text of a library's error may name addresses; it is logged only.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"hyssopgrade/internal/serve/hgmemory"
 	"hyssopgrade/internal/serve/hgreplica"
@@ -37,20 +38,54 @@
 	// lastEvent is the identifier of the last event that was sent; another replica resumes after it.
 	lastEvent string
 	sequence  sequence
-	// events is the number of events that were sent.
-	events int
+	// events is the number of events that were sent, and received that of all events, with those that the caller had before.
+	events, received int
+	// skipTo is the identifier of the last event that the caller had from earlier attempts, until the replica has sent that event.
+	// Only retained turns have one: they are generated from the start, as the output of the whole turn is stored.
+	skipTo string
 	// output is the data of the events, each with a line feed; nil unless the turn is retained.
 	output *hgmemory.Claim
 }
 
+// newStream returns the state of a response of which nothing was sent.
+func (x *exchange) newStream() *stream {
+	if x.isRetained() {
+		return &stream{skipTo: x.attempt.LastEvent, output: x.entry.account.OpenOutput()}
+	}
+	return &stream{lastEvent: x.attempt.LastEvent, sequence: newSequence(x.attempt.LastEvent)}
+}
+
+// close ends the charge for the output.
+func (s *stream) close() {
+	if s.output != nil {
+		s.output.Close()
+	}
+}
+
+// hasBegun reports whether a replica that is sent the request now has to continue the stream of another one.
+func (s *stream) hasBegun() bool { return s.headWritten || s.received > 0 }
+
+// skip reports whether the caller had an event from earlier attempts. An error means that the stream does not have the event that the
+// caller names as its last one.
+func (s *stream) skip(e event) (had bool, err error) {
+	if s.skipTo == "" {
+		return false, nil
+	}
+	if e.hasID && e.id == s.skipTo {
+		s.skipTo = ""
+		return true, nil
+	}
+	if newSequence(s.skipTo).isFollowedBy(e) {
+		return false, errUnknownEvent
+	}
+	return true, nil
+}
+
 // forwardStream forwards a request whose response is a stream of events, and resumes it at other replicas if the route
 // allows that.
 func (x *exchange) forwardStream() {
-	s := &stream{lastEvent: x.attempt.LastEvent, sequence: newSequence(x.attempt.LastEvent)}
-	if x.turn != nil && x.turn.retained {
-		s.output = x.entry.account.OpenOutput()
-		defer s.output.Close()
-	}
+	s := x.newStream()
+	defer s.close()
 	want := hgreplica.Want{Service: x.service(), Exclude: map[string]bool{}, Prompt: x.attempt.TokensIn, Far: streamRemoteCost}
 	if engine := x.state.Services[want.Service].Engine; engine != nil {
 		want.Fetch = hgreplica.FetchCost{Setup: fetchSetup, PerToken: engine.FetchPerToken, Charge: fetchCharge}
@@ -95,7 +130,7 @@
 		return x.forwardNonStream(t, s)
 	}
 	if err := x.copyEvents(s, t); err != nil {
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errTokenLimit) || errors.Is(err, errNoMemory) {
+		if lo.SomeBy(finalErrors, func(final error) bool { return errors.Is(err, final) }) { // none is the replica's fault
 			return err
 		}
 		if x.r.Context().Err() == nil {
@@ -145,17 +180,19 @@
 // errCallerLeft means that writing to the caller failed.
 var errCallerLeft = errors.New("caller left")
 
+// errUnknownEvent means that a retained turn has no event with the identifier that the caller named as its last one.
+var errUnknownEvent = errors.New("stream does not have the caller's last event")
+
 // errNotContinued means that a replica which was to resume a stream did not go on with the event after the last one.
 var errNotContinued = errors.New("replica did not continue the stream")
 
 // copyEvents relays events as they arrive. It writes complete events only, so that a broken stream can be resumed after the
 // last one. Of a replica that resumes a stream it relays nothing before the event that continues it.
 func (x *exchange) copyEvents(s *stream, t *try) error {
-	flush := http.NewResponseController(x.w).Flush
 	events := bufio.NewScanner(t.resp.Body)
 	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	events.Split(splitEvent)
-	resumes := s.headWritten
+	resumes := s.hasBegun()
 	for events.Scan() {
 		e := parseEvent(events.Bytes())
 		if resumes {
@@ -167,18 +204,17 @@
 			}
 			resumes = false
 		}
-		if !e.isEmpty() && !x.fitsReservation(s) {
-			return errTokenLimit
-		}
-		x.writeHead(s, t)
-		if err := x.recordEvent(s, e); err != nil {
+		had, err := s.skip(e)
+		if err != nil {
 			return err
 		}
-		if _, err := x.w.Write(events.Bytes()); err != nil {
-			return errors.Join(errCallerLeft, err)
+		if had {
+			err = x.recordEvent(s, e)
+		} else {
+			err = x.sendEvent(s, t, e, events.Bytes())
 		}
-		if err := flush(); err != nil {
-			return errors.Join(errCallerLeft, err)
+		if err != nil {
+			return err
 		}
 	}
 	if err := events.Err(); err != nil {
@@ -190,7 +226,31 @@
 	if x.lacksEvents(s, t) {
 		return errors.Join(errAnswerLost, errNoEvent)
 	}
+	if s.skipTo != "" {
+		return errUnknownEvent
+	}
+	x.writeHead(s, t)
+	return nil
+}
+
+// sendEvent records an event and sends its bytes to the caller.
+func (x *exchange) sendEvent(s *stream, t *try, e event, raw []byte) (err error) {
+	if !e.isEmpty() && !x.fitsReservation(s) {
+		return errTokenLimit
+	}
 	x.writeHead(s, t)
+	if err := x.recordEvent(s, e); err != nil {
+		return err
+	}
+	if !e.isEmpty() {
+		s.events++
+	}
+	if _, err := x.w.Write(raw); err != nil {
+		return errors.Join(errCallerLeft, err)
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return errors.Join(errCallerLeft, err)
+	}
 	return nil
 }
 
@@ -201,7 +261,7 @@
 // it resumes another one after the last event. With a length or chunks the replica says itself that the stream is whole.
 func (x *exchange) lacksEvents(s *stream, t *try) bool {
 	untilClose := t.resp.ContentLength < 0 && len(t.resp.TransferEncoding) == 0
-	return untilClose && s.events == 0 && x.attempt.LastEvent == "" && x.r.Method != http.MethodHead
+	return untilClose && s.received == 0 && s.lastEvent == "" && x.r.Method != http.MethodHead
 }
 
 // writeHead writes status and headers, at the first event or the end of the stream. Until then the request can be
@@ -218,13 +278,13 @@
 	x.w.WriteHeader(x.status)
 }
 
-// recordEvent counts an event, and stores its identifier and, for a turn that is retained, its data. A comment is no event. An error means
+// recordEvent counts a received event, and stores its identifier and, for a turn that is retained, its data. A comment is no event. An error means
 // that no memory is left for the data.
 func (x *exchange) recordEvent(s *stream, e event) (err error) {
 	if e.isEmpty() {
 		return nil
 	}
-	s.events++
+	s.received++
 	s.sequence = s.sequence.With(e)
 	if e.hasID {
 		s.lastEvent = e.id
--- a/internal/serve/hgentry/turn.go
+++ b/internal/serve/hgentry/turn.go
@@ -30,6 +30,9 @@
 	extension chan int
 }
 
+// isRetained reports whether the request is a turn whose input and output are stored.
+func (x *exchange) isRetained() bool { return x.turn != nil && x.turn.retained }
+
 // openTurn asks x.entry.programs whether the turn may run, and reports the answer. If it may not, openTurn has responded to
 // the caller.
 func (x *exchange) openTurn() bool {
