hgledger: no claim without a row beside one that is known to be lost

Cause: one claim without a row that had been lost with all its copies was tolerated when the next one was made (maxLostClaims). Neither is charged when the row is written, and each is of one turn.

Evidence: TestNoClaimBesideLostOne, granted twice on the code before.

Change: a claim without a row is refused if any other one may have been lost. The rule allows the budget to be exceeded by one turn, so that the second one has to wait for the store.

--- a/internal/state/hgledger/excess_test.go
+++ b/internal/state/hgledger/excess_test.go
@@ -1,12 +1,16 @@
 package hgledger_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/samber/lo"
 
 	"hyssopgrade/hgstore"
+	"hyssopgrade/hgtimer"
+	"hyssopgrade/internal/operate/hglog"
 	"hyssopgrade/internal/state/hgledger"
 )
 
@@ -77,3 +81,27 @@
 		})
 	}
 }
+
+// lostCopies are peers whose copies of claims are lost with their VMs.
+type lostCopies struct{ peers }
+
+func (lostCopies) Copy(context.Context, hgledger.Copy) (copies int) { return 1 }
+
+// Guards against a second claim without a row beside one that was lost with all of its copies: each of them may exceed the budget by a
+// turn.
+func TestNoClaimBesideLostOne(t *testing.T) {
+	store := hgstore.NewMemory()
+	store.SetFault(hgstore.Fault{Down: true})
+	others := &peers{all: []*hgledger.Ledger{newLedgerWithPeers(t, "c", store, &peers{})}}
+	second := newLedgerWithPeers(t, "b", store, others)
+	timer := hgtimer.NewService()
+	t.Cleanup(timer.Close)
+	first := hgledger.NewLedger("a", store, timer, hglog.Discard(), hgledger.WithBackup(&lostCopies{peers{all: []*hgledger.Ledger{second}}}), hgledger.WithAllProgramsKnown(true))
+	var got []hgledger.Verdict
+	for _, l := range []*hgledger.Ledger{first, second} {
+		got = append(got, l.Open(t.Context(), hgledger.OpenRequest{Program: "p", Attempt: l.String(), Budget: 500, Most: 100, HasBudget: true, Offline: true}).Verdict)
+	}
+	if diff := cmp.Diff([]hgledger.Verdict{hgledger.Granted, hgledger.Outage}, got); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- a/internal/state/hgledger/offline.go
+++ b/internal/state/hgledger/offline.go
@@ -176,7 +176,7 @@
 	lost := l.noteLostClaims(p, a)
 	l.log.Info("peers asked for shares of the budget", "program", p.id, "without", a.Sole, "with", a.Holding, "silent", a.Unanswered,
 		"uninformed", a.Uninformed, "lost", lost)
-	return a.Sole > 0 && a.Holding == 0 && a.Unanswered == 0 && lost <= 1
+	return a.Sole > 0 && a.Holding == 0 && a.Unanswered == 0 && lost == 0
 }
 
 // holder returns the ledger with the largest share of a program's budget, other than this one, as far as the row and peers
