store: connections that have gone silent are found by a call on a new one

Cause: a connection was taken on trust. The poll of a watch waited for its 1.9 s, and each probe of the store took the next idle connection and lost 0.6 s with it, so that new ones were opened only when all silent ones were spent.

Change: probes open a connection of their own. It works as an answer on a new connection shows that the store is there, so that only the old connections can be at fault, and as no idle one of these is used again.

Counter store_conns_silent.

--- a/internal/operate/hgentryvm/reach.go
+++ b/internal/operate/hgentryvm/reach.go
@@ -9,6 +9,7 @@
 
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/peer/hgpeer"
+	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hgreach"
 )
 
@@ -19,6 +20,9 @@
 	probePeriod = 200 * time.Millisecond
 	// probeTimeout bounds a probe. It is longer than a slow store takes to answer.
 	probeTimeout = 600 * time.Millisecond
+	// overdueAfter is how long the answer to a poll may be overdue while the store answers other calls. It is longer than a slow store
+	// takes to answer.
+	overdueAfter = 400 * time.Millisecond
 	// recentAnswer is the age up to which an answer of the store shows that this node reaches it although a peer does not.
 	recentAnswer = 300 * time.Millisecond
 )
@@ -71,6 +75,9 @@
 			}
 		}
 	}
+	if n.storeOK {
+		n.retryOverdue()
+	}
 	if now-n.probedAt < probePeriod || !n.needsProbe(now) {
 		return
 	}
@@ -78,8 +85,23 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 		defer cancel()
-		if _, err := n.store.Scan(ctx, nodeKey(n.cfg.VM.Name), "", 1); err != nil {
+		if err := n.store.Probe(ctx, nodeKey(n.cfg.VM.Name)); err != nil {
 			n.log.Debug("probe of the store failed", "error", err)
 		}
 	}()
 }
+
+// retryOverdue sends the polls of watches anew that have no answer although the store answers other calls: their connections have gone
+// silent, and idle ones may have as well.
+func (n *Node) retryOverdue() {
+	overdue := lo.Filter(lo.Values(n.watches), func(w *hgfeed.Watch, _ int) bool { return w.IsOverdue(overdueAfter) })
+	if len(overdue) == 0 {
+		return
+	}
+	n.metrics.Count("store_conns_silent")
+	n.log.Info("polls of the store are overdue while it answers other calls; opening new connections", "polls", len(overdue))
+	n.store.CloseIdle()
+	for _, w := range overdue {
+		w.Retry()
+	}
+}
--- a/internal/state/hgfeed/poll.go
+++ b/internal/state/hgfeed/poll.go
@@ -94,3 +94,11 @@
 		w.poll.cancel()
 	}
 }
+
+// IsOverdue reports whether the answer to the call in flight is overdue by more than a limit. While the store answers other calls, the
+// connection of such a call no longer delivers anything.
+func (w *Watch) IsOverdue(limit time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.poll.cancel != nil && w.timer.Now()-w.poll.began > w.poll.wait+limit
+}
