hgfeed: only an outage in which registrations can expire excuses missing ones

Cause: registrations that are gone after a failure counted as expired during an outage, as their replicas might have been unable to renew them. They expire after three heartbeats only.

Evidence: TestGraceNeedsOutageInWhichRowsExpire, case 'too short', fails on the code before.

Change: the time without the store, counted from the sending of the last call that it answered, has to be one and a half heartbeats (bounds.replicaHeartbeatMs, from heartbeat_ms of the platform's settings). The last heartbeat before an outage may be one old, so that no registration can expire earlier than two into it. Without the setting all is as before.

--- a/internal/operate/hgconfig/entry.go
+++ b/internal/operate/hgconfig/entry.go
@@ -89,6 +89,9 @@
 type EntryBounds struct {
 	// GraceSeconds is the time between the signal to stop and the kill of the process.
 	GraceSeconds float64 `toml:"graceSeconds"`
+	// ReplicaHeartbeatMs is the time between two writes of a replica's registration, which expires after three of them; 0 if it is not
+	// known.
+	ReplicaHeartbeatMs float64 `toml:"replicaHeartbeatMs"`
 	// AddressTTLSeconds is the longest time that callers keep an address of the directory.
 	AddressTTLSeconds float64 `toml:"addressTtlSeconds"`
 }
@@ -128,20 +131,21 @@
 
 func (e EntryConfig) check(data string) (err error) {
 	for key, v := range map[string]struct{ value, low, high float64 }{
-		"vm.memoryMb":              {e.VM.MemoryMB, 32, 1 << 20},
-		"vm.maxDescriptors":        {e.VM.MaxDescriptors, 0, 1 << 24},
-		"vm.requestMemoryMb":       {e.VM.RequestMemoryMB, 0, e.VM.MemoryMB},
-		"vm.turnMemoryMb":          {e.VM.TurnMemoryMB, 0, e.VM.MemoryMB},
-		"vm.cpuShare":              {e.VM.CPUShare, 0.001, 1},
-		"vm.cores":                 {e.VM.Cores, 0.001, 1024},
-		"store.writesPerSecond":    {e.Store.WritesPerSecond, 1, 1e6},
-		"store.readsPerSecond":     {e.Store.ReadsPerSecond, 1, 1e6},
-		"bounds.graceSeconds":      {e.Bounds.GraceSeconds, 0.5, 3600},
-		"bounds.addressTtlSeconds": {e.Bounds.AddressTTLSeconds, 0.001, 3600},
-		"teams.revokeMs":           {e.Teams.RevokeMs, 0, 3600_000},
-		"teams.capWindowSeconds":   {e.Teams.CapWindowSeconds, 0, 3600},
-		"teams.capOverage":         {e.Teams.CapOverage, 0, 1},
-		"teams.capSlack":           {e.Teams.CapSlack, 0, 1e6},
+		"vm.memoryMb":               {e.VM.MemoryMB, 32, 1 << 20},
+		"vm.maxDescriptors":         {e.VM.MaxDescriptors, 0, 1 << 24},
+		"vm.requestMemoryMb":        {e.VM.RequestMemoryMB, 0, e.VM.MemoryMB},
+		"vm.turnMemoryMb":           {e.VM.TurnMemoryMB, 0, e.VM.MemoryMB},
+		"vm.cpuShare":               {e.VM.CPUShare, 0.001, 1},
+		"vm.cores":                  {e.VM.Cores, 0.001, 1024},
+		"store.writesPerSecond":     {e.Store.WritesPerSecond, 1, 1e6},
+		"store.readsPerSecond":      {e.Store.ReadsPerSecond, 1, 1e6},
+		"bounds.graceSeconds":       {e.Bounds.GraceSeconds, 0.5, 3600},
+		"bounds.replicaHeartbeatMs": {e.Bounds.ReplicaHeartbeatMs, 0, 3600_000},
+		"bounds.addressTtlSeconds":  {e.Bounds.AddressTTLSeconds, 0.001, 3600},
+		"teams.revokeMs":            {e.Teams.RevokeMs, 0, 3600_000},
+		"teams.capWindowSeconds":    {e.Teams.CapWindowSeconds, 0, 3600},
+		"teams.capOverage":          {e.Teams.CapOverage, 0, 1},
+		"teams.capSlack":            {e.Teams.CapSlack, 0, 1e6},
 	} {
 		if v.value < v.low || v.value > v.high {
 			return keyError(data, key, "%g is outside %g to %g", v.value, v.low, v.high)
--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -142,7 +142,7 @@
 	wait := hgfeed.WithWait(n.watchWait)
 	n.watches = map[string]*hgfeed.Watch{
 		hgplatform.DesiredTable: hgfeed.NewWatch(n.store, hgplatform.DesiredTable, n.timer, log, n.applyDesired, n.desiredOptions()...),
-		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait),
+		hgplatform.ReplicaTable: hgfeed.NewWatch(n.store, hgplatform.ReplicaTable, n.timer, log, n.applyReplicas, wait, hgfeed.WithLapseTime(n.lapseTime())),
 		nodeTable:               hgfeed.NewWatch(n.store, nodeTable, n.timer, log, n.applyNodes, wait),
 	}
 	n.members.SetRowsAge(n.watches[nodeTable].Age)
--- a/internal/operate/hgentryvm/watch.go
+++ b/internal/operate/hgentryvm/watch.go
@@ -20,6 +20,15 @@
 	idleWait = 8 * time.Second
 )
 
+// lapseHeartbeats is the number of heartbeats of replicas without the store after which their registrations may have expired. They do
+// after three; the last one may have been almost one old when the outage began, and heartbeats may be late.
+const lapseHeartbeats = 1.5
+
+// lapseTime returns the time without the store after which registrations of replicas may have expired.
+func (n *Node) lapseTime() time.Duration {
+	return time.Duration(lapseHeartbeats * n.cfg.Bounds.ReplicaHeartbeatMs * float64(time.Millisecond))
+}
+
 // watchWait returns how long the store may hold a poll of a watch.
 func (n *Node) watchWait() time.Duration {
 	if n.members.IsIdle() {
--- a/internal/state/hgfeed/feed.go
+++ b/internal/state/hgfeed/feed.go
@@ -58,8 +58,9 @@
 	// is when the store began to fail; 0 while it answers.
 	confirmedAt, failingSince time.Duration
 	confirmedWall             time.Time
-	// recoveredAt is when the store last answered again after an outage; 0 if there was none.
-	recoveredAt time.Duration
+	// recoveredAt is when the store last answered again after an outage in which rows may have expired; 0 if there was none. They may
+	// after lapseTime without the store.
+	recoveredAt, lapseTime time.Duration
 	// listed says that the table was listed since the last failure, so that polls for changes can go on from there.
 	listed bool
 	// wait returns how long the store may hold a poll for which it has no changes.
@@ -169,10 +170,15 @@
 // noteSuccess records that the store has answered; w.mu is held.
 func (w *Watch) noteSuccess() {
 	now := w.timer.Now()
+	away := now - w.confirmedAt
 	w.confirmedAt, w.confirmedWall = w.poll.began, w.poll.beganWall
-	if w.failingSince != 0 {
-		w.log.Info("watch of table recovered", "table", w.table, "after", now-w.failingSince)
-		w.failingSince, w.recoveredAt = 0, now
+	if w.failingSince == 0 {
+		return
+	}
+	w.log.Info("watch of table recovered", "table", w.table, "after", now-w.failingSince, "away", away)
+	w.failingSince = 0
+	if away >= w.lapseTime {
+		w.recoveredAt = now
 	}
 }
 
--- a/internal/state/hgfeed/feed_test.go
+++ b/internal/state/hgfeed/feed_test.go
@@ -68,10 +68,10 @@
 	}
 }
 
-func start(t *testing.T, m *hgstore.Memory) (*hgfeed.Watch, *view) {
+func start(t *testing.T, m *hgstore.Memory, opts ...hgfeed.Option) (*hgfeed.Watch, *view) {
 	timer := hgtimer.NewService()
 	v := &view{}
-	w := hgfeed.NewWatch(m, "t", timer, hglog.Discard(), v.change)
+	w := hgfeed.NewWatch(m, "t", timer, hglog.Discard(), v.change, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { w.Run(ctx) })
@@ -127,6 +127,35 @@
 	}
 }
 
+// Guards against removed rows that are kept after an outage that was too short for rows to expire.
+func TestGraceNeedsOutageInWhichRowsExpire(t *testing.T) {
+	tests := map[string]struct {
+		lapse    time.Duration
+		hasGrace bool
+	}{
+		"too short":   {time.Minute, false},
+		"long enough": {waitFor / 2, true},
+		"not known":   {0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := hgstore.NewMemory()
+			commit(t, m, put("t//a"))
+			_, v := start(t, m, hgfeed.WithLapseTime(tt.lapse))
+			wantKeys(t, v, "t//a")
+			m.SetFault(hgstore.Fault{Down: true})
+			time.Sleep(waitFor)
+			m.SetFault(hgstore.Fault{})
+			commit(t, m, hgstore.Txn{Deletes: []string{"t//a"}})
+			wantKeys(t, v)
+			if _, grace := v.get(); grace > 0 != tt.hasGrace {
+				t.Errorf("grace time %v, want one: %t", grace, tt.hasGrace)
+			}
+		})
+	}
+}
+
 func TestOffer(t *testing.T) {
 	row := func(key string, version uint64) map[string]hgstore.Row {
 		return map[string]hgstore.Row{key: {Key: key, Version: version}}
--- a/internal/state/hgfeed/poll.go
+++ b/internal/state/hgfeed/poll.go
@@ -15,6 +15,10 @@
 // beyond DefaultWait saves calls to the store, and suits watches whose node hears of newer versions from peers.
 func WithWait(wait func() time.Duration) Option { return func(w *Watch) { w.wait = wait } }
 
+// WithLapseTime sets the time without the store after which rows may have expired because their writers could not renew them. After a
+// shorter outage missing rows were removed. Without it rows may have expired in any outage.
+func WithLapseTime(d time.Duration) Option { return func(w *Watch) { w.lapseTime = d } }
+
 // WithEvidence makes the watch report each answer of the store after its changes were passed to onChange, which has returned:
 // the rows as of the answer, and when the call was sent by the given clock. Copies from peers are not reported.
 func WithEvidence(clock func() time.Duration, report func(rows map[string]hgstore.Row, sent time.Duration)) Option {
