hgentry: an answer whose status HTTP does not have is no answer

Cause: every status from 200 on was taken for an answer.

Evidence: TestStatusThatIsNoneIsNoAnswer fails in all cases with 600 and 999 on the code before, and passes in those with 000, 001, +20 and 099.

Change: a status above 599 counts as a lost answer, like one below 200: the replica may have run the request.

--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -210,14 +210,17 @@
 	x.entry.suspects.RecordUnanswered(r, t.lease.ID)
 }
 
-// checkAnswer returns an error for refusals, for responses to other requests and for 2xx responses without a seal. Encoded
-// responses and switches to another protocol are rejected too.
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
+// checkAnswer returns an error for refusals, for responses to other requests, for those with a status that HTTP does not have and for 2xx
+// responses without a seal. Encoded responses and switches to another protocol are rejected too.
 func (x *exchange) checkAnswer(t *try) error {
 	// A response to another request says nothing about this one. One without an identifier may have been written for any request, or for
 	// none, before this one was read.
 	mismatched := t.answer.AttemptID != x.attempt.ID
 	switch {
-	case t.resp.StatusCode < http.StatusOK:
+	case t.resp.StatusCode < http.StatusOK, t.resp.StatusCode > maxStatus:
 		// After 101 the body is the connection itself, which no longer ends with the request's context.
 		x.sent++
 		t.lease.MarkFailed()
