hgendpoint: answers that a node reads share a bounded part of its memory

Cause: the text of a model's answer was collected without a bound, the bodies of tools had one each, 16 MiB, but none together, and heads had the 10 MB of net/http.

Change: the bytes of an answer that are kept are charged to a sixteenth of the node's memory until the answer was read; a tool's answer and a model's text have 16 MiB at most as before, an event 256 KiB, a head 64 KiB. An answer that is given up for its size is no crash of its endpoint. Without memoryMb there is no bound on all together.

--- a/internal/peer/hgnode/wire.go
+++ b/internal/peer/hgnode/wire.go
@@ -66,10 +66,15 @@
 	return hgstore.WithPrefix(store, storePrefix), nil
 }
 
+// answerShare is the part of the node's memory, one in so many, for answers of endpoints that are being read. Growing buffers take up to
+// three times as much.
+const answerShare = 16
+
 func newEndpoints(i do.Injector) (map[string]hgendpoint.Endpoint, error) {
 	cfg := do.MustInvoke[hgconfig.Config](i)
+	memory := hgendpoint.NewMemory(int64(cfg.Limits.MemoryMB * (1 << 20) / answerShare))
 	return lo.SliceToMap(cfg.Endpoint, func(e hgconfig.Endpoint) (string, hgendpoint.Endpoint) {
-		return e.ID, hgendpoint.NewHTTP(e.ID, e.Address)
+		return e.ID, hgendpoint.NewHTTP(e.ID, e.Address, memory)
 	}), nil
 }
 
--- a/internal/proof/hgbench/cell_slope_test.go
+++ b/internal/proof/hgbench/cell_slope_test.go
@@ -41,7 +41,7 @@
 	defer c.Close()
 	client := hgcaller.NewClient(c.Addresses()...)
 	defer client.Close()
-	direct := hgendpoint.NewHTTP("engine-0", c.Endpoints["engine-0"].Address())
+	direct := hgendpoint.NewHTTP("engine-0", c.Endpoints["engine-0"].Address(), hgendpoint.NewMemory(0))
 	t.Log("calls, direct ms per call, ms through the cell, of it commits, µs of processor time per call through the cell, stand-ins included")
 	for _, n := range []int{50, 100, 200} {
 		start := time.Now()
--- a/internal/proof/hghostile/endless_test.go
+++ b/internal/proof/hghostile/endless_test.go
@@ -38,7 +38,9 @@
 	// pause is the time between two writes of some KB.
 	pause time.Duration
 	id    func(h http.Header) string
-	open  atomic.Int64
+	// isSound selects the requests that are answered with 404.
+	isSound func(r *http.Request) bool
+	open    atomic.Int64
 }
 
 func (e *endlessServer) start(t *testing.T) (address string) {
@@ -66,6 +68,10 @@
 	if err != nil {
 		return
 	}
+	if e.isSound != nil && e.isSound(r) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") // the caller may have left
+		return
+	}
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	_, err = io.WriteString(conn, strings.ReplaceAll(e.head, attemptPlaceholder, e.id(r.Header)))
--- a/internal/proof/hghostile/node_test.go
+++ b/internal/proof/hghostile/node_test.go
@@ -13,8 +13,8 @@
 	"hyssopgrade/internal/proof/hgstandin"
 )
 
-// startNode starts a store, a tool and the process of one node with the given descriptors, and waits until it answers.
-func startNode(t *testing.T, descriptors int) (p *process, cfg hgconfig.Config) {
+// startNode starts a store, a tool and the process of one node with the given descriptors and further endpoints, and waits until it answers.
+func startNode(t *testing.T, descriptors int, endpoints ...hgconfig.Endpoint) (p *process, cfg hgconfig.Config) {
 	t.Helper()
 	store, err := hgstandin.NewPlatform("127.0.0.1:0")
 	if err != nil {
@@ -33,8 +33,9 @@
 	cfg = hgconfig.Default()
 	cfg.Node.ID, cfg.Node.Domain, cfg.Node.KeyEnv = "node-0", "north", "HYSSOPGRADE_KEY"
 	cfg.Node.Public, cfg.Node.Inner = addresses[0], addresses[1]
+	cfg.Node.Shards = 16 // one node claims them in one transaction, which the store bounds
 	cfg.Platform.Address = store.Address()
-	cfg.Endpoint = []hgconfig.Endpoint{{ID: "tool-0", Kind: hgconfig.Tool, Address: tool.Address(), Domain: "north", Targets: []string{"register"}}}
+	cfg.Endpoint = append(endpoints, hgconfig.Endpoint{ID: "tool-0", Kind: hgconfig.Tool, Address: tool.Address(), Domain: "north", Targets: []string{"register"}})
 	cfg.Limits.MemoryMB, cfg.Limits.MaxDescriptors, cfg.Limits.MaxBodyBytes = memoryMB, descriptors, bodyLimit
 	return startProcess(t, "node", cfg, memoryMB, descriptors, func(ctx context.Context) (fault string) {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addresses[0]+"/metrics", nil)
--- a/internal/serve/hgendpoint/headcut_test.go
+++ b/internal/serve/hgendpoint/headcut_test.go
@@ -32,7 +32,7 @@
 			conn.Close()
 		}
 	}()
-	h := NewHTTP("endpoint", l.Addr().String())
+	h := NewHTTP("endpoint", l.Addr().String(), NewMemory(0))
 	calls := map[string]func() error{
 		"idempotent tool": func() error {
 			_, err := h.Call(t.Context(), ToolRequest{Request: "r", Operation: "o", Idempotent: true})
--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -25,8 +25,13 @@
 	HeaderFence   = "X-Fencing-Number"
 )
 
-// maxAnswerBytes bounds a tool's answer and each line of a streamed model answer.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds the answer of a tool and the text of a model, and maxEventBytes an event of a model's stream.
+	maxAnswerBytes = 16 << 20
+	maxEventBytes  = 256 << 10
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+)
 
 // HTTP is an Endpoint reached over HTTP.
 type HTTP struct {
@@ -37,18 +42,21 @@
 	// unpooled opens a connection for each request, so that net/http never sends the request a second time and no answer belongs to an
 	// earlier request.
 	unpooled *http.Client
+	memory   *Memory
 }
 
-// NewHTTP returns a client of the endpoint at address, such as 127.0.0.1:7500; name is used in errors.
-func NewHTTP(name, address string) *HTTP {
+// NewHTTP returns a client of the endpoint at address, such as 127.0.0.1:7500; name is used in errors. The answers of all clients with the
+// same memory share it.
+func NewHTTP(name, address string, m *Memory) *HTTP {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &HTTP{
 		name:   name,
 		base:   "http://" + address,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}, CheckRedirect: noRedirect},
+		memory: m,
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}, CheckRedirect: noRedirect},
 		// The transport of net/http resends some requests when a reused connection turns out to be closed; without
 		// keep-alive no connection is reused.
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}, CheckRedirect: noRedirect},
 	}
 }
 
@@ -102,21 +110,23 @@
 	if w.StatusCode != http.StatusOK {
 		return c, &Error{Sent: true, Err: fmt.Errorf("model call answered with status %d", w.StatusCode)}
 	}
-	c, err = readStream(w.Body, start, r.Request, w.Header.Get(HeaderRequest), onText)
+	held := h.memory.open()
+	defer held.close()
+	c, err = readStream(w.Body, held, start, r.Request, w.Header.Get(HeaderRequest), onText)
 	c.Total = time.Since(start)
 	return c, err
 }
 
-// readStream reads the events of a streamed answer. It returns an *Error if the stream is truncated, or if got, the
+// readStream reads the events of a streamed answer, whose text is charged to held. It returns an *Error if the stream is truncated, or if got, the
 // identifier in the answer's header, is not that of the request.
-func readStream(body io.Reader, start time.Time, want, got string, onText func(text string)) (c ChatResult, err error) {
+func readStream(body io.Reader, held *charge, start time.Time, want, got string, onText func(text string)) (c ChatResult, err error) {
 	if got != want {
 		return c, &Error{Sent: true, Err: fmt.Errorf("answer is for request %q, want %q", got, want)}
 	}
 	var text strings.Builder
 	finished := false
 	sc := bufio.NewScanner(body)
-	sc.Buffer(nil, maxAnswerBytes)
+	sc.Buffer(nil, maxEventBytes)
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
 		if !ok {
@@ -133,6 +143,9 @@
 			if ch.Delta.Content != "" && c.FirstToken == 0 {
 				c.FirstToken = time.Since(start)
 			}
+			if err := held.add(len(ch.Delta.Content)); err != nil {
+				return c, &Error{Sent: true, Err: err}
+			}
 			text.WriteString(ch.Delta.Content)
 			onText(ch.Delta.Content)
 			finished = finished || ch.FinishReason != nil
@@ -141,7 +154,7 @@
 			c.PromptTokens, c.CachedTokens, c.OutputTokens = u.PromptTokens, u.Details.CachedTokens, u.CompletionTokens
 		}
 	}
-	return c, &Error{Sent: true, Cut: true, Err: fmt.Errorf("answer stream truncated after %d bytes: %v", text.Len(), sc.Err())}
+	return c, &Error{Sent: true, Cut: !isGivenUp(sc.Err()), Err: fmt.Errorf("answer stream truncated after %d bytes: %v", text.Len(), sc.Err())}
 }
 
 // endOfStream returns the result of a stream that was read up to [DONE]; without a finish reason the answer is incomplete.
@@ -170,12 +183,11 @@
 	if got := w.Header.Get(HeaderRequest); got != r.Request {
 		return t, &Error{Sent: true, Err: fmt.Errorf("answer is for request %q, want %q", got, r.Request)}
 	}
-	data, err := io.ReadAll(io.LimitReader(w.Body, maxAnswerBytes+1))
+	held := h.memory.open()
+	defer held.close()
+	data, err := io.ReadAll(chargedReader{w.Body, held})
 	if err != nil {
-		return t, &Error{Sent: true, Cut: true, Err: err}
-	}
-	if len(data) > maxAnswerBytes {
-		return t, &Error{Sent: true, Err: fmt.Errorf("answer has more than %d bytes", maxAnswerBytes)}
+		return t, &Error{Sent: true, Cut: !isGivenUp(err), Err: err}
 	}
 	return ToolResult{Status: w.StatusCode, Body: data}, nil
 }
@@ -286,7 +298,9 @@
 	if w.StatusCode != http.StatusOK {
 		return trace.ConnectionProblem(nil, "endpoint answered with status %d", w.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(w.Body, maxAnswerBytes)).Decode(out)
+	held := h.memory.open()
+	defer held.close()
+	return json.NewDecoder(chargedReader{w.Body, held}).Decode(out)
 }
 
 // String returns the endpoint's name.
--- a/internal/serve/hgendpoint/http_test.go
+++ b/internal/serve/hgendpoint/http_test.go
@@ -55,7 +55,7 @@
 	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
 		t.Run(name, func(t *testing.T) {
 			address, requests := serveOnePerConnection(t)
-			h := NewHTTP("tool", address)
+			h := NewHTTP("tool", address, NewMemory(0))
 			if _, err := h.Call(t.Context(), ToolRequest{Request: "warm", Operation: "o", Idempotent: idempotent}); err != nil {
 				t.Fatal(err)
 			}
@@ -81,7 +81,7 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	_, err = NewHTTP("tool", address).Call(t.Context(), ToolRequest{Request: "r", Operation: "o"})
+	_, err = NewHTTP("tool", address, NewMemory(0)).Call(t.Context(), ToolRequest{Request: "r", Operation: "o"})
 	var de *Error
 	if !errors.As(err, &de) || de.Sent {
 		t.Errorf("error %v says that the request may have been run", err)
@@ -112,7 +112,7 @@
 				}
 				return "HTTP/1.1 " + tt.refusal + "Content-Length: 0\r\n\r\n"
 			})
-			h := NewHTTP("tool", address)
+			h := NewHTTP("tool", address, NewMemory(0))
 			if !tt.fresh {
 				if _, err := h.Call(t.Context(), ToolRequest{Request: "warm", Operation: "o", Idempotent: true}); err != nil {
 					t.Fatal(err)
--- a/internal/serve/hgendpoint/outcome_test.go
+++ b/internal/serve/hgendpoint/outcome_test.go
@@ -49,7 +49,7 @@
 
 // Guards against a call that runs twice, or gets another call's outcome, as the answer to an earlier question comes once more.
 func TestOutcomeIsOfTheRequest(t *testing.T) {
-	h := NewHTTP("tool", serveOutcomes(t))
+	h := NewHTTP("tool", serveOutcomes(t), NewMemory(0))
 	for _, request := range []string{"other", "ran", "other", "ran"} {
 		want := OutcomeUnseen
 		if request == "ran" {
--- a/internal/serve/hgendpoint/redirect_test.go
+++ b/internal/serve/hgendpoint/redirect_test.go
@@ -25,7 +25,7 @@
 					http.Redirect(w, r, other.URL, status)
 				}))
 				defer tool.Close()
-				h := NewHTTP("tool", strings.TrimPrefix(tool.URL, "http://"))
+				h := NewHTTP("tool", strings.TrimPrefix(tool.URL, "http://"), NewMemory(0))
 				answer, err := h.Call(t.Context(), ToolRequest{Request: "r", Operation: "o", Idempotent: idempotent, Body: []byte("{}")})
 				if err != nil || answer.Status != status {
 					t.Errorf("status %d, error %v, want the endpoint's answer", answer.Status, err)
--- a/internal/serve/hgendpoint/switch_test.go
+++ b/internal/serve/hgendpoint/switch_test.go
@@ -31,7 +31,7 @@
 			defer cancel()
 			done := make(chan error, 1)
 			go func() {
-				_, err := NewHTTP("tool", strings.TrimPrefix(tool.URL, "http://")).Call(ctx, ToolRequest{Request: "r", Operation: "o", Idempotent: idempotent})
+				_, err := NewHTTP("tool", strings.TrimPrefix(tool.URL, "http://"), NewMemory(0)).Call(ctx, ToolRequest{Request: "r", Operation: "o", Idempotent: idempotent})
 				done <- err
 			}()
 			select {
--- a/internal/serve/hgendpoint/untilclose_test.go
+++ b/internal/serve/hgendpoint/untilclose_test.go
@@ -29,7 +29,7 @@
 	}{"empty": {0, true}, "short": {2, true}, "longest": {maxAnswerBytes, true}, "too long": {maxAnswerBytes + 1, false}}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			answer, err := NewHTTP("tool", serveUntilClose(t, strings.Repeat("x", tt.bytes))).Call(t.Context(), ToolRequest{Request: "r", Operation: "o"})
+			answer, err := NewHTTP("tool", serveUntilClose(t, strings.Repeat("x", tt.bytes)), NewMemory(0)).Call(t.Context(), ToolRequest{Request: "r", Operation: "o"})
 			var de *Error
 			if (err == nil) != tt.whole || err == nil && len(answer.Body) != tt.bytes || err != nil && (!errors.As(err, &de) || !de.Sent) {
 				t.Errorf("%d of %d bytes, error %v", len(answer.Body), tt.bytes, err)
@@ -43,7 +43,7 @@
 	const stream = `data: {"choices":[{"delta":{"content":"word"}}]}` + "\n\n" + `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
 	last := strings.Index(stream, "[DONE]") + len("[DONE]")
 	for n := range len(stream) + 1 {
-		result, err := NewHTTP("model", serveUntilClose(t, stream[:n])).Chat(t.Context(), ChatRequest{Request: "r"}, func(string) {})
+		result, err := NewHTTP("model", serveUntilClose(t, stream[:n]), NewMemory(0)).Chat(t.Context(), ChatRequest{Request: "r"}, func(string) {})
 		if (err == nil) != (n >= last) || err == nil && result.Text != "word" {
 			t.Errorf("stream cut to %q: %q, %v", stream[:n], result.Text, err)
 		}
