hgentry: the connection of an answer with an odd status is not used again

Found when the change was read again: without a body the transport may have put it back into its pool, where the next bytes of a replica in trouble would be taken for the answer to another request. Comments are wrapped anew.

--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -117,8 +117,8 @@
 	return c, err
 }
 
-// readStream reads the events of a streamed answer, whose text is charged to held. It returns an *Error if the stream is truncated, or if got, the
-// identifier in the answer's header, is not that of the request.
+// readStream reads the events of a streamed answer, whose text is charged to held. It returns an *Error if the stream is truncated, or if
+// got, the identifier in the answer's header, is not that of the request.
 func readStream(body io.Reader, held *charge, start time.Time, want, got string, onText func(text string)) (c ChatResult, err error) {
 	if got != want {
 		return c, &Error{Sent: true, Err: fmt.Errorf("answer is for request %q, want %q", got, want)}
--- a/internal/serve/hgentry/send.go
+++ b/internal/serve/hgentry/send.go
@@ -164,7 +164,8 @@
 		Body: body.reader(), ContentLength: body.len(),
 	}).WithContext(httptrace.WithClientTrace(ctx, t.conn.hooks()))
 	x.entry.dialect.Prepare(r.Header, hgattempt.Send{
-		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, Anew: x.isRetained() && lastEvent == "", FetchFrom: t.lease.FetchFrom, Team: x.team.Name, HasTeams: x.hasTeams(),
+		Replica: t.lease.ID, Left: x.remaining(), LastEvent: lastEvent, Anew: x.isRetained() && lastEvent == "", FetchFrom: t.lease.FetchFrom,
+		Team: x.team.Name, HasTeams: x.hasTeams(),
 	})
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
@@ -221,9 +222,11 @@
 	mismatched := t.answer.AttemptID != x.attempt.ID
 	switch {
 	case t.resp.StatusCode < http.StatusOK, t.resp.StatusCode > maxStatus:
-		// After 101 the body is the connection itself, which no longer ends with the request's context.
+		// After 101 the body is the connection itself, which no longer ends with the request's context. That of any other status is not to
+		// be used again, and may be back in the transport's pool if there is no body.
 		x.sent++
 		t.lease.MarkFailed()
+		t.conn.close()
 		return errAnswerLost
 	case t.answer.NotRun && !mismatched:
 		// A replica refuses other weights with the same status.
--- a/internal/serve/hgentry/stream.go
+++ b/internal/serve/hgentry/stream.go
@@ -278,8 +278,8 @@
 	x.w.WriteHeader(x.status)
 }
 
-// recordEvent counts a received event, and stores its identifier and, for a turn that is retained, its data. A comment is no event. An error means
-// that no memory is left for the data.
+// recordEvent counts a received event, and stores its identifier and, for a turn that is retained, its data. A comment is no event. An
+// error means that no memory is left for the data.
 func (x *exchange) recordEvent(s *stream, e event) (err error) {
 	if e.isEmpty() {
 		return nil
