hgtransport: a reset under an upload is no end of an answer

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. A turn that was cut so was kept.

Cause: to an answer without a length or chunks the end of the connection is the end of the body, and the kernel hands out the error of a connection once. If the write of the upload gets it, reads return what has arrived and then an ordinary end. net/http closes the connection after a write that failed, but what is read before that close ends with io.EOF.

Evidence: TestResetUnderUploadIsNoEndOfAnswer (hgsite) opens connections on which a write gets the reset and returns late, and reads go on behind it. With connections as before all eleven cases fail, on all kinds of routes: 200 complete in place of 502, turns kept, no second replica. TestAnswerBeforeBodyIsRead, of replicas that close their side in order and read on, passes before and after.

Change: connections to replicas come from hgtransport. At the end of a connection a read waits for the write under way, which returns at once if the connection was lost, and fails if a write has failed. The window is thereby closed: the write that took the error began before the read saw the end. EPIPE does not count, as the kernel reports it when a connection is reset after an end in order. Where TCP_INFO says that the peer has closed its side in order and takes more, the read does not wait; tests cover the path without TCP_INFO too.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -64,7 +64,9 @@
 	retention retention
 	places    *hgpeer.Places
 	replicas  *hgreplica.Set
-	entry     *hgentry.Entry
+	// dialReplica opens connections to replicas.
+	dialReplica Dial
+	entry       *hgentry.Entry
 	// fresh decides whether keys may be served; nil without a bound on revocation.
 	fresh *freshness
 	// caps is nil if the settings enforce no usage caps.
@@ -99,10 +101,19 @@
 // desiredSince returns when the current desired state took effect, on the clock of the timer.
 func (n *Node) desiredSince() time.Duration { return time.Duration(n.desiredAt.Load()) }
 
+// Option configures a Node.
+type Option func(n *Node)
+
+// WithReplicaDial replaces how connections to replicas are opened; tests use it to delay what a connection reports.
+func WithReplicaDial(dial Dial) Option { return func(n *Node) { n.dialReplica = dial } }
+
 // NewNode returns a node with its parts; it listens on nothing until Start. An error means that the certificate or keys of
 // the settings cannot be used.
-func NewNode(cfg hgconfig.EntryConfig, log *slog.Logger) (n *Node, err error) {
-	n = &Node{cfg: cfg, log: log, timer: hgtimer.NewService()}
+func NewNode(cfg hgconfig.EntryConfig, log *slog.Logger, options ...Option) (n *Node, err error) {
+	n = &Node{cfg: cfg, log: log, timer: hgtimer.NewService(), dialReplica: newReplicaDialer().DialContext}
+	for _, o := range options {
+		o(n)
+	}
 	if cfg.Keys.Certificate != "" {
 		if n.tlsConfig, err = hgpeer.TLSConfig(cfg.Keys.Certificate, cfg.Keys.Key, cfg.Keys.Authority); err != nil {
 			return nil, err
@@ -122,7 +133,7 @@
 	n.ledger = hgledger.NewLedger(boot, hghedge.NewTable(n.store), n.timer, log,
 		hgledger.WithBackup(hgpeer.NewBackup(n.members, n.client)), hgledger.WithAllProgramsKnown(cfg.VM.FirstStart),
 		hgledger.WithReachability(n.reach.state), hgledger.WithInformed(n.hasReadNodes), n.bounds.ledgerOption())
-	n.replicas = hgreplica.NewSet(n.timer, cfg.VM.Domain, newReplicaClient)
+	n.replicas = hgreplica.NewSet(n.timer, cfg.VM.Domain, func(idle time.Duration) *http.Client { return newReplicaClient(n.dialReplica, idle) })
 	n.suspects = &suspects{List: hgsuspect.NewList(n.timer, log), node: n}
 	n.pace.node = n
 	n.replicas.OnEnd(n.suspects.replicaEnded)
--- a/internal/operate/hgentryvm/replica.go
+++ b/internal/operate/hgentryvm/replica.go
@@ -1,6 +1,7 @@
 package hgentryvm
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -11,6 +12,7 @@
 
 	"hyssopgrade/hgstore"
 	"hyssopgrade/internal/serve/hgreplica"
+	"hyssopgrade/internal/serve/hgtransport"
 	hgplatform "hyssopgrade/platform"
 )
 
@@ -25,10 +27,12 @@
 	maxReplicaHeaderBytes = 64 << 10
 )
 
-// newReplicaClient returns a client for one replica that follows no redirects, decompresses nothing and closes connections
-// that were idle for the given time.
-func newReplicaClient(idle time.Duration) *http.Client {
-	d := &net.Dialer{
+// Dial opens a connection, as the method DialContext of net.Dialer does.
+type Dial func(ctx context.Context, network, address string) (conn net.Conn, err error)
+
+// newReplicaDialer returns a dialer of connections to replicas that notices soon that a host has gone silent.
+func newReplicaDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout:         replicaDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) (err error) {
@@ -41,11 +45,16 @@
 			return err
 		},
 	}
+}
+
+// newReplicaClient returns a client for one replica that follows no redirects, decompresses nothing and closes connections
+// that were idle for the given time.
+func newReplicaClient(dial Dial, idle time.Duration) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idle,
+		Transport: hgtransport.New(&http.Transport{
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idle,
 			MaxResponseHeaderBytes: maxReplicaHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/proof/hgsite/site.go
+++ b/internal/proof/hgsite/site.go
@@ -46,10 +46,12 @@
 
 // Site is a store, replicas and entry VMs that run on loopback in this process.
 type Site struct {
-	Store        *hgstore.Memory
-	Replicas     map[string]*Replica
-	Nodes        []*hgentryvm.Node
-	Configs      []hgconfig.EntryConfig
+	Store    *hgstore.Memory
+	Replicas map[string]*Replica
+	Nodes    []*hgentryvm.Node
+	Configs  []hgconfig.EntryConfig
+	// Options configure the entry VMs that are started from now on.
+	Options      []hgentryvm.Option
 	storeAddress string
 	store        *http.Server
 	// slow is the table for which the store delays its answers; nil if there is none.
@@ -202,7 +204,7 @@
 
 // StartNode starts an entry VM that is not running, with its current settings.
 func (s *Site) StartNode(i int) (err error) {
-	n, err := hgentryvm.NewNode(s.Configs[i], s.log.With("vm", s.Configs[i].VM.Name))
+	n, err := hgentryvm.NewNode(s.Configs[i], s.log.With("vm", s.Configs[i].VM.Name), s.Options...)
 	if err != nil {
 		return err
 	}
