hgendpoint: a reset under a request is no end of a tool's answer

What callers saw: a tool that answered a long request early without a length, sent a part of its answer and reset the connection had that part stored and passed on as its whole answer.

Change: endpoints are reached through hgtransport. The call then counts as one that may have run.

--- a/internal/operate/hgentryvm/node.go
+++ b/internal/operate/hgentryvm/node.go
@@ -24,6 +24,7 @@
 	"hyssopgrade/internal/serve/hgreplica"
 	"hyssopgrade/internal/serve/hgserver"
 	"hyssopgrade/internal/serve/hgsuspect"
+	"hyssopgrade/internal/serve/hgtransport"
 	"hyssopgrade/internal/state/hgfeed"
 	"hyssopgrade/internal/state/hghedge"
 	"hyssopgrade/internal/state/hgledger"
@@ -65,7 +66,7 @@
 	places    *hgpeer.Places
 	replicas  *hgreplica.Set
 	// dialReplica opens connections to replicas.
-	dialReplica Dial
+	dialReplica hgtransport.Dial
 	entry       *hgentry.Entry
 	// fresh decides whether keys may be served; nil without a bound on revocation.
 	fresh *freshness
@@ -105,7 +106,7 @@
 type Option func(n *Node)
 
 // WithReplicaDial replaces how connections to replicas are opened; tests use it to delay what a connection reports.
-func WithReplicaDial(dial Dial) Option { return func(n *Node) { n.dialReplica = dial } }
+func WithReplicaDial(dial hgtransport.Dial) Option { return func(n *Node) { n.dialReplica = dial } }
 
 // NewNode returns a node with its parts; it listens on nothing until Start. An error means that the certificate or keys of
 // the settings cannot be used.
--- a/internal/operate/hgentryvm/replica.go
+++ b/internal/operate/hgentryvm/replica.go
@@ -1,7 +1,6 @@
 package hgentryvm
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -27,9 +26,6 @@
 	maxReplicaHeaderBytes = 64 << 10
 )
 
-// Dial opens a connection, as the method DialContext of net.Dialer does.
-type Dial func(ctx context.Context, network, address string) (conn net.Conn, err error)
-
 // newReplicaDialer returns a dialer of connections to replicas that notices soon that a host has gone silent.
 func newReplicaDialer() *net.Dialer {
 	return &net.Dialer{
@@ -49,7 +45,7 @@
 
 // newReplicaClient returns a client for one replica that follows no redirects, decompresses nothing and closes connections
 // that were idle for the given time.
-func newReplicaClient(dial Dial, idle time.Duration) *http.Client {
+func newReplicaClient(dial hgtransport.Dial, idle time.Duration) *http.Client {
 	return &http.Client{
 		Transport: hgtransport.New(&http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idle,
--- a/internal/proof/hgreset/conn.go
+++ b/internal/proof/hgreset/conn.go
@@ -33,7 +33,9 @@
 }
 
 // SyscallConn gives access to the socket, as that of net.TCPConn does.
-func (c *conn) SyscallConn() (raw syscall.RawConn, err error) { return c.Conn.(syscall.Conn).SyscallConn() }
+func (c *conn) SyscallConn() (raw syscall.RawConn, err error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
 
 // Read reads from the connection; behind the first part of the answer it waits until a write has failed.
 func (c *conn) Read(p []byte) (n int, err error) {
--- a/internal/proof/hgsite/resetupload_test.go
+++ b/internal/proof/hgsite/resetupload_test.go
@@ -63,7 +63,9 @@
 		return func(id string) string { return rawHead(status, sealed(id)) + body }
 	}
 	events := func(last int) func(id string) string {
-		return func(id string) string { return rawHead("200 OK", sealed(id), "Content-Type: text/event-stream") + rawEvents(1, last) }
+		return func(id string) string {
+			return rawHead("200 OK", sealed(id), "Content-Type: text/event-stream") + rawEvents(1, last)
+		}
 	}
 	old := func(id string) string { return strings.Replace(plain("200 OK", long)(id), "HTTP/1.1", "HTTP/1.0", 1) }
 	tests := map[string]struct {
--- a/internal/serve/hgendpoint/http.go
+++ b/internal/serve/hgendpoint/http.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"hyssopgrade/internal/serve/hgtransport"
 )
 
 // Headers of a request to an endpoint: its identifier, which the endpoint repeats in its answer, its program, and the fencing number
@@ -48,15 +50,22 @@
 // NewHTTP returns a client of the endpoint at address, such as 127.0.0.1:7500; name is used in errors. The answers of all clients with the
 // same memory share it.
 func NewHTTP(name, address string, m *Memory) *HTTP {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return newHTTP(name, address, m, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+func newHTTP(name, address string, m *Memory, dial hgtransport.Dial) *HTTP {
+	client := func(t *http.Transport) *http.Client {
+		t.DialContext, t.MaxResponseHeaderBytes = dial, maxHeaderBytes
+		return &http.Client{Transport: hgtransport.New(t), CheckRedirect: noRedirect}
+	}
 	return &HTTP{
 		name:   name,
 		base:   "http://" + address,
 		memory: m,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}, CheckRedirect: noRedirect},
+		client: client(&http.Transport{MaxIdleConnsPerHost: 64}),
 		// The transport of net/http resends some requests when a reused connection turns out to be closed; without
 		// keep-alive no connection is reused.
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}, CheckRedirect: noRedirect},
+		unpooled: client(&http.Transport{DisableKeepAlives: true}),
 	}
 }
 
--- a/internal/serve/hgtransport/transport.go
+++ b/internal/serve/hgtransport/transport.go
@@ -6,6 +6,9 @@
 	"net/http"
 )
 
+// Dial opens a connection, as the method DialContext of net.Dialer does.
+type Dial func(ctx context.Context, network, address string) (conn net.Conn, err error)
+
 // New returns a copy of a transport whose connections end with io.EOF only if the peer has closed its side in order.
 func New(base *http.Transport) *http.Transport {
 	t := base.Clone()
