hgtransport: an answer with a blank in a field's name is none

What callers saw: a replica in trouble sent a head in which the name of a field held a blank. The caller got the answer: with "X Odd: 1" without that line, with "Content-Length : 4" or "Transfer-Encoding : chunked" with a body that was not the replica's. As a refusal it counted as a promise that the request was not run. With a tab, another control byte or a CR in the name, or no name, callers got 502 already.

Cause: net/http keeps a blank in the name of a field as a part of the key and rejects all other bytes that a name may not hold (checked for each of the 256). Nothing looked at the names, neither of the head nor of preliminary (1xx) heads and trailers.

Evidence: TestFieldNameThatIsNoneIsNoAnswer and TestFieldNameInTrailerEndsNoAnswer (hgsite) send 14 such lines in nine heads and a trailer on four kinds of routes. TestReadersRejectFieldNames fails in all seven cases without the check, TestAnswersAreChecked in all five with a blank.

Change: hgtransport checks the names of all three, and is now also the transport of the store, of calls between nodes, of callers of the own interface and of status reports; the control connection between nodes checks its head. An answer that fails is an error like one that broke off, and its connection is closed, as its framing is not known. To see preliminary heads the transport sets a hook of net/http, which then no longer bounds them together; the transport does so by the bytes that the connection has received (TestAnswersAreChecked, "preliminary answers" of TestEndlessAnswers). A folded field is one of HTTP and stays allowed (TestFoldedFieldIsAnswer).

--- a/internal/operate/hgstatus/status.go
+++ b/internal/operate/hgstatus/status.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"hyssopgrade/internal/serve/hgtransport"
 )
 
 // Path is the HTTP path of the status report, on the address where an entry VM serves its metrics.
@@ -110,6 +112,8 @@
 	StoreOK bool   `json:"storeOk"`
 }
 
+var client = &http.Client{Transport: hgtransport.New(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // Get fetches the status of the entry VM that serves its metrics at the address.
 func Get(ctx context.Context, address string) (s Status, err error) {
 	defer func() { err = trace.Wrap(err, "status of %s", address) }()
@@ -117,7 +121,7 @@
 	if err != nil {
 		return s, err
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
 		return s, err
 	}
--- a/internal/peer/hgnoderpc/client.go
+++ b/internal/peer/hgnoderpc/client.go
@@ -21,6 +21,7 @@
 	"hyssopgrade/hgtimer"
 	"hyssopgrade/internal/operate/hgkey"
 	"hyssopgrade/internal/serve/hgowner"
+	"hyssopgrade/internal/serve/hgtransport"
 )
 
 // Client sends requests to the other nodes of the cell; it is safe for concurrent use.
@@ -45,7 +46,7 @@
 	}
 	return &Client{
 		key: key, timer: timer, timeout: timeout, dial: dial, conns: map[string]*rpc.Client{},
-		forward: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32}},
+		forward: &http.Client{Transport: hgtransport.New(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32})},
 	}
 }
 
@@ -162,6 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := hgtransport.CheckFields(w.Header); err != nil {
+		return nil, err
+	}
 	if w.Status != connectedStatus {
 		return nil, trace.AccessDenied("inner port refused the control connection: status %q", w.Status)
 	}
--- a/internal/serve/hgcaller/client.go
+++ b/internal/serve/hgcaller/client.go
@@ -17,6 +17,7 @@
 	"hyssopgrade/hgcall"
 	"hyssopgrade/internal/operate/hgkey"
 	"hyssopgrade/internal/serve/hgfront"
+	"hyssopgrade/internal/serve/hgtransport"
 )
 
 // Client sends calls and operators' requests to the nodes of a cell; it is safe for concurrent use.
@@ -42,7 +43,7 @@
 func NewClient(nodes ...string) *Client {
 	return &Client{
 		nodes: nodes, locations: map[string]location{},
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+		http: &http.Client{Transport: hgtransport.New(&http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})},
 	}
 }
 
--- a/internal/serve/hgtransport/conn.go
+++ b/internal/serve/hgtransport/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -12,6 +13,8 @@
 // a connection once: after a write that has got it, reads return what has arrived and then io.EOF.
 type conn struct {
 	net.Conn
+	// received is the number of bytes that were read since the last request began.
+	received atomic.Int64
 
 	// writing is held during a write.
 	writing sync.Mutex
@@ -22,6 +25,7 @@
 // Read reads from the connection. At its end it may wait for a write under way, which returns at once if the connection was lost.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	c.received.Add(int64(n))
 	if err != io.EOF || isHalfClosed(c.Conn) {
 		return n, err
 	}
