--- a/internal/proof/hgsite/resetupload_test.go
+++ b/internal/proof/hgsite/resetupload_test.go
@@ -105,7 +105,13 @@
 			go hgreset.Server{Answer: replica.answer}.Serve(l)
 			registerAllAt(t, s, l.Addr().String())
 			s.Options = []hgentryvm.Option{hgentryvm.WithReplicaDial(hgreset.Dial)}
-			if err := s.AddNode(); err != nil {
+			if _, err := s.AddConfig(s.StoreAddress()); err != nil {
+				t.Fatal(err)
+			}
+			// The VMs of all tests share one process, and a VM that finds its heap near the limit refuses long uploads.
+			s.Configs[0].VM.MemoryMB = 1 << 10
+			s.Nodes = append(s.Nodes, nil)
+			if err := s.StartNode(0); err != nil {
 				t.Fatal(err)
 			}
 			if err := s.WaitReady(readyLimit); err != nil {
