hgledger: the test of late returns reads its own state without a race

Cause: the ledger asks the test whether the store is slow from a timer's goroutine, while the test changes that value. The race is in the test, not in the ledger.

Change: the value is atomic; what the test checks is as it was.

--- a/internal/state/hgledger/late_test.go
+++ b/internal/state/hgledger/late_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 type lateSite struct {
 	table   *lateTable
 	ledgers []*hgledger.Ledger
-	slow    []bool
+	slow    []atomic.Bool
 	starts  int
 	timer   *shiftedTimer
 	open    []lateTurn
@@ -88,7 +89,7 @@
 
 func newLateSite(timer hgtimer.Timer) *lateSite {
 	s := &lateSite{
-		table: &lateTable{Memory: hgstore.NewMemory()}, ledgers: make([]*hgledger.Ledger, lateLedgers), slow: make([]bool, lateLedgers),
+		table: &lateTable{Memory: hgstore.NewMemory()}, ledgers: make([]*hgledger.Ledger, lateLedgers), slow: make([]atomic.Bool, lateLedgers),
 		timer: &shiftedTimer{Timer: timer},
 	}
 	for i := range s.ledgers {
@@ -111,7 +112,7 @@
 	s.open = rest
 	s.ledgers[i] = hgledger.NewLedger(fmt.Sprint("l", s.starts), s.table, s.timer, hglog.Discard(), hgledger.WithRetryAfter(time.Millisecond),
 		hgledger.WithAllProgramsKnown(s.starts <= lateLedgers), hgledger.WithReachability(func() hgreach.State {
-			if s.slow[i] {
+			if s.slow[i].Load() {
 				return hgreach.Slow
 			}
 			return hgreach.Reachable
@@ -141,8 +142,8 @@
 		s.ledgers[i].ReturnUnused(context.Background())
 		s.note("return at %d", i)
 	case 2:
-		s.slow[i] = !s.slow[i]
-		s.note("slow at %d: %t", i, s.slow[i])
+		s.slow[i].Store(!s.slow[i].Load())
+		s.note("slow at %d: %t", i, s.slow[i].Load())
 	case 3:
 		s.read(i)
 	case 4, 5:
