--- a/internal/proof/hgsite/fieldname_test.go
+++ b/internal/proof/hgsite/fieldname_test.go
@@ -20,7 +20,7 @@
 	"blank behind a length":         "Content-Length : 4",
 	"blank behind another length":   "Content-Length : 2",
 	"blank behind chunks":           "Transfer-Encoding : chunked",
-	"blank behind the seal":         "X-Seal : 1",
+	"blank behind the seal":         "X-Response-Seal : 1",
 	"tab in a name":                 "X\tOdd: 1",
 	"tab behind a length":           "Content-Length\t: 4",
 	"0x00 in a name":                "X\x00Odd: 1",
